--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,225 @@
+// Package config reads and checks the settings file that the platform hands over.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Config is the settings file. Fields it does not name are ignored.
+type Config struct {
+	Node       string   `toml:"node_name"`
+	Zone       string   `toml:"zone"`
+	Listen     string   `toml:"client_listen"`
+	PeerListen string   `toml:"peer_bind"`
+	Peers      []Peer   `toml:"siblings"`
+	Services   Services `toml:"outside"`
+	Params     Params   `toml:"params"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Node string `toml:"node_name"`
+	Zone string `toml:"zone"`
+	Addr string `toml:"peer_addr"`
+}
+
+// Services are the outside services' addresses.
+type Services struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Params describe the deployment.
+type Params struct {
+	Nodes      int         `toml:"nodes"`
+	Zones      []string    `toml:"zones"`
+	SkewMS     float64     `toml:"skew_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Limits     Limits      `toml:"machine_limits"`
+}
+
+// Team has a guarantee and a limit; 0 means none of that resource.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective repeats one of the users' aims.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	AfterS  float64 `toml:"after_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Workers holds the workers' timing, in seconds.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the cloud API's limits.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits are what the machine gives this process.
+type Limits struct {
+	CPUShare   float64 `toml:"cpu_share"`
+	MemoryMB   float64 `toml:"memory_mb"`
+	MaxSockets int     `toml:"max_sockets"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Config, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse decodes and checks settings.
+func Parse(b []byte) (*Config, error) {
+	var c Config
+	if err := toml.Unmarshal(b, &c); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, _ := de.Position()
+			return nil, fmt.Errorf("line %d: %s: %s", row, joinKey(de.Key()), de.Error())
+		}
+		return nil, err
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+func joinKey(k toml.Key) string {
+	s := ""
+	for i, p := range k {
+		if i > 0 {
+			s += "."
+		}
+		s += p
+	}
+	if s == "" {
+		return "syntax"
+	}
+	return s
+}
+
+func (c *Config) check() error {
+	addr := func(field, v string) error {
+		host, port, err := net.SplitHostPort(v)
+		if err != nil {
+			return fmt.Errorf("%s: must be ip:port, got %q", field, v)
+		}
+		if net.ParseIP(host) == nil {
+			return fmt.Errorf("%s: must hold an IP number, got %q", field, v)
+		}
+		if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+			return fmt.Errorf("%s: bad port in %q", field, v)
+		}
+		return nil
+	}
+	positive := func(field string, v float64) error {
+		if math.IsNaN(v) || math.IsInf(v, 0) || v <= 0 {
+			return fmt.Errorf("%s: must be a number above 0, got %v", field, v)
+		}
+		return nil
+	}
+	errs := []error{}
+	if c.Node == "" {
+		errs = append(errs, errors.New("node_name: missing"))
+	}
+	errs = append(errs,
+		addr("client_listen", c.Listen), addr("peer_bind", c.PeerListen),
+		addr("outside.cloud", c.Services.Cloud), addr("outside.state", c.Services.State),
+		positive("params.workers.report_s", c.Params.Workers.ReportS),
+		positive("params.workers.lease_s", c.Params.Workers.LeaseS),
+		positive("params.workers.cancel_s", c.Params.Workers.CancelS),
+		positive("params.state.rps", c.Params.State.RPS),
+		positive("params.state.write_rps", c.Params.State.WriteRPS),
+		positive("params.state.value_kb", c.Params.State.ValueKB),
+		positive("params.cloud.rps", c.Params.Cloud.RPS),
+	)
+	if c.Params.State.TxnOps < 2 {
+		errs = append(errs, fmt.Errorf("params.state.txn_ops: must be at least 2, got %d", c.Params.State.TxnOps))
+	}
+	if c.Params.Cloud.ListLagS < 0 {
+		errs = append(errs, errors.New("params.cloud.list_lag_s: must not be negative"))
+	}
+	l := c.Params.Limits
+	if l.CPUShare < 0 || l.MemoryMB < 0 || l.MaxSockets < 0 {
+		errs = append(errs, errors.New("params.machine_limits: must not be negative"))
+	}
+	if len(c.Params.Teams) == 0 {
+		errs = append(errs, errors.New("params.teams: at least one team is needed"))
+	}
+	seen := map[string]bool{}
+	for i, t := range c.Params.Teams {
+		f := fmt.Sprintf("params.teams[%d]", i)
+		switch {
+		case t.Name == "":
+			errs = append(errs, fmt.Errorf("%s.name: missing", f))
+		case seen[t.Name]:
+			errs = append(errs, fmt.Errorf("%s.name: %q stands twice", f, t.Name))
+		case !(t.CPUs >= 0) || !(t.GPUs >= 0):
+			errs = append(errs, fmt.Errorf("%s: a guarantee must not be negative", f))
+		case !(t.CPUsMax >= t.CPUs):
+			errs = append(errs, fmt.Errorf("%s.cpus_max: must be at least cpus", f))
+		case !(t.GPUsMax >= t.GPUs):
+			errs = append(errs, fmt.Errorf("%s.gpus_max: must be at least gpus", f))
+		}
+		seen[t.Name] = true
+	}
+	nodes := map[string]bool{c.Node: true}
+	for i, p := range c.Peers {
+		f := fmt.Sprintf("siblings[%d]", i)
+		if p.Node == "" {
+			errs = append(errs, fmt.Errorf("%s.node_name: missing", f))
+		} else if nodes[p.Node] {
+			errs = append(errs, fmt.Errorf("%s.node_name: %q stands twice", f, p.Node))
+		}
+		nodes[p.Node] = true
+		errs = append(errs, addr(f+".peer_addr", p.Addr))
+	}
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,507 @@
+// Package core is the scheduler as a state machine: Step takes one input with
+// the time and returns what to send and answer. It holds no clock, does no I/O
+// and starts no goroutine, so that every schedule can be replayed in a test.
+package core
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Time is steady time since the process began.
+type Time = time.Duration
+
+// Params is what the core needs of the settings.
+type Params struct {
+	Node  string
+	Zone  string
+	Nodes map[string]string // every controller's zone, this one's included
+	Teams map[string]Team
+	// Lease, Cancel and Report are the workers' times.
+	Lease, Cancel, Report time.Duration
+	ListLag               time.Duration
+	TxnOps                int
+	ValueBytes            int
+}
+
+// Team is a team's guarantee and limit.
+type Team struct {
+	CPUs, CPUsMax, GPUs, GPUsMax float64
+}
+
+// Inputs.
+type (
+	// Tick is the clock pulse.
+	Tick struct{}
+	// Submit is a user's job. Problem tells why the body could not be read.
+	Submit struct {
+		Req  uint64
+		Spec wire.JobSpec
+	}
+	// Poll asks for a job's state.
+	Poll struct {
+		Req uint64
+		ID  string
+	}
+	// Abort cancels a job.
+	Abort struct {
+		Req uint64
+		ID  string
+	}
+	// Ready is the load balancer's probe.
+	Ready struct{ Req uint64 }
+	// WorkerReport is a worker's report.
+	WorkerReport struct {
+		Req    uint64
+		Report wire.Report
+	}
+	// StateDone and CloudDone return a call's outcome.
+	StateDone struct {
+		ID    uint64
+		Reply StateReply
+	}
+	CloudDone struct {
+		ID    uint64
+		Reply CloudReply
+	}
+)
+
+// State service calls.
+const (
+	OpGet = iota
+	OpList
+	OpCommit
+	OpGrant
+	OpExtend
+	OpWatch
+	OpTypes
+	OpMachines
+	OpRent
+	OpDelete
+)
+
+// Effects.
+type (
+	// Answer replies to request Req. Holder is set on a 421.
+	Answer struct {
+		Req        uint64
+		Status     int
+		Body       any
+		RetryAfter int
+	}
+	// StateCall asks the state service.
+	StateCall struct {
+		ID       uint64
+		Op       int
+		Key      string
+		After    string
+		Txn      wire.Txn
+		Lease    uint64
+		Revision uint64
+		Hold     time.Duration
+	}
+	// CloudCall asks the cloud.
+	CloudCall struct {
+		ID    uint64
+		Op    int
+		After string
+		Rent  wire.RentRequest
+		Names []string
+	}
+	// Log is one line for the operator. Level: 0 error, 1 info, 2 debug.
+	Log struct {
+		Level int
+		Msg   string
+		KV    []any
+	}
+)
+
+// StateReply is the state service's answer; Status 0: none came.
+type StateReply struct {
+	Status int
+	Err    string
+	Item   wire.Item
+	List   wire.ItemList
+	Txn    wire.TxnReply
+	Lease  uint64
+	Events wire.Events
+}
+
+// CloudReply is the cloud's answer; Status 0: none came.
+type CloudReply struct {
+	Status int
+	Err    string
+	Types  []wire.MachineType
+	Names  []string
+	List   wire.MachineList
+}
+
+// Core is one controller's mind.
+type Core struct {
+	p    Params
+	now  Time
+	wall time.Time
+	out  []any
+	seq  uint64
+
+	stateWait map[uint64]func(StateReply)
+	cloudWait map[uint64]func(CloudReply)
+
+	// Own presence.
+	boot     uint64 // first grant of this process: names this life of the node
+	grant    uint64
+	granting bool
+	present  bool
+	extendAt Time
+	extendIn bool
+	renewOK  Time // when the last successful renewal was sent
+	watchOK  Time // when the last answered watch or list was sent
+	loaded   bool
+	loading  bool
+	watching bool
+	listSeen map[string]bool
+	listRev  uint64
+	rev      uint64 // revision the mirror has reached
+	retryAt  map[string]Time
+
+	mirror
+	holder
+	users
+	leader leaderState
+}
+
+// New returns a core that has yet to read the state.
+func New(p Params) *Core {
+	c := &Core{p: p,
+		stateWait: map[uint64]func(StateReply){}, cloudWait: map[uint64]func(CloudReply){},
+		retryAt: map[string]Time{},
+	}
+	c.mirror = newMirror()
+	c.holder = newHolder()
+	c.users = newUsers()
+	c.leader.reset()
+	return c
+}
+
+// Step takes one input at a steady time (and time of day) and returns effects.
+func (c *Core) Step(now Time, wall time.Time, in any) []any {
+	c.now, c.wall, c.out = now, wall, nil
+	switch v := in.(type) {
+	case Tick:
+		c.tick()
+	case Submit:
+		c.onSubmit(v)
+	case Poll:
+		c.onPoll(v)
+	case Abort:
+		c.onAbort(v)
+	case Ready:
+		c.onReady(v)
+	case WorkerReport:
+		c.onReport(v)
+	case StateDone:
+		if f := c.stateWait[v.ID]; f != nil {
+			delete(c.stateWait, v.ID)
+			f(v.Reply)
+		}
+	case CloudDone:
+		if f := c.cloudWait[v.ID]; f != nil {
+			delete(c.cloudWait, v.ID)
+			f(v.Reply)
+		}
+	}
+	return c.out
+}
+
+func (c *Core) state(call StateCall, f func(StateReply)) {
+	c.seq++
+	call.ID = c.seq
+	c.stateWait[call.ID] = f
+	c.out = append(c.out, call)
+}
+
+func (c *Core) cloud(call CloudCall, f func(CloudReply)) {
+	c.seq++
+	call.ID = c.seq
+	c.cloudWait[call.ID] = f
+	c.out = append(c.out, call)
+}
+
+func (c *Core) answer(req uint64, status int, body any) {
+	a := Answer{Req: req, Status: status, Body: body}
+	if status == 503 || status == 429 {
+		a.RetryAfter = tuning.RetryHint
+	}
+	c.out = append(c.out, a)
+}
+
+func (c *Core) log(level int, msg string, kv ...any) {
+	c.out = append(c.out, Log{level, msg, kv})
+}
+
+// every tells whether a repeated duty is due, and if so sets its next time.
+func (c *Core) every(name string, d time.Duration) bool {
+	if c.now < c.retryAt[name] {
+		return false
+	}
+	c.retryAt[name] = c.now + d
+	return true
+}
+
+func (c *Core) tick() {
+	c.keepPresence()
+	c.keepMirror()
+	if !c.loaded {
+		return
+	}
+	c.lead()
+	c.hold()
+}
+
+// keepPresence holds a grant, and this node's key on it.
+func (c *Core) keepPresence() {
+	switch {
+	case c.grant == 0:
+		if c.granting || !c.every("grant", tuning.RetryAfter) {
+			return
+		}
+		c.granting = true
+		sent := c.now
+		c.state(StateCall{Op: OpGrant}, func(r StateReply) {
+			c.granting = false
+			if r.Status != 200 {
+				c.log(0, "no grant from the state service", "status", r.Status, "err", r.Err)
+				return
+			}
+			c.grant, c.present = r.Lease, false
+			if c.boot == 0 {
+				c.boot = r.Lease
+			}
+			c.renewOK, c.extendAt = sent, c.now+tuning.ExtendEvery
+			c.keepPresence()
+		})
+	case !c.present:
+		if !c.every("presence", tuning.RetryAfter) {
+			return
+		}
+		g := c.grant
+		c.commit(nil, []wire.Change{{Put: wire.PrefixNode + c.p.Node, Value: wire.Node{Boot: c.boot, Zone: c.p.Zone}, Lease: g}}, func(r StateReply) {
+			if r.Status == 200 && c.grant == g {
+				c.present = true
+				c.log(1, "present", "node", c.p.Node, "boot", c.boot, "grant", g)
+			} else if r.Status == 400 && c.grant == g {
+				c.grant = 0
+			}
+		})
+	}
+	if c.grant != 0 && !c.extendIn && c.now >= c.extendAt {
+		c.extendIn = true
+		sent, g := c.now, c.grant
+		c.state(StateCall{Op: OpExtend, Lease: g}, func(r StateReply) {
+			c.extendIn = false
+			c.extendAt = sent + tuning.ExtendEvery
+			switch {
+			case g != c.grant:
+			case r.Status == 200:
+				c.renewOK = sent
+			case r.Status == 404:
+				c.log(0, "grant ended, taking another", "grant", g)
+				c.grant, c.present = 0, false
+			default:
+				c.extendAt = c.now + tuning.RetryAfter
+				c.log(2, "grant not renewed", "status", r.Status, "err", r.Err)
+			}
+		})
+	}
+}
+
+// keepMirror reads all live keys once and then follows their changes.
+func (c *Core) keepMirror() {
+	if c.boot == 0 {
+		return
+	}
+	if !c.loaded && !c.loading && c.every("load", tuning.RetryAfter) {
+		c.loading, c.listSeen, c.listRev = true, map[string]bool{}, 0
+		c.loadPage("", c.now)
+	}
+	if c.loaded && !c.watching && c.now >= c.retryAt["watch"] {
+		c.watching = true
+		sent := c.now
+		c.state(StateCall{Op: OpWatch, Key: wire.LivePrefix, Revision: c.rev, Hold: tuning.WatchHold}, func(r StateReply) {
+			c.watching = false
+			switch r.Status {
+			case 200:
+				c.watchOK = sent
+				for _, e := range r.Events.Events {
+					if e.Put != "" {
+						c.put(e.Put, e.Value, e.Version)
+					} else {
+						c.remove(e.Delete, max(e.Version, c.rev))
+					}
+				}
+				if r.Events.Revision > c.rev {
+					c.rev = r.Events.Revision
+				}
+				c.dropTombs(c.rev)
+				c.keepMirror()
+				c.changed()
+			case 410:
+				c.log(1, "watch too old, reading all keys again")
+				c.loading, c.listSeen, c.listRev = true, map[string]bool{}, 0
+				c.watching = true // until the list is read
+				c.loadPage("", c.now)
+			default:
+				c.retryAt["watch"] = c.now + tuning.RetryAfter
+			}
+		})
+	}
+}
+
+func (c *Core) loadPage(after string, began Time) {
+	c.state(StateCall{Op: OpList, Key: wire.LivePrefix, After: after}, func(r StateReply) {
+		if r.Status != 200 {
+			c.loading, c.watching = false, false
+			if c.loaded {
+				c.retryAt["watch"] = c.now + tuning.RetryAfter
+			}
+			c.log(0, "state not readable", "status", r.Status, "err", r.Err)
+			return
+		}
+		if c.listRev == 0 {
+			c.listRev = r.List.Revision
+		}
+		last := after
+		for _, it := range r.List.Items {
+			c.listSeen[it.Key] = true
+			c.put(it.Key, it.Value, it.Version)
+			last = it.Key
+		}
+		if r.List.More && len(r.List.Items) > 0 {
+			c.loadPage(last, began)
+			return
+		}
+		for _, k := range c.keys() {
+			if !c.listSeen[k] {
+				c.remove(k, c.listRev)
+			}
+		}
+		// Changes made while the pages were read come again with the watch.
+		c.rev, c.loading, c.watching, c.watchOK, c.listSeen = c.listRev, false, false, began, nil
+		if !c.loaded {
+			c.loaded = true
+			c.log(1, "state read", "jobs", len(c.jobs), "blocks", len(c.blocks), "revision", c.rev)
+			c.retake()
+		}
+		c.keepMirror()
+		c.changed()
+	})
+}
+
+// retake claims what this node's earlier life held. That life is dead, so no
+// one else can act for it, and its workers' leases are running out.
+func (c *Core) retake() {
+	for _, i := range c.shardIDs() {
+		if e := c.shards[i]; e.rec.Holder == c.p.Node && e.rec.Boot != c.boot {
+			c.takeShard(i, c.p.Node, c.boot)
+		}
+	}
+	c.lead()
+}
+
+// takeShard writes a new holder; the write's revision is the shard's token.
+func (c *Core) takeShard(i int, node string, boot uint64) {
+	e := c.shards[i]
+	rec := e.rec
+	rec.Holder, rec.Boot = node, boot
+	key := shardKey(i)
+	if !c.every("take:"+key, tuning.RetryAfter) {
+		return
+	}
+	from := e.rec.Holder
+	c.commit([]wire.Condition{{Key: key, Version: e.ver}}, []wire.Change{{Put: key, Value: rec}}, func(r StateReply) {
+		c.log(1, "shard taken", "shard", i, "holder", node, "from", from, "status", r.Status)
+		c.changed()
+	})
+}
+
+// commit writes a transaction; on success the mirror is brought up at once, on
+// a conflict the failed keys are read again.
+func (c *Core) commit(when []wire.Condition, then []wire.Change, f func(StateReply)) {
+	c.state(StateCall{Op: OpCommit, Txn: wire.Txn{If: when, Then: then}}, func(r StateReply) {
+		switch r.Status {
+		case 200:
+			for _, ch := range then {
+				if ch.Delete != "" {
+					c.remove(ch.Delete, r.Txn.Revision)
+				} else if raw, err := wire.Marshal(ch.Value); err == nil {
+					c.put(ch.Put, raw, r.Txn.Revision)
+				}
+			}
+		case 409:
+			for _, k := range r.Txn.Failed {
+				c.refresh(k)
+			}
+		case 0:
+			// The write may have happened: learn what stands there now.
+			for _, ch := range then {
+				if k := ch.Put + ch.Delete; strings.HasPrefix(k, wire.LivePrefix) {
+					c.refresh(k)
+				}
+			}
+		}
+		f(r)
+	})
+}
+
+// refresh reads one live key into the mirror.
+func (c *Core) refresh(key string) {
+	if !strings.HasPrefix(key, wire.LivePrefix) {
+		return
+	}
+	c.state(StateCall{Op: OpGet, Key: key}, func(r StateReply) { c.learn(key, r); c.changed() })
+}
+
+func (c *Core) learn(key string, r StateReply) {
+	switch r.Status {
+	case 200:
+		c.put(key, r.Item.Value, r.Item.Version)
+	case 404:
+		c.remove(key, r.List.Revision)
+	}
+}
+
+// unconfirmed is how long workers may be answered without confirmation from
+// the state service: an abort missed meanwhile still ends within cancel_s,
+// since the workers' leases run out in the rest.
+func (c *Core) unconfirmedMax() time.Duration {
+	return max(c.p.Cancel-c.leaseOver()-tuning.UnconfirmedMargin, c.p.Lease/2)
+}
+
+// leaseOver is how long after a 200 left the worker's lease is surely over.
+func (c *Core) leaseOver() time.Duration {
+	return time.Duration(float64(c.p.Lease)*(1+tuning.Drift)) + tuning.LeaseMargin
+}
+
+// confirmed tells whether the entitlement was confirmed recently enough.
+func (c *Core) confirmed() bool {
+	return c.loaded && c.now-min(c.renewOK, c.watchOK) < c.unconfirmedMax()
+}
+
+func (c *Core) sizeOf(typ string) (placement.Size, bool) {
+	t, ok := c.types[typ]
+	return placement.Size{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemoryGB}, ok
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	ks := make([]string, 0, len(m))
+	for k := range m {
+		ks = append(ks, k)
+	}
+	sort.Strings(ks)
+	return ks
+}
--- /dev/null
+++ b/internal/core/holder.go
@@ -0,0 +1,681 @@
+package core
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// holder is what this controller knows as the holder of shards: the machines
+// of their blocks, and the tasks on them.
+type holder struct {
+	machines map[string]*machine
+	unsettle map[int]bool // shards taken over, not all machines accounted for yet
+	dirty    bool         // a placement pass is due
+	flushing bool
+	tryNo    uint64
+	wantSent map[int]wire.Want
+	wantBusy bool
+	checking bool
+	nextLazy Time
+}
+
+// machine is one machine of a block this controller holds.
+type machine struct {
+	name, block, typ, zone string
+	shard                  int
+	spot, base, drop       bool
+	since                  Time   // held since
+	takenToken             uint64 // a report carrying this token or a later one accounts for it
+	inherited              bool   // an earlier holder may have started tasks here
+	accounted              bool
+	reported               bool // has ever reported to us
+	session, seq           uint64
+	lastReport             Time
+	lastOK                 Time // when our last 200 left
+	over                   bool // its lease is surely over; confirmed by the state
+	notice                 bool
+	noticeAt               Time
+	attempts               map[attemptKey]*attempt
+	errs                   int
+	badJobs                map[string]bool
+	idleSince              Time
+	images                 map[string]bool
+}
+
+type attemptKey struct {
+	task string
+	try  uint64
+}
+
+// attempt is one try of a task on a machine. It counts as possibly there from
+// its reservation until a newer report, a deletion or the end of the lease
+// says otherwise.
+type attempt struct {
+	key              attemptKey
+	job              string
+	idx              int
+	team             string
+	size             placement.Size
+	known            bool // size and team are known
+	m                *machine
+	status           string // "" until reported
+	cause            string
+	sent             bool
+	sentSession      uint64
+	sentSeq          uint64
+	stop             bool
+	graceS           float64
+	created, running Time
+}
+
+// jobRun is what the holder knows of a job's tasks.
+type jobRun struct {
+	active  map[int]*attempt
+	retry   []int // started once, nowhere now, to be started again
+	next    int   // first index never reserved
+	held    int   // tasks below this may run on inherited machines; 0 once settled
+	done    ranges
+	notYet  Time // after failures: nothing is started before this
+	fails   int
+	lazy    bool // completions wait to be written
+	wakeups int
+}
+
+func newHolder() holder {
+	return holder{machines: map[string]*machine{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}}
+}
+
+// jobSeen is called for every new version of a live job.
+func (c *Core) jobSeen(e *jobEntry) {
+	c.dirty = true
+	i := c.shardOf(e.rec.Team)
+	if !c.mine(i) {
+		e.run = nil
+		return
+	}
+	if e.run == nil {
+		e.run = &jobRun{active: map[int]*attempt{}, next: e.rec.Started, done: ranges(e.rec.Done).clone()}
+		if e.rec.Started > 0 {
+			e.run.held = e.rec.Started
+			c.settleJob(e, i)
+		}
+	}
+	if e.rec.Started > e.run.next {
+		// Someone wrote further starts before we took over: a late write of the
+		// earlier holder. Those may have been started.
+		e.run.held, e.run.next = e.rec.Started, e.rec.Started
+		c.settleJob(e, i)
+	}
+	for _, r := range e.rec.Done {
+		for k := r[0]; k < r[1]; k++ {
+			e.run.done = e.run.done.add(k)
+		}
+	}
+}
+
+// jobGone is called when a job has left the live keys: done or aborted. What
+// of it is still on machines is stopped there and counts until it is gone.
+func (c *Core) jobGone(e *jobEntry) {
+	c.dirty = true
+	if e.run == nil {
+		return
+	}
+	for _, a := range e.run.active {
+		if !a.sent && a.status == "" {
+			delete(a.m.attempts, a.key)
+		}
+	}
+	e.run = nil
+}
+
+// shardSeen is called for every new version of a shard record.
+func (c *Core) shardSeen(i int, old *shardEntry) {
+	c.dirty = true
+	was := old != nil && old.rec.Holder == c.p.Node && old.rec.Boot == c.boot && c.boot != 0
+	is := c.mine(i)
+	switch {
+	case is && !was:
+		c.unsettle[i] = true
+		for _, id := range c.blockIDs() {
+			if b := c.blocks[id]; b.rec.Shard == i {
+				c.holdBlock(b, !b.rec.Idle)
+			}
+		}
+		c.log(1, "holding shard", "shard", i, "token", c.shards[i].ver, "teams", len(c.shards[i].rec.Teams))
+	case was && !is:
+		delete(c.unsettle, i)
+		for name, m := range c.machines {
+			if m.shard == i {
+				delete(c.machines, name)
+			}
+		}
+		c.log(1, "shard lost", "shard", i, "to", c.shards[i].rec.Holder)
+	}
+	for _, id := range sortedKeys(c.jobs) {
+		if e := c.jobs[id]; c.shardOf(e.rec.Team) == i {
+			if was && !is {
+				e.run = nil
+			} else if is && !was {
+				e.run = nil
+				c.jobSeen(e)
+			} else if is && e.run == nil {
+				c.jobSeen(e)
+			}
+		}
+	}
+	if is && !was {
+		c.settle()
+	}
+}
+
+// blockSeen is called for every new version of a block, or its removal.
+func (c *Core) blockSeen(id string, old *blockEntry) {
+	c.dirty = true
+	b := c.blocks[id]
+	now := map[string]bool{}
+	if b != nil && c.mine(b.rec.Shard) {
+		// Gained while holding: rented just now, or promised empty by another
+		// shard. Nothing of ours can be on it.
+		c.holdBlock(b, false)
+		for _, bm := range b.rec.Machines {
+			now[bm.Name] = true
+		}
+	}
+	if old == nil {
+		return
+	}
+	for _, bm := range old.rec.Machines {
+		if m := c.machines[bm.Name]; m != nil && m.block == id && !now[bm.Name] {
+			// The leader takes a name out only once the cloud has deleted it, or
+			// the block moved, which only an empty one does.
+			c.machineGone(m, "deleted")
+			delete(c.machines, bm.Name)
+		}
+	}
+}
+
+func (c *Core) holdBlock(b *blockEntry, inherited bool) {
+	for _, bm := range b.rec.Machines {
+		m := c.machines[bm.Name]
+		if m == nil {
+			m = &machine{name: bm.Name, block: b.id, typ: b.rec.Type, zone: b.rec.Zone, spot: b.rec.Spot,
+				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited,
+				attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, badJobs: map[string]bool{},
+				idleSince: c.now, lastReport: c.now}
+			c.machines[bm.Name] = m
+		}
+		m.base, m.drop = b.rec.Base, bm.Drop
+	}
+}
+
+// machineGone frees everything that was on a machine that is surely gone, or
+// whose lease is surely over.
+func (c *Core) machineGone(m *machine, why string) {
+	c.dirty = true
+	for _, k := range sortedAttempts(m) {
+		c.attemptGone(m.attempts[k], why)
+	}
+	m.accounted = true
+	c.settle()
+}
+
+func sortedAttempts(m *machine) []attemptKey {
+	ks := make([]attemptKey, 0, len(m.attempts))
+	for k := range m.attempts {
+		ks = append(ks, k)
+	}
+	sort.Slice(ks, func(i, j int) bool {
+		if ks[i].task != ks[j].task {
+			return ks[i].task < ks[j].task
+		}
+		return ks[i].try < ks[j].try
+	})
+	return ks
+}
+
+// attemptGone takes an attempt off its machine; its task is started again
+// unless it is done.
+func (c *Core) attemptGone(a *attempt, why string) {
+	delete(a.m.attempts, a.key)
+	c.dirty = true
+	e := c.jobs[a.job]
+	if e == nil || e.run == nil || e.run.active[a.idx] != a {
+		return
+	}
+	c.endActive(e, a)
+	c.log(2, "task to be started again", "task", a.key.task, "try", a.key.try, "machine", a.m.name, "why", why)
+}
+
+// endActive marks that a's task is nowhere now.
+func (c *Core) endActive(e *jobEntry, a *attempt) {
+	delete(e.run.active, a.idx)
+	if !e.run.done.has(a.idx) {
+		e.run.retry = append(e.run.retry, a.idx)
+	}
+}
+
+// settle lets started tasks go again once every machine inherited with a shard
+// is accounted for.
+func (c *Core) settle() {
+	for i := range c.unsettle {
+		open := false
+		for _, m := range c.machines {
+			if m.shard == i && m.inherited && !m.accounted {
+				open = true
+				break
+			}
+		}
+		if open {
+			continue
+		}
+		delete(c.unsettle, i)
+		c.dirty = true
+		c.log(1, "all inherited machines accounted for", "shard", i)
+		for _, id := range sortedKeys(c.jobs) {
+			if e := c.jobs[id]; e.run != nil && c.shardOf(e.rec.Team) == i {
+				c.settleJob(e, i)
+			}
+		}
+	}
+}
+
+func (c *Core) settleJob(e *jobEntry, shard int) {
+	if e.run.held == 0 || c.unsettle[shard] {
+		return
+	}
+	queued := map[int]bool{}
+	for _, k := range e.run.retry {
+		queued[k] = true
+	}
+	for k := 0; k < e.run.held; k++ {
+		if !e.run.done.has(k) && e.run.active[k] == nil && !queued[k] {
+			e.run.retry = append(e.run.retry, k)
+		}
+	}
+	e.run.held = 0
+}
+
+// onReport answers a worker. Only the holder of its block says 200.
+func (c *Core) onReport(v WorkerReport) {
+	r := &v.Report
+	m := c.machines[r.Machine]
+	if m == nil {
+		c.redirect(v.Req, r)
+		return
+	}
+	b := c.blocks[m.block]
+	if b == nil || !c.mine(m.shard) || !c.confirmed() {
+		// Not sure to be entitled: the worker may find one who is.
+		c.answer(v.Req, 503, unavailable("entitlement not confirmed"))
+		return
+	}
+	token := c.token(b)
+	if r.Token > token || r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		// A higher token: someone else is entitled and we have not heard yet.
+		// An older report: delayed on its way, its list is history.
+		c.answer(v.Req, 503, unavailable("report out of date"))
+		return
+	}
+	m.session, m.seq, m.lastReport, m.over = r.Session, r.Seq, c.now, false
+	if !m.reported {
+		m.reported = true
+		m.idleSince = c.now
+		c.dirty = true
+		c.log(2, "machine reports", "machine", m.name, "block", m.block)
+	}
+	if r.NoticeS != nil && !m.notice {
+		m.notice, m.noticeAt = true, c.now+time.Duration(*r.NoticeS*float64(time.Second))
+		c.dirty = true
+		c.log(1, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
+	}
+	c.takeStock(m, r)
+	if !m.accounted && r.Token >= m.takenToken {
+		m.accounted = true
+		c.dirty = true
+		c.settle()
+	}
+	reply := wire.ReportReply{Token: token, Commands: []wire.Command{}}
+	reply.Commands = c.commands(m, r)
+	m.lastOK = c.now
+	c.answer(v.Req, 200, reply)
+	if c.dirty {
+		c.hold()
+	}
+}
+
+// redirect answers a worker of a block this controller does not hold.
+func (c *Core) redirect(req uint64, r *wire.Report) {
+	if c.loaded {
+		for _, b := range c.blocks {
+			for _, bm := range b.rec.Machines {
+				if bm.Name != r.Machine {
+					continue
+				}
+				s := c.shards[b.rec.Shard]
+				if s != nil && s.rec.Holder != c.p.Node {
+					if n, up := c.nodes[s.rec.Holder]; up && n.Boot == s.rec.Boot {
+						c.answer(req, 421, wire.Redirect{Holder: s.rec.Holder})
+						return
+					}
+				}
+				c.answer(req, 503, unavailable("holder not known"))
+				return
+			}
+		}
+		c.surprise(r)
+		if c.chief.Node != "" && c.chief.Node != c.p.Node {
+			c.answer(req, 421, wire.Redirect{Holder: c.chief.Node})
+			return
+		}
+	}
+	c.answer(req, 503, unavailable("machine not known"))
+}
+
+// takeStock brings the attempts of a machine in line with its newest report.
+func (c *Core) takeStock(m *machine, r *wire.Report) {
+	present := map[attemptKey]bool{}
+	for _, t := range r.Attempts {
+		k := attemptKey{t.Task, t.Attempt}
+		present[k] = true
+		a := m.attempts[k]
+		if a == nil {
+			job, idx, err := wire.ParseTask(t.Task)
+			if err != nil {
+				c.log(0, "report names no task", "machine", m.name, "task", t.Task)
+				continue
+			}
+			a = &attempt{key: k, job: job, idx: idx, m: m, sent: true, created: c.now, running: c.now}
+			if e := c.jobs[job]; e != nil {
+				a.size, a.team, a.known = jobSize(&e.rec), e.rec.Team, true
+				if e.run != nil && t.Status != wire.TaskEnded {
+					if o := e.run.active[idx]; o != nil {
+						c.log(0, "task found on two machines, stopping the newer find", "task", t.Task, "on", o.m.name, "and", m.name)
+						a.stop = true
+					} else {
+						e.run.active[idx] = a
+						dropInt(&e.run.retry, idx)
+					}
+				}
+			}
+			m.attempts[k] = a
+			c.dirty = true
+		}
+		if a.status == t.Status {
+			continue
+		}
+		was := a.status
+		a.status, a.cause = t.Status, t.Cause
+		c.dirty = true
+		switch t.Status {
+		case wire.TaskRunning:
+			a.running = c.now
+			if e := c.jobs[a.job]; e != nil {
+				m.images[e.rec.Image] = true
+			}
+			c.log(2, "task runs", "task", a.key.task, "machine", m.name, "after", (c.now - a.created).String())
+		case wire.TaskEnded:
+			c.attemptEnded(a, was)
+		}
+	}
+	for _, k := range sortedAttempts(m) {
+		a := m.attempts[k]
+		if present[k] || (!a.sent && a.status == "") {
+			continue
+		}
+		// A newer report without it: the answer that carried the start was
+		// dropped, the session is over, or it was cleared.
+		c.attemptGone(a, "not on its machine")
+	}
+	if len(m.attempts) > 0 {
+		m.idleSince = c.now
+	}
+}
+
+func dropInt(list *[]int, v int) {
+	for i, x := range *list {
+		if x == v {
+			*list = append((*list)[:i], (*list)[i+1:]...)
+			return
+		}
+	}
+}
+
+// attemptEnded handles an attempt's end as its worker reports it.
+func (c *Core) attemptEnded(a *attempt, was string) {
+	e := c.jobs[a.job]
+	if e == nil || e.run == nil {
+		return
+	}
+	if a.cause == wire.CauseDone {
+		e.run.done = e.run.done.add(a.idx)
+		e.run.fails = 0
+		a.m.errs, a.m.badJobs = 0, map[string]bool{}
+		if o := e.run.active[a.idx]; o == a {
+			delete(e.run.active, a.idx)
+		}
+		dropInt(&e.run.retry, a.idx)
+		c.log(2, "task done", "task", a.key.task, "machine", a.m.name)
+		return
+	}
+	if e.run.active[a.idx] == a {
+		c.endActive(e, a)
+	}
+	if a.cause == wire.CauseHalted {
+		return
+	}
+	c.log(1, "task ended", "task", a.key.task, "machine", a.m.name, "cause", a.cause, "was", was)
+	e.run.fails++
+	pause := min(tuning.ErrorBackoff<<min(e.run.fails-1, 10), tuning.ErrorBackoffMax)
+	if a.cause == wire.CauseError {
+		// A faulty machine fails whatever it starts; a faulty job fails
+		// wherever it starts. A machine is suspect when tasks of two jobs failed
+		// there in a row, or of one job that completes elsewhere.
+		a.m.errs++
+		a.m.badJobs[a.job] = true
+		if len(a.m.badJobs) >= 2 || e.run.done.count() > 0 && a.m.errs >= tuning.SickErrors {
+			if a.m.errs >= tuning.SickErrors {
+				c.log(1, "machine looks faulty, returning it", "machine", a.m.name, "errors", a.m.errs)
+				a.m.drop = true
+			}
+			pause = tuning.ErrorBackoff / 2
+		}
+	}
+	e.run.notYet = c.now + pause
+}
+
+// commands for a machine, in answer to its report.
+func (c *Core) commands(m *machine, r *wire.Report) []wire.Command {
+	cmds := []wire.Command{}
+	if !m.accounted {
+		return cmds
+	}
+	for _, k := range sortedAttempts(m) {
+		if len(cmds) >= 200 {
+			break // the rest comes with the next report; a reply has its limit
+		}
+		a := m.attempts[k]
+		e := c.jobs[a.job]
+		live := e != nil && e.run != nil
+		switch {
+		case a.status == wire.TaskEnded:
+			// Cleared only once the outcome is written, or has no bearing.
+			if !live || a.cause != wire.CauseDone || ranges(e.rec.Done).has(a.idx) {
+				cmds = append(cmds, wire.Command{Verb: wire.VerbClear, Task: k.task, Attempt: k.try})
+			}
+		case !live || a.stop:
+			if a.sent {
+				g := a.graceS
+				if !live {
+					g = 0
+				}
+				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: k.task, Attempt: k.try, GraceS: &g})
+			}
+		case a.status == "" && e.rec.Started > a.idx:
+			a.sent, a.sentSession, a.sentSeq = true, r.Session, r.Seq
+			cmds = append(cmds, wire.Command{Verb: wire.VerbRun, Task: k.task, Attempt: k.try})
+		}
+	}
+	return cmds
+}
+
+// hold does the holder's duties.
+func (c *Core) hold() {
+	c.watchMachines()
+	if c.dirty {
+		c.dirty = false
+		c.place()
+	}
+	c.flush()
+	c.tellWants()
+}
+
+// watchMachines notices machines that have gone silent.
+func (c *Core) watchMachines() {
+	if c.checking || !c.every("watchMachines", 200*time.Millisecond) {
+		return
+	}
+	byShard := map[int][]*machine{}
+	for _, name := range sortedKeys(c.machines) {
+		m := c.machines[name]
+		if m.over || !c.mine(m.shard) {
+			continue
+		}
+		var since Time
+		if m.accounted || !m.inherited {
+			since = m.lastOK
+			if !m.reported {
+				m.accounted = m.accounted || !m.inherited
+				continue // never had a 200 from us, and was empty
+			}
+		} else {
+			// Inherited: the earlier holder may have answered it for as long as
+			// it could go unconfirmed, even after we took over.
+			since = max(m.lastOK, m.since+c.unconfirmedMax())
+		}
+		if c.now > since+c.leaseOver() {
+			byShard[m.shard] = append(byShard[m.shard], m)
+		}
+	}
+	for i, ms := range byShard {
+		// The lease is over by our count. That nobody else answered meanwhile is
+		// proven by still holding the shard now, in the state itself.
+		c.checking = true
+		names := ms
+		s := c.shards[i]
+		c.state(StateCall{Op: OpCommit, Txn: wire.Txn{If: []wire.Condition{{Key: shardKey(i), Version: s.ver}}}}, func(r StateReply) {
+			c.checking = false
+			if r.Status == 409 {
+				c.refresh(shardKey(i))
+			}
+			if r.Status != 200 {
+				return
+			}
+			for _, m := range names {
+				if c.machines[m.name] == m && c.now > m.lastOK+c.leaseOver() {
+					m.over = true
+					c.log(1, "machine silent, its lease is over", "machine", m.name, "tasks", len(m.attempts))
+					c.machineGone(m, "lease over")
+				}
+			}
+			c.hold()
+		})
+		return // one at a time
+	}
+}
+
+// flush writes progress of jobs, and wishes about blocks, by compare-and-set.
+func (c *Core) flush() {
+	if c.flushing || !c.every("flush", tuning.Tick) {
+		return
+	}
+	lazyDue := c.now >= c.nextLazy
+	var when []wire.Condition
+	var then []wire.Change
+	finals := map[string]wire.Final{}
+	cond := map[int]bool{}
+	need := func(shard int) {
+		if !cond[shard] {
+			cond[shard] = true
+			when = append(when, wire.Condition{Key: shardKey(shard), Version: c.shards[shard].ver})
+		}
+	}
+	bytes := 0
+	for _, id := range sortedKeys(c.jobs) {
+		e := c.jobs[id]
+		if e.run == nil || len(then)+2 > c.p.TxnOps || bytes > 40<<10 {
+			continue
+		}
+		complete := e.run.done.count() >= e.rec.Tasks
+		started := max(e.rec.Started, e.run.next)
+		more := started > e.rec.Started
+		progress := lazyDue && e.run.done.count() > countRanges(e.rec.Done)
+		if !complete && !more && !progress {
+			continue
+		}
+		need(c.shardOf(e.rec.Team))
+		when = append(when, wire.Condition{Key: jobKey(id), Version: e.ver})
+		if complete {
+			f := wire.Final{Status: wire.JobDone, Done: e.rec.Tasks}
+			then = append(then, wire.Change{Delete: jobKey(id)}, wire.Change{Put: finalKey(id), Value: f})
+			finals[id] = f
+			bytes += 200
+			continue
+		}
+		rec := e.rec
+		rec.Started, rec.Done = started, e.run.done.clone()
+		if raw, err := wire.Marshal(rec); err == nil && len(raw) > c.p.ValueBytes-64 {
+			// Too scattered to keep: what is left out would only run again.
+			rec.Done = rec.Done[:len(rec.Done)/2]
+		} else {
+			bytes += len(raw)
+		}
+		then = append(then, wire.Change{Put: jobKey(id), Value: rec})
+	}
+	for _, id := range c.blockIDs() {
+		b := c.blocks[id]
+		if !c.mine(b.rec.Shard) || len(then) >= c.p.TxnOps {
+			continue
+		}
+		rec, change := b.rec, false
+		rec.Machines = append([]wire.BlockMachine(nil), b.rec.Machines...)
+		for k := range rec.Machines {
+			if m := c.machines[rec.Machines[k].Name]; m != nil && m.drop && !rec.Machines[k].Drop {
+				rec.Machines[k].Drop, change = true, true
+			}
+		}
+		if idle := c.offer(b); idle != rec.Idle {
+			rec.Idle, change = idle, true
+		}
+		if change {
+			need(rec.Shard)
+			when = append(when, wire.Condition{Key: blockKey(id), Version: b.ver})
+			then = append(then, wire.Change{Put: blockKey(id), Value: rec})
+		}
+	}
+	if lazyDue {
+		c.nextLazy = c.now + tuning.LazyFlush
+	}
+	if len(then) == 0 {
+		return
+	}
+	c.flushing = true
+	c.commit(when, then, func(r StateReply) {
+		c.flushing = false
+		if r.Status == 200 {
+			for id, f := range finals {
+				c.keepFinal(id, f)
+				c.log(1, "job done", "job", id)
+			}
+		} else {
+			c.retryAt["flush"] = c.now + tuning.RetryAfter/2
+			c.log(2, "progress not written", "status", r.Status, "err", r.Err, "failed", strings.Join(r.Txn.Failed, " "))
+		}
+		c.dirty = true
+		c.hold()
+	})
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,408 @@
+package core
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// free is what a machine has left, counting every attempt that may be on it.
+func (c *Core) free(m *machine) placement.Size {
+	f, ok := c.sizeOf(m.typ)
+	if !ok {
+		return placement.Size{}
+	}
+	for _, a := range m.attempts {
+		if a.status == wire.TaskEnded {
+			continue
+		}
+		if !a.known {
+			return placement.Size{} // a stranger of unknown size: leave room for it all
+		}
+		f = f.Sub(a.size)
+	}
+	return f
+}
+
+// usable tells whether tasks may be placed on a machine now.
+func (c *Core) usable(m *machine) bool {
+	b := c.blocks[m.block]
+	return m.reported && m.accounted && !m.drop && !m.notice && !m.over && b != nil && !b.rec.Idle &&
+		c.now-m.lastReport < 2*c.p.Report+500*time.Millisecond
+}
+
+// usage is what each team's tasks may use at this moment, at the most.
+func (c *Core) usage() map[string]placement.Size {
+	u := map[string]placement.Size{}
+	var strangers placement.Size
+	for _, m := range c.machines {
+		if m.inherited && !m.accounted {
+			// Anything may run there, for any team.
+			full, _ := c.sizeOf(m.typ)
+			strangers = strangers.Add(full)
+		}
+		for _, a := range m.attempts {
+			if a.status == wire.TaskEnded {
+				continue
+			}
+			if a.known {
+				u[a.team] = u[a.team].Add(a.size)
+			} else {
+				full, _ := c.sizeOf(m.typ)
+				strangers = strangers.Add(full)
+			}
+		}
+	}
+	for team := range c.p.Teams {
+		u[team] = u[team].Add(strangers)
+	}
+	return u
+}
+
+// placing is one job in a placement pass.
+type placing struct {
+	e       *jobEntry
+	within  bool
+	due     float64
+	strict  int
+	pending int
+}
+
+// queue lists this controller's jobs with tasks to start, in the order they
+// are served: priority, work within its team's guarantee, the strictest
+// closeness (Pogonip's order), deadline, age.
+func (c *Core) queue() []placing {
+	var q []placing
+	demand := map[string]placement.Size{}
+	ids := sortedKeys(c.jobs)
+	sort.SliceStable(ids, func(i, j int) bool { return c.jobs[ids[i]].rec.AcceptedMS < c.jobs[ids[j]].rec.AcceptedMS })
+	for _, id := range ids {
+		e := c.jobs[id]
+		if e.run == nil {
+			continue
+		}
+		rest := e.rec.Tasks - e.run.done.count()
+		team := c.p.Teams[e.rec.Team]
+		d := demand[e.rec.Team]
+		s := jobSize(&e.rec)
+		d = d.Add(placement.Size{CPUs: s.CPUs * float64(rest), GPUs: s.GPUs * float64(rest)})
+		demand[e.rec.Team] = d
+		pending := len(e.run.retry) + e.rec.Tasks - e.run.next
+		if pending <= 0 {
+			continue
+		}
+		p := placing{e: e, pending: pending, due: math.Inf(1)}
+		p.within = d.CPUs <= team.CPUs+1e-6 && d.GPUs <= team.GPUs+1e-6
+		if e.rec.DueS > 0 {
+			p.due = float64(e.rec.AcceptedMS)/1000 + e.rec.DueS
+		}
+		if e.rec.Zone != "" || e.rec.OneZone {
+			p.strict = 1
+		}
+		q = append(q, p)
+	}
+	sort.SliceStable(q, func(i, j int) bool {
+		a, b := q[i], q[j]
+		switch {
+		case a.e.prio != b.e.prio:
+			return a.e.prio > b.e.prio
+		case a.within != b.within:
+			return a.within
+		case a.strict != b.strict:
+			return a.strict > b.strict
+		case a.due != b.due:
+			return a.due < b.due
+		}
+		return false // by age already
+	})
+	return q
+}
+
+// place is one Pogonip pass over the waiting jobs.
+func (c *Core) place() {
+	if !c.confirmed() || len(c.machines) == 0 {
+		return
+	}
+	for _, name := range sortedKeys(c.machines) {
+		m := c.machines[name]
+		if c.usable(m) {
+			continue
+		}
+		for _, k := range sortedAttempts(m) {
+			if a := m.attempts[k]; !a.sent && a.status == "" {
+				c.attemptGone(a, "its machine is not usable")
+			}
+		}
+	}
+	used := c.usage()
+	free := map[*machine]placement.Size{}
+	var ms []*machine
+	for _, name := range sortedKeys(c.machines) {
+		if m := c.machines[name]; c.usable(m) {
+			ms = append(ms, m)
+			free[m] = c.free(m)
+		}
+	}
+	for _, p := range c.queue() {
+		c.placeJob(p.e, ms, free, used)
+	}
+}
+
+// placeJob starts as many of a job's waiting tasks as fit.
+func (c *Core) placeJob(e *jobEntry, ms []*machine, free map[*machine]placement.Size, used map[string]placement.Size) {
+	j, run := &e.rec, e.run
+	shard := c.shardOf(j.Team)
+	if c.now < run.notYet {
+		return
+	}
+	if c.unsettle[shard] && run.held > 0 && (j.OneZone || j.Spread || j.Shape == wire.ShapeService) {
+		return // where its other tasks are is not known yet
+	}
+	size, team := jobSize(j), c.p.Teams[j.Team]
+	// Tasks of earlier holders that may be anywhere count against the limit.
+	maybe := 0
+	if run.held > 0 {
+		for k := 0; k < run.held; k++ {
+			if !run.done.has(k) && run.active[k] == nil {
+				maybe++
+			}
+		}
+	}
+	zones := map[string]int{}
+	for _, a := range run.active {
+		zones[a.m.zone]++
+	}
+	anchor := len(run.active) == 0 && run.done.count() == 0
+	for len(run.retry) > 0 || run.next < j.Tasks {
+		u := used[j.Team]
+		lim := u.Add(placement.Size{CPUs: size.CPUs * float64(maybe+1), GPUs: size.GPUs * float64(maybe+1)})
+		if lim.CPUs > team.CPUsMax+1e-6 || lim.GPUs > team.GPUsMax+1e-6 {
+			return
+		}
+		var cs []placement.Candidate
+		var cm []*machine
+		for _, m := range ms {
+			if !allowsType(j.Types, m.typ) || (j.Zone != "" && m.zone != j.Zone) || (m.spot && !j.Spot) ||
+				!placement.Fits(free[m], size) {
+				continue
+			}
+			if j.OneZone && len(zones) > 0 && zones[m.zone] == 0 {
+				continue
+			}
+			if j.Spread && zones[m.zone]+1 > (j.Tasks+1)/2 {
+				continue
+			}
+			if m.badJobs[j.ID] && run.fails > 0 {
+				continue
+			}
+			cand := placement.Candidate{Free: free[m]}
+			if j.Shape == wire.ShapeService {
+				cand.Load = zones[m.zone]
+			}
+			if m.images[j.Image] {
+				cand.Better = 1
+			}
+			cs, cm = append(cs, cand), append(cm, m)
+		}
+		k := placement.Pick(cs, size, anchor)
+		if k < 0 {
+			return
+		}
+		m := cm[k]
+		idx := run.next
+		if len(run.retry) > 0 {
+			idx, run.retry = run.retry[0], run.retry[1:]
+		} else {
+			run.next++
+		}
+		c.tryNo++
+		a := &attempt{key: attemptKey{wire.TaskName(j.ID, idx), c.boot<<24 | c.tryNo}, job: j.ID, idx: idx, team: j.Team,
+			size: size, known: true, m: m, created: c.now, running: c.now}
+		m.attempts[a.key], run.active[idx] = a, a
+		m.idleSince = c.now
+		free[m] = free[m].Sub(size)
+		used[j.Team] = u.Add(size)
+		zones[m.zone]++
+		c.log(2, "task placed", "task", a.key.task, "try", a.key.try, "machine", m.name, "zone", m.zone, "anchor", anchor, "beta", placement.Beta(cs[k].Free, size))
+		anchor = false
+	}
+}
+
+// offer tells whether a block should stand as idle: nothing runs on it, this
+// shard has no use for it, and another asks. While it stands so, nothing is
+// started on it, and the leader may move it.
+func (c *Core) offer(b *blockEntry) bool {
+	if c.wantedHere(b.rec.Shard) {
+		return false
+	}
+	asked := false
+	for i, w := range c.wants {
+		if i != b.rec.Shard && len(w.Needs) > 0 {
+			for _, n := range w.Needs {
+				asked = asked || c.serves(b, n)
+			}
+		}
+	}
+	if !asked {
+		return false
+	}
+	for _, bm := range b.rec.Machines {
+		m := c.machines[bm.Name]
+		if m == nil || m.drop || !m.accounted || len(m.attempts) > 0 || !m.reported || c.now-m.idleSince < tuning.IdleOffer {
+			return false
+		}
+	}
+	return len(b.rec.Machines) > 0
+}
+
+// serves tells whether a block's machines could hold a task of a need.
+func (c *Core) serves(b *blockEntry, n wire.Need) bool {
+	full, ok := c.sizeOf(b.rec.Type)
+	return ok && allowsType(n.Types, b.rec.Type) && (n.Zone == "" || n.Zone == b.rec.Zone) && (!b.rec.Spot || n.Spot) &&
+		placement.Fits(full, placement.Size{CPUs: n.CPUs, GPUs: n.GPUs, MemGB: n.MemGB})
+}
+
+func (c *Core) wantedHere(shard int) bool {
+	return len(c.wantSent[shard].Needs) > 0
+}
+
+// needs lists the tasks of a shard that no held machine has room for, those
+// still booting included: Pogonip's overflow.
+func (c *Core) needs(shard int) []wire.Need {
+	free := map[*machine]placement.Size{}
+	var ms []*machine
+	for _, name := range sortedKeys(c.machines) {
+		m := c.machines[name]
+		if m.shard != shard || m.drop || m.notice || m.over {
+			continue
+		}
+		if full, ok := c.sizeOf(m.typ); ok && !m.reported {
+			ms, free[m] = append(ms, m), full
+		} else if c.usable(m) {
+			ms, free[m] = append(ms, m), c.free(m)
+		}
+	}
+	used := c.usage()
+	var out []wire.Need
+	for _, p := range c.queue() {
+		j := &p.e.rec
+		if c.shardOf(j.Team) != shard {
+			continue
+		}
+		size, team := jobSize(j), c.p.Teams[j.Team]
+		zone := j.Zone
+		if j.OneZone {
+			for _, a := range p.e.run.active {
+				zone = a.m.zone
+			}
+		}
+		left := 0
+		for k := 0; k < p.pending; k++ {
+			lim := used[j.Team].Add(size)
+			if lim.CPUs > team.CPUsMax+1e-6 || lim.GPUs > team.GPUsMax+1e-6 {
+				break
+			}
+			used[j.Team] = lim
+			found := false
+			for _, m := range ms {
+				if allowsType(j.Types, m.typ) && (zone == "" || m.zone == zone) && (!m.spot || j.Spot) && placement.Fits(free[m], size) {
+					free[m] = free[m].Sub(size)
+					found = true
+					break
+				}
+			}
+			if !found {
+				left++
+			}
+		}
+		if left == 0 {
+			continue
+		}
+		n := wire.Need{Types: j.Types, Zone: zone, Spot: j.Spot, CPUs: size.CPUs, GPUs: size.GPUs, MemGB: size.MemGB, Tasks: left}
+		if len(out) < 24 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// tellWants writes what each held shard lacks, for the leader to read.
+func (c *Core) tellWants() {
+	if c.wantBusy || !c.confirmed() || !c.every("want", 300*time.Millisecond) {
+		return
+	}
+	for _, i := range c.shardIDs() {
+		if !c.mine(i) || c.unsettle[i] {
+			continue
+		}
+		w := wire.Want{Needs: c.needs(i)}
+		for _, b := range c.blocks {
+			if b.rec.Shard == i {
+				w.Seen = max(w.Seen, b.ver)
+			}
+		}
+		c.retire(i, len(w.Needs) > 0)
+		old := c.wants[i]
+		if sameNeeds(old.Needs, w.Needs) && (len(w.Needs) == 0 || old.Seen == w.Seen) {
+			c.wantSent[i] = old
+			continue
+		}
+		c.wantBusy = true
+		c.wantSent[i] = w
+		c.log(2, "asking the leader for machines", "shard", i, "needs", len(w.Needs))
+		c.commit([]wire.Condition{{Key: shardKey(i), Version: c.shards[i].ver}}, []wire.Change{{Put: wantKey(i), Value: w}}, func(r StateReply) {
+			c.wantBusy = false
+			c.retryAt["want"] = c.now + 300*time.Millisecond
+			c.changed()
+		})
+		return
+	}
+}
+
+// retire marks machines to be given back: idle, silent, never up, or taken.
+func (c *Core) retire(shard int, busy bool) {
+	for _, name := range sortedKeys(c.machines) {
+		m := c.machines[name]
+		if m.shard != shard || m.drop {
+			continue
+		}
+		boot := max(time.Duration(c.types[m.typ].BootS*tuning.BootGiveUp*float64(time.Second)), tuning.BootGiveUpMin)
+		why := ""
+		switch {
+		case !m.reported && c.now-m.since > boot:
+			why = "never came up"
+		case m.reported && c.now-m.lastReport > tuning.SilentDrop:
+			why = "silent"
+		case m.notice && c.now > m.noticeAt+2*time.Second && c.now-m.lastReport > 4*c.p.Report:
+			why = "taken"
+		case !m.base && !busy && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > tuning.IdleReturn:
+			why = "idle"
+		}
+		if why != "" {
+			m.drop = true
+			c.log(1, "giving a machine back", "machine", m.name, "why", why)
+		}
+	}
+}
+
+func sameNeeds(a, b []wire.Need) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		if x.Zone != y.Zone || x.Spot != y.Spot || x.CPUs != y.CPUs || x.GPUs != y.GPUs || x.MemGB != y.MemGB || x.Tasks != y.Tasks || len(x.Types) != len(y.Types) {
+			return false
+		}
+		for k := range x.Types {
+			if x.Types[k] != y.Types[k] {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,295 @@
+package core
+
+import (
+	"fmt"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// users holds what is needed to answer users.
+type users struct {
+	finals   map[string]wire.Final
+	finalAge []string // oldest first
+	polls    map[string][]uint64
+}
+
+func newUsers() users {
+	return users{finals: map[string]wire.Final{}, polls: map[string][]uint64{}}
+}
+
+// keepFinal remembers a state that can never change again.
+func (c *Core) keepFinal(id string, f wire.Final) {
+	if _, ok := c.finals[id]; ok {
+		return
+	}
+	c.finals[id] = f
+	c.finalAge = append(c.finalAge, id)
+	if len(c.finalAge) > tuning.FinalCache {
+		delete(c.finals, c.finalAge[0])
+		c.finalAge = c.finalAge[1:]
+	}
+}
+
+func unavailable(why string) wire.Problem { return wire.Problem{Error: why} }
+
+// look finds a job freshly: the live key first, since finishing moves it to the
+// final one. f gets the live job, or the final state, or neither; ok false:
+// the state service could not tell.
+func (c *Core) look(id string, f func(j *wire.Job, ver uint64, fin *wire.Final, ok bool)) {
+	if fin, ok := c.finals[id]; ok {
+		f(nil, 0, &fin, true)
+		return
+	}
+	c.state(StateCall{Op: OpGet, Key: jobKey(id)}, func(r StateReply) {
+		c.learn(jobKey(id), r)
+		if r.Status == 200 {
+			var j wire.Job
+			if err := wire.Unmarshal(r.Item.Value, &j); err != nil {
+				f(nil, 0, nil, false)
+				return
+			}
+			f(&j, r.Item.Version, nil, true)
+			return
+		}
+		if r.Status != 404 {
+			f(nil, 0, nil, false)
+			return
+		}
+		c.state(StateCall{Op: OpGet, Key: finalKey(id)}, func(r StateReply) {
+			switch r.Status {
+			case 200:
+				var fin wire.Final
+				if err := wire.Unmarshal(r.Item.Value, &fin); err != nil {
+					f(nil, 0, nil, false)
+					return
+				}
+				c.keepFinal(id, fin)
+				f(nil, 0, &fin, true)
+			case 404:
+				f(nil, 0, nil, true)
+			default:
+				f(nil, 0, nil, false)
+			}
+		})
+	})
+}
+
+func (c *Core) statusOf(j *wire.Job) wire.JobStatus {
+	done := countRanges(j.Done)
+	running := j.Started - done
+	if e := c.jobs[j.ID]; e != nil && e.run != nil {
+		running = 0
+		for _, a := range e.run.active {
+			if a.status == wire.TaskRunning || a.status == wire.TaskSaving {
+				running++
+			}
+		}
+		done = max(done, e.run.done.count())
+		done = min(done, j.Tasks-1) // "done" as a whole is said only once it is written
+		if j.Tasks == 1 {
+			done = 0
+		}
+	}
+	s := wire.JobStatus{ID: j.ID, Status: wire.JobQueued, Done: &done, Running: &running}
+	if running > 0 {
+		s.Status = wire.JobRunning
+	}
+	return s
+}
+
+func finalStatus(id string, f wire.Final) wire.JobStatus {
+	zero := 0
+	return wire.JobStatus{ID: id, Status: f.Status, Done: &f.Done, Running: &zero}
+}
+
+func (c *Core) onPoll(v Poll) {
+	if !wire.ValidJobID(v.ID) {
+		c.answer(v.Req, 404, wire.Problem{Error: "no such job"})
+		return
+	}
+	if f, ok := c.finals[v.ID]; ok {
+		c.answer(v.Req, 200, finalStatus(v.ID, f))
+		return
+	}
+	// One read serves all polls that came before it was sent.
+	if reqs, busy := c.polls[v.ID]; busy {
+		c.polls[v.ID] = append(reqs, v.Req)
+		return
+	}
+	c.polls[v.ID] = nil
+	c.pollRead(v.ID, []uint64{v.Req})
+}
+
+func (c *Core) pollRead(id string, reqs []uint64) {
+	c.look(id, func(j *wire.Job, _ uint64, fin *wire.Final, ok bool) {
+		for _, q := range reqs {
+			switch {
+			case !ok:
+				c.answer(q, 503, unavailable("state not readable"))
+			case j != nil:
+				c.answer(q, 200, c.statusOf(j))
+			case fin != nil:
+				c.answer(q, 200, finalStatus(id, *fin))
+			default:
+				c.answer(q, 404, wire.Problem{Error: "no such job"})
+			}
+		}
+		// Those that came while the read was under way need a fresh one.
+		if next := c.polls[id]; len(next) > 0 {
+			c.polls[id] = nil
+			c.pollRead(id, next)
+		} else {
+			delete(c.polls, id)
+		}
+	})
+}
+
+func (c *Core) onReady(v Ready) {
+	if c.loaded && len(c.types) > 0 && c.confirmed() {
+		c.answer(v.Req, 200, map[string]string{"status": "ready"})
+		return
+	}
+	c.answer(v.Req, 503, unavailable("not ready"))
+}
+
+func (c *Core) onSubmit(v Submit) {
+	if v.Spec.ID == nil || !wire.ValidJobID(*v.Spec.ID) {
+		c.answer(v.Req, 400, wire.Problem{Error: "name_id: must look like job-000412"})
+		return
+	}
+	id := *v.Spec.ID
+	if f, ok := c.finals[id]; ok {
+		c.answer(v.Req, 200, finalStatus(id, f))
+		return
+	}
+	known := func(otherwise func()) {
+		c.look(id, func(j *wire.Job, _ uint64, fin *wire.Final, ok bool) {
+			switch {
+			case !ok:
+				c.answer(v.Req, 503, unavailable("state not readable"))
+			case j != nil:
+				c.answer(v.Req, 200, c.statusOf(j))
+			case fin != nil:
+				c.answer(v.Req, 200, finalStatus(id, *fin))
+			default:
+				otherwise()
+			}
+		})
+	}
+	job, err := v.Spec.Validate()
+	if err != nil {
+		// A known id is answered before its repeated body is judged.
+		known(func() { c.answer(v.Req, 400, wire.Problem{Error: err.Error()}) })
+		return
+	}
+	if len(c.types) == 0 {
+		known(func() { c.answer(v.Req, 503, unavailable("machine types not known yet")) })
+		return
+	}
+	if why := c.never(&job); why != "" {
+		known(func() { c.answer(v.Req, 422, wire.Problem{Error: why}) })
+		return
+	}
+	if !c.loaded || c.now-c.renewOK > 2*tuning.GrantTTL {
+		c.answer(v.Req, 503, unavailable("state service not reached"))
+		return
+	}
+	job.AcceptedMS = c.wall.UnixMilli()
+	if raw, err := wire.Marshal(job); err != nil || len(raw)+1024 > c.p.ValueBytes {
+		known(func() { c.answer(v.Req, 422, wire.Problem{Error: "job description too large to keep"}) })
+		return
+	}
+	c.commit([]wire.Condition{{Key: jobKey(id)}, {Key: finalKey(id)}},
+		[]wire.Change{{Put: jobKey(id), Value: job}}, func(r StateReply) {
+			switch r.Status {
+			case 200:
+				c.log(1, "job accepted", "job", id, "team", job.Team, "class", job.Class, "tasks", job.Tasks)
+				c.answer(v.Req, 201, wire.JobStatus{ID: id, Status: wire.JobQueued})
+				c.changed()
+			case 409, 0:
+				// Known already, or no answer: what is stored decides.
+				known(func() { c.answer(v.Req, 503, unavailable("not accepted, try again")) })
+			default:
+				c.answer(v.Req, 503, unavailable("state service not reached"))
+			}
+		})
+}
+
+// never tells why a job can never run, or "".
+func (c *Core) never(j *wire.Job) string {
+	t, ok := c.p.Teams[j.Team]
+	if !ok {
+		return fmt.Sprintf("owner: team %q is not known", j.Team)
+	}
+	n := 1.0
+	if j.Shape == wire.ShapeService {
+		n = float64(j.Tasks)
+	}
+	if j.CPUs*n > t.CPUsMax+1e-6 || j.GPUs*n > t.GPUsMax+1e-6 {
+		return fmt.Sprintf("the job needs more than team %q may use", j.Team)
+	}
+	for _, name := range sortedKeys(c.types) {
+		mt := c.types[name]
+		full, _ := c.sizeOf(name)
+		if allowsType(j.Types, name) && placement.Fits(full, jobSize(j)) && (j.Zone == "" || contains(mt.Zones, j.Zone)) {
+			return ""
+		}
+	}
+	return "no allowed machine type can hold a task"
+}
+
+func (c *Core) onAbort(v Abort) {
+	if !wire.ValidJobID(v.ID) {
+		c.answer(v.Req, 404, wire.Problem{Error: "no such job"})
+		return
+	}
+	c.abort(v, 5)
+}
+
+// abort moves a live job to its final state; a conflict with the holder's
+// progress is tried again on what then stands.
+func (c *Core) abort(v Abort, tries int) {
+	c.look(v.ID, func(j *wire.Job, ver uint64, fin *wire.Final, ok bool) {
+		switch {
+		case !ok || (j != nil && tries == 0):
+			c.answer(v.Req, 503, unavailable("state not readable"))
+		case fin != nil:
+			c.answer(v.Req, 200, finalStatus(v.ID, *fin))
+		case j == nil:
+			c.answer(v.Req, 404, wire.Problem{Error: "no such job"})
+		default:
+			f := wire.Final{Status: wire.JobAborted, Done: countRanges(j.Done)}
+			c.commit([]wire.Condition{{Key: jobKey(v.ID), Version: ver}, {Key: finalKey(v.ID)}},
+				[]wire.Change{{Delete: jobKey(v.ID)}, {Put: finalKey(v.ID), Value: f}}, func(r StateReply) {
+					switch r.Status {
+					case 200:
+						c.keepFinal(v.ID, f)
+						c.log(1, "job aborted", "job", v.ID)
+						c.answer(v.Req, 200, finalStatus(v.ID, f))
+						c.changed()
+					case 409, 0:
+						c.abort(v, tries-1)
+					default:
+						c.answer(v.Req, 503, unavailable("state service not reached"))
+					}
+				})
+		}
+	})
+}
+
+func allowsType(types []string, t string) bool { return len(types) == 0 || contains(types, t) }
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func jobSize(j *wire.Job) placement.Size {
+	return placement.Size{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemoryGB}
+}
--- /dev/null
+++ b/internal/httpapi/httpapi.go
@@ -0,0 +1,154 @@
+// Package httpapi is the HTTP face towards users, workers and probes, on echo.
+package httpapi
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/net/netutil"
+
+	"github.com/barrowbridge/barrowbridge/internal/core"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Reply is the core's answer to a request.
+type Reply struct {
+	Status     int
+	Body       any
+	RetryAfter int
+}
+
+// Ask puts a request to the core; the function makes the input for a request id.
+type Ask func(ctx context.Context, in func(id uint64) any, timeout time.Duration) Reply
+
+// Server serves the client address.
+type Server struct {
+	echo *echo.Echo
+	ask  Ask
+	log  *slog.Logger
+}
+
+// New returns a server that puts requests to ask.
+func New(ask Ask, log *slog.Logger) *Server {
+	s := &Server{echo: echo.New(), ask: ask, log: log}
+	e := s.echo
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		status := http.StatusInternalServerError
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			status = he.Code
+		}
+		if !c.Response().Committed {
+			_ = send(c, Reply{Status: status, Body: wire.Problem{Error: http.StatusText(status)}})
+		}
+	}
+	e.POST("/v1/jobs", s.submit)
+	e.GET("/v1/jobs/:id", s.poll)
+	e.POST("/v1/jobs/:id/abort", s.abort)
+	e.GET("/ready", s.ready)
+	e.POST("/hello", s.report)
+	return s
+}
+
+// Serve accepts connections until the listener fails. Some sockets are kept
+// for the calls this process makes itself.
+func (s *Server) Serve(ln net.Listener, maxSockets int) error {
+	if maxSockets > 0 {
+		ln = netutil.LimitListener(ln, max(16, maxSockets*8/10))
+	}
+	srv := &http.Server{
+		Handler:           s.echo,
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      20 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+	}
+	return srv.Serve(ln)
+}
+
+func send(c echo.Context, r Reply) error {
+	h := c.Response().Header()
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(r.RetryAfter))
+	}
+	b, err := wire.Marshal(r.Body)
+	if err != nil {
+		return err
+	}
+	return c.Blob(r.Status, "application/cbor", b)
+}
+
+// sendUser answers a user. A node that could not serve closes the connection,
+// so that the next try may reach another one.
+func sendUser(c echo.Context, r Reply) error {
+	if r.Status == http.StatusServiceUnavailable {
+		c.Response().Header().Set("Connection", "close")
+	}
+	return send(c, r)
+}
+
+// body reads a request's CBOR map into v; what is wrong is said in one line.
+func body(c echo.Context, v any) string {
+	b, err := io.ReadAll(io.LimitReader(c.Request().Body, wire.MaxBody+1))
+	switch {
+	case err != nil:
+		return "body not readable"
+	case len(b) > wire.MaxBody:
+		return "body larger than 64 KiB"
+	case !wire.IsMap(b):
+		return "body is not a CBOR map"
+	}
+	if err := wire.Unmarshal(b, v); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+func bad(why string) Reply {
+	return Reply{Status: http.StatusBadRequest, Body: wire.Problem{Error: why}}
+}
+
+func (s *Server) submit(c echo.Context) error {
+	var spec wire.JobSpec
+	if why := body(c, &spec); why != "" {
+		return send(c, bad(why))
+	}
+	return sendUser(c, s.ask(c.Request().Context(), func(id uint64) any { return core.Submit{Req: id, Spec: spec} }, tuning.UserTimeout))
+}
+
+func (s *Server) poll(c echo.Context) error {
+	job := c.Param("id")
+	return sendUser(c, s.ask(c.Request().Context(), func(id uint64) any { return core.Poll{Req: id, ID: job} }, tuning.PollTimeout))
+}
+
+func (s *Server) abort(c echo.Context) error {
+	job := c.Param("id")
+	return sendUser(c, s.ask(c.Request().Context(), func(id uint64) any { return core.Abort{Req: id, ID: job} }, tuning.UserTimeout))
+}
+
+func (s *Server) ready(c echo.Context) error {
+	return send(c, s.ask(c.Request().Context(), func(id uint64) any { return core.Ready{Req: id} }, time.Second))
+}
+
+func (s *Server) report(c echo.Context) error {
+	var r wire.Report
+	if why := body(c, &r); why != "" {
+		s.log.Info("report not readable", "from", c.RealIP(), "err", why)
+		return send(c, bad(why))
+	}
+	if r.Machine == "" || r.Session == 0 {
+		return send(c, bad("host and tenure are needed"))
+	}
+	return send(c, s.ask(c.Request().Context(), func(id uint64) any { return core.WorkerReport{Req: id, Report: r} }, tuning.ReportTimeout))
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,155 @@
+// Package node runs one controller: it feeds the core's single queue and
+// carries out what the core returns.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/cloud"
+	"github.com/barrowbridge/barrowbridge/internal/config"
+	"github.com/barrowbridge/barrowbridge/internal/core"
+	"github.com/barrowbridge/barrowbridge/internal/httpapi"
+	"github.com/barrowbridge/barrowbridge/internal/statestore"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+)
+
+// Params turns settings into what the core needs.
+func Params(cfg *config.Config) core.Params {
+	p := core.Params{
+		Node: cfg.Node, Zone: cfg.Zone,
+		Nodes: map[string]string{cfg.Node: cfg.Zone}, Teams: map[string]core.Team{},
+		Lease: seconds(cfg.Params.Workers.LeaseS), Cancel: seconds(cfg.Params.Workers.CancelS),
+		Report: seconds(cfg.Params.Workers.ReportS), ListLag: seconds(cfg.Params.Cloud.ListLagS),
+		TxnOps: cfg.Params.State.TxnOps, ValueBytes: int(cfg.Params.State.ValueKB * 1024),
+	}
+	for _, n := range cfg.Peers {
+		p.Nodes[n.Node] = n.Zone
+	}
+	for _, t := range cfg.Params.Teams {
+		p.Teams[t.Name] = core.Team{CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax}
+	}
+	return p
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+type request struct {
+	in    func(id uint64) any
+	reply chan httpapi.Reply
+}
+
+type node struct {
+	inbox   chan any
+	reqs    chan request
+	log     *slog.Logger
+	state   *statestore.Client
+	cloud   *cloud.Client
+	waiting map[uint64]chan httpapi.Reply
+	nextReq uint64
+}
+
+// Run serves until the context ends or a listener fails.
+func Run(ctx context.Context, cfg *config.Config, log *slog.Logger) error {
+	if mb := cfg.Params.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb * 0.6 * 1024 * 1024)) // the runtime's own share stays below the kill limit
+	}
+	n := &node{
+		inbox: make(chan any, tuning.InboxSize), reqs: make(chan request, tuning.InboxSize), log: log,
+		state:   statestore.New(cfg.Services.State, cfg.Params.State.RPS, cfg.Params.State.WriteRPS),
+		cloud:   cloud.New(cfg.Services.Cloud, cfg.Params.Cloud.RPS),
+		waiting: map[uint64]chan httpapi.Reply{},
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("client_listen: %w", err)
+	}
+	srv := httpapi.New(n.ask, log)
+	fail := make(chan error, 1)
+	go func() { fail <- srv.Serve(ln, cfg.Params.Limits.MaxSockets) }()
+	log.Info("serving", "node", cfg.Node, "zone", cfg.Zone, "listen", cfg.Listen)
+	go n.loop(ctx, core.New(Params(cfg)))
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-fail:
+		return err
+	}
+}
+
+// ask puts a request to the core and waits for its answer. A full queue sheds
+// the request at once.
+func (n *node) ask(ctx context.Context, in func(id uint64) any, timeout time.Duration) httpapi.Reply {
+	r := request{in: in, reply: make(chan httpapi.Reply, 1)}
+	select {
+	case n.reqs <- r:
+	default:
+		return httpapi.Reply{Status: http.StatusServiceUnavailable, RetryAfter: tuning.RetryHint}
+	}
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case rep := <-r.reply:
+		return rep
+	case <-t.C:
+		return httpapi.Reply{Status: http.StatusServiceUnavailable, RetryAfter: tuning.RetryHint}
+	case <-ctx.Done():
+		return httpapi.Reply{Status: http.StatusServiceUnavailable}
+	}
+}
+
+func (n *node) loop(ctx context.Context, c *core.Core) {
+	start := time.Now()
+	tick := time.NewTicker(tuning.Tick)
+	defer tick.Stop()
+	step := func(in any) {
+		now := time.Now()
+		for _, e := range c.Step(now.Sub(start), now, in) {
+			n.carryOut(ctx, e)
+		}
+	}
+	step(core.Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-n.inbox:
+			step(in)
+		case r := <-n.reqs:
+			n.nextReq++
+			n.waiting[n.nextReq] = r.reply
+			step(r.in(n.nextReq))
+		case <-tick.C:
+			step(core.Tick{})
+		}
+	}
+}
+
+var levels = [3]slog.Level{slog.LevelError, slog.LevelInfo, slog.LevelDebug}
+
+func (n *node) carryOut(ctx context.Context, e any) {
+	switch v := e.(type) {
+	case core.Answer:
+		if ch := n.waiting[v.Req]; ch != nil {
+			delete(n.waiting, v.Req)
+			ch <- httpapi.Reply{Status: v.Status, Body: v.Body, RetryAfter: v.RetryAfter}
+		}
+	case core.StateCall:
+		go func() {
+			rep := n.state.Do(ctx, v)
+			n.inbox <- core.StateDone{ID: v.ID, Reply: rep}
+		}()
+	case core.CloudCall:
+		go func() {
+			rep := n.cloud.Do(ctx, v)
+			n.inbox <- core.CloudDone{ID: v.ID, Reply: rep}
+		}()
+	case core.Log:
+		n.log.Log(ctx, levels[v.Level], v.Msg, v.KV...)
+	}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,80 @@
+// Package placement is Pogonip's greedy heuristic as pure functions:
+// a machine is scored by beta, the further copies of a task it could hold; a
+// job's anchor takes the largest beta, its other tasks the first smallest.
+package placement
+
+import "math"
+
+// Size is an amount of each resource.
+type Size struct {
+	CPUs, GPUs, MemGB float64
+}
+
+// eps absorbs the rounding of sums of decimal amounts.
+const eps = 1e-6
+
+// Sub returns a minus b.
+func (a Size) Sub(b Size) Size { return Size{a.CPUs - b.CPUs, a.GPUs - b.GPUs, a.MemGB - b.MemGB} }
+
+// Add returns a plus b.
+func (a Size) Add(b Size) Size { return Size{a.CPUs + b.CPUs, a.GPUs + b.GPUs, a.MemGB + b.MemGB} }
+
+// Fits tells whether an asked amount fits into the free one.
+func Fits(free, ask Size) bool {
+	return ask.CPUs <= free.CPUs+eps && ask.GPUs <= free.GPUs+eps && ask.MemGB <= free.MemGB+eps
+}
+
+// Beta is the minimum over the asked resources of floor((free-ask)/ask): the
+// copies a machine could still hold once this one is placed. Negative: does
+// not fit.
+func Beta(free, ask Size) int {
+	b := math.Inf(1)
+	for _, r := range [3][2]float64{{free.CPUs, ask.CPUs}, {free.GPUs, ask.GPUs}, {free.MemGB, ask.MemGB}} {
+		if r[1] > 0 {
+			b = math.Min(b, math.Floor((r[0]-r[1])/r[1]+eps))
+		}
+	}
+	if math.IsInf(b, 1) {
+		return 0
+	}
+	return int(b)
+}
+
+// Candidate is a machine that a task is allowed on.
+type Candidate struct {
+	Free Size
+	// Load is how many tasks of the same service its zone holds; 0 elsewhere.
+	Load int
+	// Better breaks ties of beta, larger first (an image at hand, say).
+	Better int
+}
+
+// Pick returns the chosen candidate's index, or -1. The anchor takes the
+// largest beta; others the zone with the least load, then the first smallest beta.
+func Pick(cs []Candidate, ask Size, anchor bool) int {
+	best, bestBeta := -1, 0
+	for i, c := range cs {
+		if !Fits(c.Free, ask) {
+			continue
+		}
+		b := Beta(c.Free, ask)
+		if best < 0 {
+			best, bestBeta = i, b
+			continue
+		}
+		o := cs[best]
+		switch {
+		case c.Load != o.Load:
+			if c.Load < o.Load {
+				best, bestBeta = i, b
+			}
+		case b != bestBeta:
+			if (b > bestBeta) == anchor {
+				best, bestBeta = i, b
+			}
+		case c.Better > o.Better:
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/statestore/statestore.go
@@ -0,0 +1,110 @@
+// Package statestore speaks the state service's protocol: calls in, typed
+// replies out, held to this controller's share of the service's limits.
+package statestore
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"golang.org/x/time/rate"
+
+	"github.com/barrowbridge/barrowbridge/internal/cborhttp"
+	"github.com/barrowbridge/barrowbridge/internal/core"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Client is safe for concurrent use.
+type Client struct {
+	base   string
+	http   *http.Client
+	calls  *rate.Limiter
+	writes *rate.Limiter
+}
+
+// New returns a client of the service at addr.
+func New(addr string, rps, writeRPS float64) *Client {
+	return &Client{
+		base:   "http://" + addr,
+		http:   cborhttp.NewClient(tuning.StateTimeout, 32),
+		calls:  rate.NewLimiter(rate.Limit(rps*tuning.StateShare), max(1, int(rps*tuning.StateShare))),
+		writes: rate.NewLimiter(rate.Limit(writeRPS*tuning.StateShare), max(1, int(writeRPS*tuning.StateShare))),
+	}
+}
+
+// Do performs one call. Status 0 means that no usable answer came.
+func (c *Client) Do(ctx context.Context, call core.StateCall) core.StateReply {
+	timeout := tuning.StateTimeout
+	if call.Op == core.OpWatch {
+		timeout += call.Hold
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	// Renewals and watches keep entitlement alive and never queue behind the rest.
+	if call.Op != core.OpExtend && call.Op != core.OpWatch {
+		if err := c.calls.Wait(ctx); err != nil {
+			return core.StateReply{Status: http.StatusTooManyRequests, Err: "own call limit"}
+		}
+		if n := len(call.Txn.Then); n > 0 {
+			if err := c.writes.WaitN(ctx, min(n, c.writes.Burst())); err != nil {
+				return core.StateReply{Status: http.StatusTooManyRequests, Err: "own write limit"}
+			}
+		}
+	}
+	method, path := http.MethodGet, ""
+	var body any
+	var into any
+	var rep core.StateReply
+	var item wire.Item
+	var list wire.ItemList
+	var txn wire.TxnReply
+	var lease wire.LeaseReply
+	var events wire.Events
+	switch call.Op {
+	case core.OpGet:
+		path, into = "/store/"+call.Key, &item
+	case core.OpList:
+		q := url.Values{"starts": {call.Key}, "page": {"500"}}
+		if call.After != "" {
+			q.Set("after", call.After)
+		}
+		path, into = "/store?"+q.Encode(), &list
+	case core.OpCommit:
+		method, path, body, into = http.MethodPost, "/commit", call.Txn, &txn
+	case core.OpGrant:
+		method, path, body, into = http.MethodPost, "/grants", wire.LeaseRequest{TTLMS: tuning.GrantTTL.Milliseconds()}, &lease
+	case core.OpExtend:
+		method, path, into = http.MethodPost, fmt.Sprintf("/grants/%d/extend", call.Lease), nil
+	case core.OpWatch:
+		path = fmt.Sprintf("/changes?starts=%s&after=%d&hold_ms=%d", url.QueryEscape(call.Key), call.Revision, call.Hold.Milliseconds())
+		into = &events
+	}
+	status, raw, err := cborhttp.RoundTrip(ctx, c.http, method, c.base+path, body)
+	if err != nil {
+		return core.StateReply{Err: err.Error()}
+	}
+	rep.Status = status
+	switch {
+	case status == http.StatusOK && into != nil:
+		if err := wire.Unmarshal(raw, into); err != nil {
+			return core.StateReply{Err: "bad answer: " + err.Error()}
+		}
+	case call.Op == core.OpCommit && status == http.StatusConflict:
+		if err := wire.Unmarshal(raw, &txn); err != nil {
+			return core.StateReply{Err: "bad answer: " + err.Error()}
+		}
+	case call.Op == core.OpGet && status == http.StatusNotFound:
+		if err := wire.Unmarshal(raw, &list); err != nil { // carries the revision
+			return core.StateReply{Err: "bad answer: " + err.Error()}
+		}
+	case status >= 400:
+		var p wire.Problem
+		if wire.Unmarshal(raw, &p) == nil {
+			rep.Err = p.Error
+		}
+	}
+	rep.Item, rep.List, rep.Txn, rep.Lease, rep.Events = item, list, txn, lease.Lease, events
+	return rep
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,99 @@
+// Package tuning holds every constant of barrowbridge in one place, each with
+// its unit and reason. None belongs to one deployment.
+package tuning
+
+import "time"
+
+const (
+	// GrantTTL (duration): how long a silent controller stays entitled in the
+	// state service. Well under a worker lease, so that a successor answers the
+	// workers in time; well over a slow state answer.
+	GrantTTL = 3 * time.Second
+	// ExtendEvery (duration): a third of GrantTTL, so two renewals may fail.
+	ExtendEvery = 1 * time.Second
+	// StateTimeout (duration): an ordinary state call. Answers take 10 ms, now
+	// and then a few hundred.
+	StateTimeout = 1500 * time.Millisecond
+	// WatchHold (duration): longest silent watch. Bounds how stale the mirror
+	// can be behind a dead connection.
+	WatchHold = 5 * time.Second
+	// RetryAfter (duration): pause before a failed background call is repeated.
+	RetryAfter = 500 * time.Millisecond
+	// UnconfirmedMargin (duration): slack kept between the last moment workers
+	// are answered without confirmation and cancel_s - lease_s.
+	UnconfirmedMargin = 4 * time.Second
+	// Drift (share): added to durations measured against another steady clock;
+	// twice the bound of 0.05%.
+	Drift = 0.001
+	// LeaseMargin (duration): added to a worker lease before it counts as over:
+	// timers fire late by some milliseconds, packets take time.
+	LeaseMargin = 300 * time.Millisecond
+	// Tick (duration): the core's clock pulse; delays of deferred work stay below.
+	Tick = 50 * time.Millisecond
+	// LazyFlush (duration): completed tasks may wait this long to be written
+	// together; nothing is lost meanwhile since workers keep reporting them.
+	LazyFlush = 2 * time.Second
+	// StateShare (share): part of the state service's limits one controller
+	// allows itself, since a burst rarely comes from all at once.
+	StateShare = 0.5
+	// CloudShare (share): part of the cloud's limit; only the leader calls.
+	CloudShare = 0.8
+	// CloudTimeout (duration): a cloud call; some take seconds.
+	CloudTimeout = 5 * time.Second
+	// CloudBackoffMax (duration): longest pause after failed cloud calls.
+	CloudBackoffMax = 4 * time.Second
+	// ListEvery (duration): how often the leader reads the machine list.
+	ListEvery = 3 * time.Second
+	// TypesEvery (duration): how often prices are read again.
+	TypesEvery = 60 * time.Second
+	// BlockSize (machines): few enough to move without hoarding.
+	BlockSize = 2
+	// RentMax (machines): most in one rental request, given by the cloud.
+	RentMax = 50
+	// DeleteMax (machines): most in one deletion.
+	DeleteMax = 50
+	// NoCapacityPause (duration): before a refused type, zone and kind is tried again.
+	NoCapacityPause = 8 * time.Second
+	// IdleReturn (duration): an empty rented machine is given back after this.
+	// Short of a boot, since a machine costs as much while it boots.
+	IdleReturn = 20 * time.Second
+	// IdleOffer (duration): an empty block is offered to other shards after this.
+	IdleOffer = 3 * time.Second
+	// BootGiveUp (multiple of ready_s): a machine that has not reported is
+	// replaced; most need 0.6 to 1.5 times.
+	BootGiveUp = 4
+	// BootGiveUpMin (duration): and never sooner than this.
+	BootGiveUpMin = 60 * time.Second
+	// SilentDrop (duration): a silent machine is deleted after this; a shorter
+	// network loss is cheaper to wait out than a boot.
+	SilentDrop = 25 * time.Second
+	// ShardGrace (duration): at first start, how long the leader waits for all
+	// controllers before it shares out the shards.
+	ShardGrace = 3 * time.Second
+	// HomeAfter (duration): a controller that is back gets its shard again once
+	// it has been up this long.
+	HomeAfter = 15 * time.Second
+	// ErrorBackoff (duration): first pause of a task that failed; doubles.
+	ErrorBackoff = 1 * time.Second
+	// ErrorBackoffMax (duration): the longest such pause.
+	ErrorBackoffMax = 30 * time.Second
+	// SickErrors (tasks): failures in a row that make a machine suspect.
+	SickErrors = 2
+	// SurpriseGrace (duration): a listed machine in no block is adopted after
+	// this; the block of a fresh rental may still be on its way.
+	SurpriseGrace = 4 * time.Second
+	// RetryHint (seconds): Retry-After on a 503 while the state is unreachable.
+	RetryHint = 2
+	// UserTimeout (duration): a user's request is given up before its client
+	// does at 5 s; a poll's client waits 2 s.
+	UserTimeout = 4 * time.Second
+	// PollTimeout (duration): see UserTimeout.
+	PollTimeout = 1800 * time.Millisecond
+	// ReportTimeout (duration): workers wait 4 s.
+	ReportTimeout = 3500 * time.Millisecond
+	// InboxSize (inputs): the bounded queue into the core; a full one sheds
+	// user requests with 503.
+	InboxSize = 2048
+	// FinalCache (jobs): final states kept in memory.
+	FinalCache = 20000
+)
--- /dev/null
+++ b/wire/records.go
@@ -0,0 +1,108 @@
+package wire
+
+// Records that the controllers keep in the state service. Everything live
+// stands under LivePrefix and is watched by every controller; final states
+// stand apart, so that starting does not read the whole past.
+const (
+	LivePrefix  = "live/"
+	KeyLeader   = "live/leader"
+	PrefixNode  = "live/node/"
+	PrefixShard = "live/shard/"
+	PrefixBlock = "live/block/"
+	PrefixWant  = "live/want/"
+	PrefixType  = "live/type/"
+	PrefixJob   = "live/job/"
+	PrefixFinal = "final/"
+)
+
+// Job is an accepted job as stored: the user's words plus progress.
+type Job struct {
+	ID              string   `cbor:"id"`
+	Class           string   `cbor:"class"`
+	Team            string   `cbor:"team"`
+	Shape           string   `cbor:"shape"`
+	Priority        string   `cbor:"prio"`
+	Tasks           int      `cbor:"tasks"`
+	CPUs            float64  `cbor:"cpus"`
+	GPUs            float64  `cbor:"gpus,omitempty"`
+	MemoryGB        float64  `cbor:"mem"`
+	Types           []string `cbor:"types,omitempty"`
+	Zone            string   `cbor:"zone,omitempty"`
+	OneZone         bool     `cbor:"onezone,omitempty"`
+	Spread          bool     `cbor:"spread,omitempty"`
+	Spot            bool     `cbor:"spot,omitempty"`
+	Image           string   `cbor:"image"`
+	ImageGB         float64  `cbor:"imagegb"`
+	EstimateS       float64  `cbor:"est,omitempty"`
+	CheckpointEvery float64  `cbor:"ckpt,omitempty"`
+	SaveS           float64  `cbor:"save,omitempty"`
+	DueS            float64  `cbor:"due,omitempty"`
+	AcceptedMS      int64    `cbor:"acc"`
+	// Started counts the tasks, from index 0, that may ever have been started.
+	// It is written before the start, so a task at or above it is nowhere.
+	Started int `cbor:"started"`
+	// Done holds half-open ranges [from, to) of completed tasks, in order.
+	Done [][2]int `cbor:"done,omitempty"`
+}
+
+// Final is a job's last word.
+type Final struct {
+	Status string `cbor:"status"`
+	Done   int    `cbor:"done"`
+}
+
+// Node is a controller's presence, attached to its grant.
+type Node struct {
+	Boot uint64 `cbor:"boot"`
+	Zone string `cbor:"zone"`
+}
+
+// Leader names the leading controller, attached to its grant.
+type Leader struct {
+	Node string `cbor:"node"`
+	Boot uint64 `cbor:"boot"`
+}
+
+// Shard binds teams and blocks to one holder. A takeover is one write of it.
+type Shard struct {
+	Holder string   `cbor:"holder"`
+	Boot   uint64   `cbor:"boot"`
+	Home   string   `cbor:"home"`
+	Teams  []string `cbor:"teams"`
+}
+
+// Block is a few machines of one type, zone and kind, leased to a shard.
+type Block struct {
+	Shard    int            `cbor:"shard"`
+	Type     string         `cbor:"type"`
+	Zone     string         `cbor:"zone"`
+	Spot     bool           `cbor:"spot,omitempty"`
+	Base     bool           `cbor:"base,omitempty"`
+	Idle     bool           `cbor:"idle,omitempty"`
+	Machines []BlockMachine `cbor:"machines"`
+}
+
+// BlockMachine is a machine of a block. Drop asks the leader to delete it.
+type BlockMachine struct {
+	Name string `cbor:"name"`
+	Drop bool   `cbor:"drop,omitempty"`
+}
+
+// Want is what a shard's holder asks of the leader. Seen is the newest
+// revision of the shard's blocks known when it was written, so that the
+// leader does not serve the same want twice.
+type Want struct {
+	Seen  uint64 `cbor:"seen"`
+	Needs []Need `cbor:"needs,omitempty"`
+}
+
+// Need asks for Count machines, each to hold at least one task of Size.
+type Need struct {
+	Types []string `cbor:"types,omitempty"`
+	Zone  string   `cbor:"zone,omitempty"`
+	Spot  bool     `cbor:"spot,omitempty"`
+	CPUs  float64  `cbor:"cpus"`
+	GPUs  float64  `cbor:"gpus,omitempty"`
+	MemGB float64  `cbor:"mem"`
+	Tasks int      `cbor:"tasks"`
+}
--- /dev/null
+++ b/wire/state.go
@@ -0,0 +1,66 @@
+package wire
+
+// Item is a stored key.
+type Item struct {
+	Key     string `cbor:"path"`
+	Value   Raw    `cbor:"v"`
+	Version uint64 `cbor:"stamp"`
+	Lease   uint64 `cbor:"permit,omitempty"`
+}
+
+// ItemList answers GET /store.
+type ItemList struct {
+	Items    []Item `cbor:"items"`
+	More     bool   `cbor:"more"`
+	Revision uint64 `cbor:"epoch"`
+}
+
+// Condition is one comparison of a transaction; version 0: the key is absent.
+type Condition struct {
+	Key     string `cbor:"path"`
+	Version uint64 `cbor:"stamp"`
+}
+
+// Change is one change of a transaction: a put or a delete.
+type Change struct {
+	Put    string `cbor:"set,omitempty"`
+	Value  any    `cbor:"v,omitempty"`
+	Lease  uint64 `cbor:"permit,omitempty"`
+	Delete string `cbor:"delete,omitempty"`
+}
+
+// Txn is the body of POST /commit.
+type Txn struct {
+	If   []Condition `cbor:"when"`
+	Then []Change    `cbor:"apply,omitempty"`
+}
+
+// TxnReply answers POST /commit.
+type TxnReply struct {
+	Revision uint64   `cbor:"epoch"`
+	Failed   []string `cbor:"failed,omitempty"`
+}
+
+// LeaseRequest is the body of POST /grants.
+type LeaseRequest struct {
+	TTLMS int64 `cbor:"life_ms"`
+}
+
+// LeaseReply answers POST /grants.
+type LeaseReply struct {
+	Lease uint64 `cbor:"permit"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Put     string `cbor:"set,omitempty"`
+	Value   Raw    `cbor:"v,omitempty"`
+	Version uint64 `cbor:"stamp"`
+	Delete  string `cbor:"delete,omitempty"`
+}
+
+// Events answers GET /changes.
+type Events struct {
+	Revision uint64  `cbor:"epoch"`
+	Events   []Event `cbor:"news"`
+}
