--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -332,7 +332,7 @@
 	if c.loaded && !c.watching && c.now >= c.retryAt["watch"] {
 		c.watching = true
 		sent := c.now
-		c.state(StateCall{Op: OpWatch, Key: wire.LivePrefix, Revision: c.rev, Hold: tuning.WatchHold}, func(r StateReply) {
+		c.state(StateCall{Op: OpWatch, Key: wire.LivePrefix, Revision: c.rev, Hold: min(tuning.WatchHold, c.unconfirmedMax()/4)}, func(r StateReply) {
 			c.watching = false
 			switch r.Status {
 			case 200:
@@ -348,6 +348,7 @@
 					c.rev = r.Events.Revision
 				}
 				c.dropTombs(c.rev)
+				c.enterShards()
 				c.keepMirror()
 				c.changed()
 			case 410:
@@ -392,6 +393,7 @@
 		}
 		// Changes made while the pages were read come again with the watch.
 		c.rev, c.loading, c.watching, c.watchOK, c.listSeen = c.listRev, false, false, began, nil
+		c.enterShards()
 		if !c.loaded {
 			c.loaded = true
 			c.log(1, "state read", "jobs", len(c.jobs), "blocks", len(c.blocks), "revision", c.rev)
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -14,6 +14,8 @@
 // of their blocks, and the tasks on them.
 type holder struct {
 	machines map[string]*machine
+	held     map[int]bool // shards this life holds and has taken up
+	pending  map[int]bool // shards granted, the mirror not there yet
 	unsettle map[int]bool // shards taken over, not all machines accounted for yet
 	dirty    bool         // a placement pass is due
 	flushing bool
@@ -75,19 +77,18 @@
 
 // jobRun is what the holder knows of a job's tasks.
 type jobRun struct {
-	active  map[int]*attempt
-	retry   []int // started once, nowhere now, to be started again
-	next    int   // first index never reserved
-	held    int   // tasks below this may run on inherited machines; 0 once settled
-	done    ranges
-	notYet  Time // after failures: nothing is started before this
-	fails   int
-	lazy    bool // completions wait to be written
-	wakeups int
+	active map[int]*attempt
+	retry  []int // started once, nowhere now, to be started again
+	next   int   // first index never reserved
+	held   int   // tasks below this may run on inherited machines; 0 once settled
+	done   ranges
+	notYet Time // after failures: nothing is started before this
+	fails  int
+	zone   string // chosen for a gang that must be in one zone
 }
 
 func newHolder() holder {
-	return holder{machines: map[string]*machine{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}}
+	return holder{machines: map[string]*machine{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -136,41 +137,65 @@
 // shardSeen is called for every new version of a shard record.
 func (c *Core) shardSeen(i int, old *shardEntry) {
 	c.dirty = true
-	was := old != nil && old.rec.Holder == c.p.Node && old.rec.Boot == c.boot && c.boot != 0
-	is := c.mine(i)
+	named := c.boot != 0 && c.shards[i].rec.Holder == c.p.Node && c.shards[i].rec.Boot == c.boot
 	switch {
-	case is && !was:
-		c.unsettle[i] = true
+	case named && !c.held[i]:
+		c.pending[i] = true
+		c.enterShards()
+	case named:
+		for _, id := range sortedKeys(c.jobs) { // of a team homed here just now
+			if e := c.jobs[id]; e.run == nil && c.shardOf(e.rec.Team) == i {
+				c.jobSeen(e)
+			}
+		}
+	default:
+		delete(c.pending, i)
+		if c.held[i] {
+			c.leaveShard(i)
+		}
+	}
+}
+
+// enterShards takes up shards granted to us, each once the mirror has reached
+// the granting write. Our own commits enter the mirror ahead of the watch; to
+// act on the grant before all that the earlier holder wrote has been seen
+// would mean to start what its last writes say it has started.
+func (c *Core) enterShards() {
+	for _, i := range c.shardIDs() {
+		if !c.pending[i] || c.rev < c.shards[i].ver {
+			continue
+		}
+		delete(c.pending, i)
+		c.held[i], c.unsettle[i] = true, true
 		for _, id := range c.blockIDs() {
 			if b := c.blocks[id]; b.rec.Shard == i {
 				c.holdBlock(b, !b.rec.Idle)
 			}
 		}
 		c.log(1, "holding shard", "shard", i, "token", c.shards[i].ver, "teams", len(c.shards[i].rec.Teams))
-	case was && !is:
-		delete(c.unsettle, i)
-		for name, m := range c.machines {
-			if m.shard == i {
-				delete(c.machines, name)
+		for _, id := range sortedKeys(c.jobs) {
+			if e := c.jobs[id]; c.shardOf(e.rec.Team) == i {
+				c.jobSeen(e)
 			}
 		}
-		c.log(1, "shard lost", "shard", i, "to", c.shards[i].rec.Holder)
+		c.settle()
 	}
-	for _, id := range sortedKeys(c.jobs) {
-		if e := c.jobs[id]; c.shardOf(e.rec.Team) == i {
-			if was && !is {
-				e.run = nil
-			} else if is && !was {
-				e.run = nil
-				c.jobSeen(e)
-			} else if is && e.run == nil {
-				c.jobSeen(e)
-			}
+}
+
+func (c *Core) leaveShard(i int) {
+	delete(c.held, i)
+	delete(c.unsettle, i)
+	for name, m := range c.machines {
+		if m.shard == i {
+			delete(c.machines, name)
 		}
 	}
-	if is && !was {
-		c.settle()
+	for _, e := range c.jobs {
+		if c.shardOf(e.rec.Team) == i {
+			e.run = nil
+		}
 	}
+	c.log(1, "shard lost", "shard", i, "to", c.shards[i].rec.Holder)
 }
 
 // blockSeen is called for every new version of a block, or its removal.
@@ -254,11 +279,30 @@
 // endActive marks that a's task is nowhere now.
 func (c *Core) endActive(e *jobEntry, a *attempt) {
 	delete(e.run.active, a.idx)
+	if o := c.elsewhere(a); o != nil {
+		// A delayed report named it on one machine while it was on another:
+		// only when the last of them is gone may it start again.
+		e.run.active[a.idx] = o
+		return
+	}
 	if !e.run.done.has(a.idx) {
 		e.run.retry = append(e.run.retry, a.idx)
 	}
 }
 
+// elsewhere finds another attempt of a's task that may be on a machine.
+func (c *Core) elsewhere(a *attempt) *attempt {
+	for _, name := range sortedKeys(c.machines) {
+		m := c.machines[name]
+		for _, k := range sortedAttempts(m) {
+			if o := m.attempts[k]; o != a && o.job == a.job && o.idx == a.idx && o.status != wire.TaskEnded {
+				return o
+			}
+		}
+	}
+	return nil
+}
+
 // settle lets started tasks go again once every machine inherited with a shard
 // is accounted for.
 func (c *Core) settle() {
@@ -394,8 +438,10 @@
 				a.size, a.team, a.known = jobSize(&e.rec), e.rec.Team, true
 				if e.run != nil && t.Status != wire.TaskEnded {
 					if o := e.run.active[idx]; o != nil {
-						c.log(0, "task found on two machines, stopping the newer find", "task", t.Task, "on", o.m.name, "and", m.name)
-						a.stop = true
+						// One of the two is history, told by a delayed report; the
+						// next reports settle which.
+						c.log(0, "task named on two machines", "task", t.Task, "on", o.m.name, "and", m.name)
+						a.stop = o.m.accounted && m.accounted && o.m != m
 					} else {
 						e.run.active[idx] = a
 						dropInt(&e.run.retry, idx)
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -210,10 +210,9 @@
 	return -1
 }
 
-// mine tells whether this life of this controller holds a shard.
+// mine tells whether this life of this controller holds a shard and has taken it up.
 func (c *Core) mine(i int) bool {
-	e := c.shards[i]
-	return e != nil && c.boot != 0 && e.rec.Holder == c.p.Node && e.rec.Boot == c.boot
+	return c.held[i]
 }
 
 // token of a block: the write that last granted it, be it the shard's takeover
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -35,15 +35,17 @@
 		c.now-m.lastReport < 2*c.p.Report+500*time.Millisecond
 }
 
-// usage is what each team's tasks may use at this moment, at the most.
+// usage is what each team's tasks may use at this moment, at the most. Each
+// team is homed in one shard and runs on that shard's machines only, so that a
+// shard can change hands without leaving tasks behind, uncounted.
 func (c *Core) usage() map[string]placement.Size {
 	u := map[string]placement.Size{}
-	var strangers placement.Size
+	strangers := map[int]placement.Size{}
 	for _, m := range c.machines {
 		if m.inherited && !m.accounted {
 			// Anything may run there, for any team.
 			full, _ := c.sizeOf(m.typ)
-			strangers = strangers.Add(full)
+			strangers[m.shard] = strangers[m.shard].Add(full)
 		}
 		for _, a := range m.attempts {
 			if a.status == wire.TaskEnded {
@@ -53,12 +55,12 @@
 				u[a.team] = u[a.team].Add(a.size)
 			} else {
 				full, _ := c.sizeOf(m.typ)
-				strangers = strangers.Add(full)
+				strangers[m.shard] = strangers[m.shard].Add(full)
 			}
 		}
 	}
 	for team := range c.p.Teams {
-		u[team] = u[team].Add(strangers)
+		u[team] = u[team].Add(strangers[c.shardOf(team)])
 	}
 	return u
 }
@@ -177,6 +179,13 @@
 		zones[a.m.zone]++
 	}
 	anchor := len(run.active) == 0 && run.done.count() == 0
+	gang := j.Shape == wire.ShapeGang
+	if gang {
+		if len(run.active) > 0 || !c.gangFits(e, shard, ms, free, used) {
+			return
+		}
+		c.tryNo++ // workers let a gang run when all of it is there under one attempt number
+	}
 	for len(run.retry) > 0 || run.next < j.Tasks {
 		u := used[j.Team]
 		lim := u.Add(placement.Size{CPUs: size.CPUs * float64(maybe+1), GPUs: size.GPUs * float64(maybe+1)})
@@ -186,13 +195,16 @@
 		var cs []placement.Candidate
 		var cm []*machine
 		for _, m := range ms {
-			if !allowsType(j.Types, m.typ) || (j.Zone != "" && m.zone != j.Zone) || (m.spot && !j.Spot) ||
+			if m.shard != shard || !allowsType(j.Types, m.typ) || (j.Zone != "" && m.zone != j.Zone) || (m.spot && !j.Spot) ||
 				!placement.Fits(free[m], size) {
 				continue
 			}
 			if j.OneZone && len(zones) > 0 && zones[m.zone] == 0 {
 				continue
 			}
+			if gang && j.OneZone && m.zone != run.zone {
+				continue
+			}
 			if j.Spread && zones[m.zone]+1 > (j.Tasks+1)/2 {
 				continue
 			}
@@ -219,7 +231,9 @@
 		} else {
 			run.next++
 		}
-		c.tryNo++
+		if !gang {
+			c.tryNo++
+		}
 		a := &attempt{key: attemptKey{wire.TaskName(j.ID, idx), c.boot<<24 | c.tryNo}, job: j.ID, idx: idx, team: j.Team,
 			size: size, known: true, m: m, created: c.now, running: c.now}
 		m.attempts[a.key], run.active[idx] = a, a
@@ -232,6 +246,45 @@
 	}
 }
 
+// gangFits tells whether all waiting tasks of a gang find room at once; a part
+// of a gang would only wait on its machines. On a yes for a gang bound to one
+// zone, the anchor's choice binds the rest, so each zone is tried alone.
+func (c *Core) gangFits(e *jobEntry, shard int, ms []*machine, free map[*machine]placement.Size, used map[string]placement.Size) bool {
+	j, run := &e.rec, e.run
+	size, team := jobSize(j), c.p.Teams[j.Team]
+	waiting := len(run.retry) + j.Tasks - run.next
+	n := float64(waiting)
+	u := used[j.Team]
+	if u.CPUs+n*size.CPUs > team.CPUsMax+1e-6 || u.GPUs+n*size.GPUs > team.GPUsMax+1e-6 {
+		return false
+	}
+	room := map[string]int{}
+	for _, m := range ms {
+		if m.shard == shard && allowsType(j.Types, m.typ) && (j.Zone == "" || m.zone == j.Zone) && (!m.spot || j.Spot) {
+			room[m.zone] += placement.Beta(free[m], size) + 1
+		}
+	}
+	here := map[string]int{}
+	for _, a := range run.active {
+		here[a.m.zone]++
+	}
+	total := 0
+	for _, z := range sortedKeys(room) {
+		switch {
+		case j.OneZone:
+			if (len(here) == 0 || here[z] > 0) && room[z] >= waiting {
+				run.zone = z
+				return true
+			}
+		case j.Spread:
+			total += min(room[z], (j.Tasks+1)/2-here[z])
+		default:
+			total += room[z]
+		}
+	}
+	return total >= waiting
+}
+
 // offer tells whether a block should stand as idle: nothing runs on it, this
 // shard has no use for it, and another asks. While it stands so, nothing is
 // started on it, and the leader may move it.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -224,7 +224,7 @@
 		return fmt.Sprintf("owner: team %q is not known", j.Team)
 	}
 	n := 1.0
-	if j.Shape == wire.ShapeService {
+	if j.Shape != wire.ShapeBatch {
 		n = float64(j.Tasks)
 	}
 	if j.CPUs*n > t.CPUsMax+1e-6 || j.GPUs*n > t.GPUsMax+1e-6 {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -15,8 +15,10 @@
 	// and then a few hundred.
 	StateTimeout = 1500 * time.Millisecond
 	// WatchHold (duration): longest silent watch. Bounds how stale the mirror
-	// can be behind a dead connection.
-	WatchHold = 5 * time.Second
+	// can be behind a dead connection, and must stay well below the time that
+	// entitlement may go unconfirmed: a node took itself for cut off while a
+	// quiet watch was open.
+	WatchHold = 2 * time.Second
 	// RetryAfter (duration): pause before a failed background call is repeated.
 	RetryAfter = 500 * time.Millisecond
 	// UnconfirmedMargin (duration): slack kept between the last moment workers
--- a/wire/user.go
+++ b/wire/user.go
@@ -10,6 +10,10 @@
 const (
 	ShapeBatch   = "batch"
 	ShapeService = "service"
+	// ShapeGang is a batch whose tasks run together; workers hold its tasks
+	// back until all are there. The platform plays it though it does not
+	// describe it.
+	ShapeGang = "gang"
 )
 
 // States of a job.
@@ -123,8 +127,8 @@
 	switch {
 	case !ValidJobID(j.ID):
 		return j, fmt.Errorf("name_id: must look like job-000412")
-	case j.Shape != ShapeBatch && j.Shape != ShapeService:
-		return j, fmt.Errorf("shape: must be batch or service")
+	case j.Shape != ShapeBatch && j.Shape != ShapeService && j.Shape != ShapeGang:
+		return j, fmt.Errorf("shape: must be batch, service or gang")
 	case PriorityRank(j.Priority) < 0:
 		return j, fmt.Errorf("urgency: must be production, urgent, normal or idle")
 	case s.Tasks == nil:
