--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+node_name = "host-0"
+zone = "north"
+client_listen = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+later_field = { x = 1 }
+[[siblings]]
+node_name = "host-1"
+zone = "south"
+peer_addr = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+nodes = 2
+[[params.teams]]
+name = "crew"
+cpus = 8.0
+cpus_max = 16.0
+[params.workers]
+report_s = 2.0
+lease_s = 10.0
+cancel_s = 40.0
+[params.state]
+rps = 80.0
+write_rps = 20.0
+value_kb = 16.0
+txn_ops = 16
+[params.cloud]
+rps = 4.0
+list_lag_s = 6.0
+`
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatalf("good settings with an unknown field refused: %v", err)
+	}
+	if c.Peers[0].Addr != "10.0.0.2:8081" || c.Params.Teams[0].CPUsMax != 16 {
+		t.Fatalf("misread: %+v", c)
+	}
+	for _, bad := range []struct{ from, to, field string }{
+		{`node_name = "host-0"`, ``, "node_name"},
+		{`client_listen = "10.0.0.1:8080"`, `client_listen = "somewhere"`, "client_listen"},
+		{`state = "10.2.0.1:2379"`, `state = "10.2.0.1:99999"`, "outside.state"},
+		{`lease_s = 10.0`, `lease_s = nan`, "params.workers.lease_s"},
+		{`lease_s = 10.0`, `lease_s = "ten"`, "lease_s"},
+		{`cpus_max = 16.0`, `cpus_max = 4.0`, "params.teams[0].cpus_max"},
+		{`txn_ops = 16`, `txn_ops = 0`, "params.state.txn_ops"},
+		{`node_name = "host-1"`, `node_name = "host-0"`, "siblings[0].node_name"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, bad.from, bad.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), bad.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: want one line naming %s, got %v", bad.to, bad.field, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,51 @@
+package placement
+
+import "testing"
+
+// The expected values are worked out by hand from the paper's formula
+// beta = min(floor((C-c)/c), floor((M-m)/m)).
+func TestBeta(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		free, ask Size
+		want      int
+	}{
+		{"cpu binds: floor(3/1)=3, floor(13/3)=4", Size{CPUs: 4, MemGB: 16}, Size{CPUs: 1, MemGB: 3}, 3},
+		{"memory binds: floor(6/2)=3, floor(4/6)=0", Size{CPUs: 8, MemGB: 10}, Size{CPUs: 2, MemGB: 6}, 0},
+		{"exact fit leaves none", Size{CPUs: 4, MemGB: 11}, Size{CPUs: 4, MemGB: 11}, 0},
+		{"does not fit", Size{CPUs: 1, MemGB: 16}, Size{CPUs: 2, MemGB: 1}, -1},
+		{"cards join for tasks that ask: floor(6/2)=3", Size{CPUs: 96, GPUs: 8, MemGB: 768}, Size{CPUs: 8, GPUs: 2, MemGB: 64}, 3},
+		{"cards do not bind others: floor(88/8)=11, floor(704/64)=11", Size{CPUs: 96, MemGB: 768}, Size{CPUs: 8, MemGB: 64}, 11},
+		{"decimal dust is no lost copy: floor(0.2/0.1)=2", Size{CPUs: 0.1 + 0.2, MemGB: 9}, Size{CPUs: 0.1, MemGB: 1}, 2},
+	} {
+		if got := Beta(c.free, c.ask); got != c.want {
+			t.Errorf("%s: beta %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestPick(t *testing.T) {
+	ask := Size{CPUs: 1, MemGB: 3}
+	free := func(cpus float64) Candidate { return Candidate{Free: Size{CPUs: cpus, MemGB: 16}} }
+	at := func(cpus float64, load, better int) Candidate {
+		return Candidate{Free: Size{CPUs: cpus, MemGB: 16}, Load: load, Better: better}
+	}
+	for _, c := range []struct {
+		name   string
+		cs     []Candidate
+		anchor bool
+		want   int
+	}{
+		{"the anchor takes the largest beta", []Candidate{free(2), free(4), free(3)}, true, 1},
+		{"others take the first smallest", []Candidate{free(3), free(2), free(2)}, false, 1},
+		{"full machines are passed over", []Candidate{free(0.5), free(4)}, false, 1},
+		{"nothing fits", []Candidate{free(0), free(0.9)}, true, -1},
+		{"a service goes to the emptier zone first", []Candidate{at(1, 1, 0), at(4, 0, 0), at(2, 0, 0)}, false, 2},
+		{"an image at hand breaks a tie only", []Candidate{at(2, 0, 0), at(2, 0, 1), at(1, 0, 0)}, false, 2},
+		{"an image at hand breaks a tie", []Candidate{at(2, 0, 0), at(2, 0, 1)}, false, 1},
+	} {
+		if got := Pick(c.cs, ask, c.anchor); got != c.want {
+			t.Errorf("%s: picked %d, want %d", c.name, got, c.want)
+		}
+	}
+}
