Serve what can be on time first; refill slots at once; room for urgent work

Cause: one hopeless array made all later ones of its team late (EDF), a freed slot waited for the next report, and urgent work of the shard that had lent its machines found none.

--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -24,6 +24,16 @@
 	wantBusy bool
 	checking bool
 	nextLazy Time
+	vacating map[string]bool // blocks being emptied for another shard's guarantee
+	dire     map[int]Time    // since when a shard's guaranteed work finds no room
+	urgent   map[int]urgentSize
+}
+
+// urgentSize is the largest urgent task a shard has seen lately.
+type urgentSize struct {
+	size placement.Size
+	spot bool
+	seen Time
 }
 
 // machine is one machine of a block this controller holds.
@@ -88,7 +98,8 @@
 }
 
 func newHolder() holder {
-	return holder{machines: map[string]*machine{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}}
+	return holder{machines: map[string]*machine{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
+		vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -106,6 +117,14 @@
 			c.settleJob(e, i)
 		}
 	}
+	if e.prio >= urgentRank {
+		u := c.urgent[i]
+		if s := jobSize(&e.rec); s.CPUs >= u.size.CPUs || c.now-u.seen > tuning.UrgentMemory {
+			u.size = s
+		}
+		u.seen = c.now
+		c.urgent[i] = u
+	}
 	if e.rec.Started > e.run.next {
 		// Someone wrote further starts before we took over: a late write of the
 		// earlier holder. Those may have been started.
@@ -220,6 +239,7 @@
 			// the block moved, which only an empty one does.
 			c.machineGone(m, "deleted")
 			delete(c.machines, bm.Name)
+			delete(c.vacating, id)
 		}
 	}
 }
@@ -383,13 +403,15 @@
 		c.dirty = true
 		c.settle()
 	}
+	if c.dirty { // a slot that this report frees is refilled in its answer
+		c.dirty = false
+		c.place()
+	}
 	reply := wire.ReportReply{Token: token, Commands: []wire.Command{}}
 	reply.Commands = c.commands(m, r)
 	m.lastOK = c.now
 	c.answer(v.Req, 200, reply)
-	if c.dirty {
-		c.hold()
-	}
+	c.flush()
 }
 
 // redirect answers a worker of a block this controller does not hold.
@@ -572,6 +594,7 @@
 // hold does the holder's duties.
 func (c *Core) hold() {
 	c.watchMachines()
+	c.vacate()
 	if c.dirty {
 		c.dirty = false
 		c.place()
@@ -658,6 +681,9 @@
 		}
 		complete := e.run.done.count() >= e.rec.Tasks
 		started := max(e.rec.Started, e.run.next)
+		if ahead := max(tuning.StartAhead, len(e.run.active)/2); e.rec.Started-e.run.next < ahead/2 && e.run.next > 0 {
+			started = max(started, min(e.rec.Tasks, e.run.next+ahead))
+		}
 		more := started > e.rec.Started
 		progress := lazyDue && e.run.done.count() > countRanges(e.rec.Done)
 		if !complete && !more && !progress {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -31,7 +31,7 @@
 // usable tells whether tasks may be placed on a machine now.
 func (c *Core) usable(m *machine) bool {
 	b := c.blocks[m.block]
-	return m.reported && m.accounted && !m.drop && !m.notice && !m.over && b != nil && !b.rec.Idle &&
+	return m.reported && m.accounted && !m.drop && !m.notice && !m.over && b != nil && !b.rec.Idle && !c.vacating[m.block] &&
 		c.now-m.lastReport < 2*c.p.Report+500*time.Millisecond
 }
 
@@ -65,23 +65,31 @@
 	return u
 }
 
+// urgentRank is the lowest priority that is served ahead of room and cost.
+var urgentRank = wire.PriorityRank("urgent")
+
 // placing is one job in a placement pass.
 type placing struct {
 	e       *jobEntry
 	within  bool
-	due     float64
+	due     float64 // seconds of the day's time; +Inf without a deadline
+	work    float64 // CPU seconds left
 	strict  int
 	pending int
+	late    bool // cannot be on time without making more jobs late
 }
 
 // queue lists this controller's jobs with tasks to start, in the order they
 // are served: priority, work within its team's guarantee, the strictest
-// closeness (Pogonip's order), deadline, age.
+// closeness (Pogonip's order), what can be on time, deadline, age.
 func (c *Core) queue() []placing {
 	var q []placing
 	demand := map[string]placement.Size{}
 	ids := sortedKeys(c.jobs)
 	sort.SliceStable(ids, func(i, j int) bool { return c.jobs[ids[i]].rec.AcceptedMS < c.jobs[ids[j]].rec.AcceptedMS })
+	byTeam := map[string][]*placing{}
+	services := map[string]float64{}
+	all := make([]placing, 0, len(ids))
 	for _, id := range ids {
 		e := c.jobs[id]
 		if e.run == nil {
@@ -93,19 +101,39 @@
 		s := jobSize(&e.rec)
 		d = d.Add(placement.Size{CPUs: s.CPUs * float64(rest), GPUs: s.GPUs * float64(rest)})
 		demand[e.rec.Team] = d
-		pending := len(e.run.retry) + e.rec.Tasks - e.run.next
-		if pending <= 0 {
-			continue
-		}
-		p := placing{e: e, pending: pending, due: math.Inf(1)}
+		p := placing{e: e, pending: len(e.run.retry) + e.rec.Tasks - e.run.next, due: math.Inf(1)}
 		p.within = d.CPUs <= team.CPUs+1e-6 && d.GPUs <= team.GPUs+1e-6
+		p.work = float64(rest) * e.rec.EstimateS * s.CPUs
 		if e.rec.DueS > 0 {
 			p.due = float64(e.rec.AcceptedMS)/1000 + e.rec.DueS
 		}
 		if e.rec.Zone != "" || e.rec.OneZone {
 			p.strict = 1
 		}
-		q = append(q, p)
+		if e.rec.Shape == wire.ShapeService {
+			services[e.rec.Team] += s.CPUs * float64(rest)
+		}
+		all = append(all, p)
+	}
+	for i := range all {
+		if p := &all[i]; !math.IsInf(p.due, 1) {
+			byTeam[p.e.rec.Team] = append(byTeam[p.e.rec.Team], p)
+		}
+	}
+	have := map[int]float64{}
+	for _, m := range c.machines {
+		full, _ := c.sizeOf(m.typ)
+		have[m.shard] += full.CPUs
+	}
+	now := float64(c.wall.UnixMilli()) / 1000
+	for _, team := range sortedKeys(byTeam) {
+		t := c.p.Teams[team]
+		markLate(byTeam[team], now, max(1, min(t.CPUsMax, max(have[c.shardOf(team)], t.CPUs))-services[team]))
+	}
+	for _, p := range all {
+		if p.pending > 0 {
+			q = append(q, p)
+		}
 	}
 	sort.SliceStable(q, func(i, j int) bool {
 		a, b := q[i], q[j]
@@ -116,6 +144,10 @@
 			return a.within
 		case a.strict != b.strict:
 			return a.strict > b.strict
+		case a.late != b.late:
+			return !a.late
+		case a.late && a.work != b.work:
+			return a.work < b.work
 		case a.due != b.due:
 			return a.due < b.due
 		}
@@ -124,6 +156,36 @@
 	return q
 }
 
+// markLate finds the jobs of one team to give up being on time for, so that as
+// many others as possible are (Moore and Hodgson): in order of deadline, and
+// whenever one would be late, the largest so far is left out. Plain order of
+// deadline lets one hopeless job make all after it late.
+func markLate(ps []*placing, now, cpus float64) {
+	sort.SliceStable(ps, func(i, j int) bool { return ps[i].due < ps[j].due })
+	var kept []*placing
+	t := now
+	for _, p := range ps {
+		if now+p.e.rec.EstimateS > p.due && p.pending > 0 {
+			p.late = true
+			continue
+		}
+		kept = append(kept, p)
+		t += p.work / cpus
+		if t <= p.due {
+			continue
+		}
+		k := 0
+		for i, o := range kept {
+			if o.work > kept[k].work {
+				k = i
+			}
+		}
+		kept[k].late = true
+		t -= kept[k].work / cpus
+		kept = append(kept[:k], kept[k+1:]...)
+	}
+}
+
 // place is one Pogonip pass over the waiting jobs.
 func (c *Core) place() {
 	if !c.confirmed() || len(c.machines) == 0 {
@@ -289,7 +351,10 @@
 // shard has no use for it, and another asks. While it stands so, nothing is
 // started on it, and the leader may move it.
 func (c *Core) offer(b *blockEntry) bool {
-	if c.wantedHere(b.rec.Shard) {
+	if c.vacating[b.id] {
+		return c.empty(b, 0)
+	}
+	if c.wantedHere(b.rec.Shard) || !c.spareBeyond(b.rec.Shard, b.id) {
 		return false
 	}
 	asked := false
@@ -303,15 +368,146 @@
 	if !asked {
 		return false
 	}
+	return c.empty(b, tuning.IdleOffer)
+}
+
+// empty tells whether nothing has been on a block for a while.
+func (c *Core) empty(b *blockEntry, since time.Duration) bool {
 	for _, bm := range b.rec.Machines {
 		m := c.machines[bm.Name]
-		if m == nil || m.drop || !m.accounted || len(m.attempts) > 0 || !m.reported || c.now-m.idleSince < tuning.IdleOffer {
+		if m == nil || m.drop || !m.accounted || len(m.attempts) > 0 || !m.reported || c.now-m.idleSince < since {
 			return false
 		}
 	}
 	return len(b.rec.Machines) > 0
 }
 
+// spareBeyond tells whether a shard has room for its largest recent urgent
+// task without the given block (or machine): such work should not wait for a boot.
+func (c *Core) spareBeyond(shard int, without string) bool {
+	u, ok := c.urgent[shard]
+	if !ok || c.now-u.seen > tuning.UrgentMemory {
+		return true
+	}
+	for _, m := range c.machines {
+		if m.shard == shard && m.block != without && m.name != without && !m.spot && c.usable(m) && placement.Fits(c.free(m), u.size) {
+			return true
+		}
+	}
+	return false
+}
+
+// vacate empties blocks for other shards' guaranteed work that finds no room.
+// The shard that is furthest beyond its guarantee gives way, with the block
+// where least is lost.
+func (c *Core) vacate() {
+	if !c.every("vacate", 200*time.Millisecond) || !c.confirmed() {
+		return
+	}
+	dire := false
+	for _, i := range sortedInts(c.wants) {
+		for _, n := range c.wants[i].Needs {
+			if !n.Dire {
+				continue
+			}
+			dire = true
+			k := c.borrower(i)
+			if k < 0 || !c.mine(k) {
+				continue
+			}
+			c.vacateFor(k, n)
+		}
+	}
+	if !dire && len(c.vacating) > 0 {
+		c.vacating = map[string]bool{}
+		c.dirty = true
+	}
+}
+
+// borrower is the shard with the most CPUs beyond its teams' guarantees.
+func (c *Core) borrower(except int) int {
+	best, most := -1, 0.0
+	for _, i := range c.shardIDs() {
+		over := 0.0
+		for _, b := range c.blocks {
+			if b.rec.Shard == i {
+				full, _ := c.sizeOf(b.rec.Type)
+				over += full.CPUs * float64(len(b.rec.Machines))
+			}
+		}
+		for _, t := range c.shards[i].rec.Teams {
+			over -= c.p.Teams[t].CPUs
+		}
+		if i != except && over > most {
+			best, most = i, over
+		}
+	}
+	return best
+}
+
+func (c *Core) vacateFor(shard int, n wire.Need) {
+	want := n.Tasks
+	ask := placement.Size{CPUs: n.CPUs, GPUs: n.GPUs, MemGB: n.MemGB}
+	best, loss := "", time.Duration(0)
+	for _, id := range c.blockIDs() {
+		b := c.blocks[id]
+		if b.rec.Shard != shard || !c.serves(b, n) {
+			continue
+		}
+		full, _ := c.sizeOf(b.rec.Type)
+		if c.vacating[id] || b.rec.Idle {
+			want -= len(b.rec.Machines) * (placement.Beta(full, ask) + 1)
+			continue
+		}
+		lost, ok := time.Duration(0), true
+		for _, bm := range b.rec.Machines {
+			m := c.machines[bm.Name]
+			if m == nil || !c.usable(m) {
+				ok = false
+				break
+			}
+			for _, a := range m.attempts {
+				if e := c.jobs[a.job]; e != nil && e.prio >= urgentRank {
+					ok = false
+				}
+				if a.status != wire.TaskEnded {
+					lost += c.now - a.running + time.Second
+				}
+			}
+		}
+		if ok && (best == "" || lost < loss) {
+			best, loss = id, lost
+		}
+	}
+	if want <= 0 || best == "" {
+		return
+	}
+	c.vacating[best] = true
+	c.dirty = true
+	c.log(1, "emptying a block for another team's guarantee", "block", best, "shard", shard, "lost", loss.String())
+	for _, bm := range c.blocks[best].rec.Machines {
+		m := c.machines[bm.Name]
+		for _, k := range sortedAttempts(m) {
+			a := m.attempts[k]
+			if a.sent && a.status != wire.TaskEnded {
+				a.stop = true
+				if e := c.jobs[a.job]; e != nil && e.rec.CheckpointEvery > 0 {
+					a.graceS = e.rec.SaveS
+				}
+			}
+		}
+	}
+}
+
+func sortedInts[V any](m map[int]V) []int {
+	ks := make([]int, 0, len(m))
+	for k := range m {
+		ks = append(ks, k)
+	}
+	sort.Ints(ks)
+	return ks
+}
+
 // serves tells whether a block's machines could hold a task of a need.
 func (c *Core) serves(b *blockEntry, n wire.Need) bool {
 	full, ok := c.sizeOf(b.rec.Type)
@@ -341,6 +537,20 @@
 	}
 	used := c.usage()
 	var out []wire.Need
+	starved := false
+	if u, ok := c.urgent[shard]; ok && c.now-u.seen < tuning.UrgentMemory {
+		// Room for one more urgent task, so that the next does not wait for a boot.
+		found := false
+		for _, m := range ms {
+			if !m.spot && placement.Fits(free[m], u.size) {
+				found = true
+				break
+			}
+		}
+		if !found {
+			out = append(out, wire.Need{CPUs: u.size.CPUs, GPUs: u.size.GPUs, MemGB: u.size.MemGB, Tasks: 1})
+		}
+	}
 	for _, p := range c.queue() {
 		j := &p.e.rec
 		if c.shardOf(j.Team) != shard {
@@ -376,10 +586,21 @@
 			continue
 		}
 		n := wire.Need{Types: j.Types, Zone: zone, Spot: j.Spot, CPUs: size.CPUs, GPUs: size.GPUs, MemGB: size.MemGB, Tasks: left}
+		if p.within {
+			starved = true
+			if at, ok := c.dire[shard]; ok && c.now-at > tuning.DireAfter {
+				n.Dire = true
+			}
+		}
 		if len(out) < 24 {
 			out = append(out, n)
 		}
 	}
+	if _, was := c.dire[shard]; !starved {
+		delete(c.dire, shard)
+	} else if !was {
+		c.dire[shard] = c.now
+	}
 	return out
 }
 
@@ -432,7 +653,8 @@
 			why = "silent"
 		case m.notice && c.now > m.noticeAt+2*time.Second && c.now-m.lastReport > 4*c.p.Report:
 			why = "taken"
-		case !m.base && !busy && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > tuning.IdleReturn:
+		case !m.base && !busy && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > tuning.IdleReturn &&
+			(m.spot || c.spareBeyond(shard, m.name)):
 			why = "idle"
 		}
 		if why != "" {
@@ -448,7 +670,7 @@
 	}
 	for i := range a {
 		x, y := a[i], b[i]
-		if x.Zone != y.Zone || x.Spot != y.Spot || x.CPUs != y.CPUs || x.GPUs != y.GPUs || x.MemGB != y.MemGB || x.Tasks != y.Tasks || len(x.Types) != len(y.Types) {
+		if x.Zone != y.Zone || x.Spot != y.Spot || x.CPUs != y.CPUs || x.GPUs != y.GPUs || x.MemGB != y.MemGB || x.Tasks != y.Tasks || x.Dire != y.Dire || len(x.Types) != len(y.Types) {
 			return false
 		}
 		for k := range x.Types {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -61,6 +61,15 @@
 	IdleReturn = 20 * time.Second
 	// IdleOffer (duration): an empty block is offered to other shards after this.
 	IdleOffer = 3 * time.Second
+	// DireAfter (duration): work within a guarantee that has found no machine
+	// for this long makes borrowing shards give way; a rental is answered sooner.
+	DireAfter = 2 * time.Second
+	// UrgentMemory (duration): how long the size of an urgent task is remembered,
+	// for which one machine's room is kept.
+	UrgentMemory = 10 * time.Minute
+	// StartAhead (tasks): at least so many starts are written ahead, so that a
+	// freed slot is refilled in the very answer that reports it free.
+	StartAhead = 4
 	// BootGiveUp (multiple of ready_s): a machine that has not reported is
 	// replaced; most need 0.6 to 1.5 times.
 	BootGiveUp = 4
--- a/wire/records.go
+++ b/wire/records.go
@@ -105,4 +105,7 @@
 	GPUs  float64  `cbor:"gpus,omitempty"`
 	MemGB float64  `cbor:"mem"`
 	Tasks int      `cbor:"tasks"`
+	// Dire: the tasks lie within their teams' guarantees and the cloud has
+	// given nothing for a while; shards that borrow are to give way.
+	Dire bool `cbor:"dire,omitempty"`
 }
