--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -27,6 +27,7 @@
 	vacating map[string]bool // blocks being emptied for another shard's guarantee
 	dire     map[int]Time    // since when a shard's guaranteed work finds no room
 	urgent   map[int]urgentSize
+	came     map[int][]Time // arrivals of urgent jobs, by shard
 }
 
 // urgentSize is the largest urgent task a shard has seen lately.
@@ -95,11 +96,12 @@
 	notYet Time // after failures: nothing is started before this
 	fails  int
 	zone   string // chosen for a gang that must be in one zone
+	since  Time   // known here, or waiting for room again, since
 }
 
 func newHolder() holder {
 	return holder{machines: map[string]*machine{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
-		vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}}
+		vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -110,8 +112,9 @@
 		e.run = nil
 		return
 	}
-	if e.run == nil {
-		e.run = &jobRun{active: map[int]*attempt{}, next: e.rec.Started, done: ranges(e.rec.Done).clone()}
+	fresh := e.run == nil
+	if fresh {
+		e.run = &jobRun{since: c.now, active: map[int]*attempt{}, next: e.rec.Started, done: ranges(e.rec.Done).clone()}
 		if e.rec.Started > 0 {
 			e.run.held = e.rec.Started
 			c.settleJob(e, i)
@@ -124,6 +127,9 @@
 		}
 		u.seen = c.now
 		c.urgent[i] = u
+		if fresh && e.rec.Started == 0 {
+			c.came[i] = append(c.came[i], c.now)
+		}
 	}
 	if e.rec.Started > e.run.next {
 		// Someone wrote further starts before we took over: a late write of the
@@ -307,6 +313,7 @@
 	}
 	if !e.run.done.has(a.idx) {
 		e.run.retry = append(e.run.retry, a.idx)
+		e.run.since = c.now
 	}
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -556,7 +556,7 @@
 			continue // asked before it knew of what it has
 		}
 		for _, n := range w.Needs {
-			if c.moveIdle(i, n) || c.rent(i, n) {
+			if c.moveIdle(i, n) || (!n.Booting && c.rent(i, n)) {
 				return
 			}
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -255,10 +255,9 @@
 			return
 		}
 		var cs []placement.Candidate
-		var cm []*machine
+		var cm, allowed []*machine
 		for _, m := range ms {
-			if m.shard != shard || !allowsType(j.Types, m.typ) || (j.Zone != "" && m.zone != j.Zone) || (m.spot && !j.Spot) ||
-				!placement.Fits(free[m], size) {
+			if m.shard != shard || !allowsType(j.Types, m.typ) || (j.Zone != "" && m.zone != j.Zone) || (m.spot && !j.Spot) {
 				continue
 			}
 			if j.OneZone && len(zones) > 0 && zones[m.zone] == 0 {
@@ -273,6 +272,9 @@
 			if m.badJobs[j.ID] && run.fails > 0 {
 				continue
 			}
+			if allowed = append(allowed, m); !placement.Fits(free[m], size) {
+				continue
+			}
 			cand := placement.Candidate{Free: free[m]}
 			if j.Shape == wire.ShapeService {
 				cand.Load = zones[m.zone]
@@ -284,6 +286,9 @@
 		}
 		k := placement.Pick(cs, size, anchor)
 		if k < 0 {
+			if e.prio >= urgentRank && c.now-run.since > tuning.PreemptAfter {
+				c.preempt(e, allowed, free)
+			}
 			return
 		}
 		m := cm[k]
@@ -382,19 +387,98 @@
 	return len(b.rec.Machines) > 0
 }
 
-// spareBeyond tells whether a shard has room for its largest recent urgent
-// task without the given block (or machine): such work should not wait for a boot.
-func (c *Core) spareBeyond(shard int, without string) bool {
+// spareTarget is for how many urgent tasks a shard keeps room: one, and as many
+// as come while a machine boots.
+func (c *Core) spareTarget(shard int) int {
 	u, ok := c.urgent[shard]
 	if !ok || c.now-u.seen > tuning.UrgentMemory {
-		return true
+		return 0
 	}
-	for _, m := range c.machines {
-		if m.shard == shard && m.block != without && m.name != without && !m.spot && c.usable(m) && placement.Fits(c.free(m), u.size) {
-			return true
+	came := c.came[shard]
+	for len(came) > 0 && c.now-came[0] > tuning.ArrivalWindow {
+		came = came[1:]
+	}
+	c.came[shard] = came
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	return 1 + int(math.Ceil(float64(len(came))*boot/tuning.ArrivalWindow.Seconds()))
+}
+
+// roomFor counts the urgent tasks that a machine could take at once, lesser
+// work on it giving way.
+func (c *Core) roomFor(m *machine, u placement.Size) int {
+	f := c.free(m)
+	for _, a := range m.attempts {
+		if e := c.jobs[a.job]; e != nil && e.prio < urgentRank && a.status != wire.TaskEnded {
+			f = f.Add(a.size)
 		}
 	}
-	return false
+	return placement.Beta(f, u) + 1
+}
+
+// spareBeyond tells whether a shard keeps room for urgent tasks without the
+// given block (or machine): such work should not wait for a boot.
+func (c *Core) spareBeyond(shard int, without string) bool {
+	left := c.spareTarget(shard)
+	for _, name := range sortedKeys(c.machines) {
+		m := c.machines[name]
+		if left <= 0 {
+			break
+		}
+		if m.shard == shard && m.block != without && m.name != without && !m.spot && c.usable(m) {
+			left -= c.roomFor(m, c.urgent[shard].size)
+		}
+	}
+	return left <= 0
+}
+
+// preempt stops lesser work for an urgent task that finds no room, on the
+// machine where the least running time is lost.
+func (c *Core) preempt(e *jobEntry, fits []*machine, free map[*machine]placement.Size) {
+	size := jobSize(&e.rec)
+	var best []*attempt
+	loss := time.Duration(math.MaxInt64)
+	for _, m := range fits {
+		var victims []*attempt
+		f := free[m]
+		for _, k := range sortedAttempts(m) {
+			a := m.attempts[k]
+			v := c.jobs[a.job]
+			switch {
+			case a.status == wire.TaskEnded || !a.sent:
+			case a.stop || v == nil:
+				f = f.Add(a.size) // already leaving
+			case v.prio < e.prio && a.known:
+				victims = append(victims, a)
+			}
+		}
+		if placement.Fits(f, size) {
+			return
+		}
+		sort.SliceStable(victims, func(i, j int) bool { return victims[i].running > victims[j].running })
+		lost, n := time.Duration(0), 0
+		for ; n < len(victims) && !placement.Fits(f, size); n++ {
+			f = f.Add(victims[n].size)
+			lost += c.now - victims[n].running
+		}
+		if placement.Fits(f, size) && lost < loss {
+			best, loss = victims[:n], lost
+		}
+	}
+	for _, a := range best {
+		c.stopAttempt(a)
+		c.log(1, "stopping a task for urgent work", "task", a.key.task, "machine", a.m.name, "for", e.rec.ID)
+	}
+}
+
+// stopAttempt has a task stopped, with time to save if it can.
+func (c *Core) stopAttempt(a *attempt) {
+	a.stop = true
+	if e := c.jobs[a.job]; e != nil && e.rec.CheckpointEvery > 0 {
+		a.graceS = e.rec.SaveS
+	}
 }
 
 // vacate empties blocks for other shards' guaranteed work that finds no room.
@@ -490,10 +574,7 @@
 		for _, k := range sortedAttempts(m) {
 			a := m.attempts[k]
 			if a.sent && a.status != wire.TaskEnded {
-				a.stop = true
-				if e := c.jobs[a.job]; e != nil && e.rec.CheckpointEvery > 0 {
-					a.graceS = e.rec.SaveS
-				}
+				c.stopAttempt(a)
 			}
 		}
 	}
@@ -538,17 +619,21 @@
 	used := c.usage()
 	var out []wire.Need
 	starved := false
-	if u, ok := c.urgent[shard]; ok && c.now-u.seen < tuning.UrgentMemory {
-		// Room for one more urgent task, so that the next does not wait for a boot.
-		found := false
+	if left := c.spareTarget(shard); left > 0 {
+		// Room for the next urgent tasks, so that they do not wait for a boot.
+		u := c.urgent[shard].size
 		for _, m := range ms {
-			if !m.spot && placement.Fits(free[m], u.size) {
-				found = true
-				break
+			if m.spot {
+				continue
+			}
+			if m.reported {
+				left -= c.roomFor(m, u)
+			} else {
+				left -= placement.Beta(free[m], u) + 1
 			}
 		}
-		if !found {
-			out = append(out, wire.Need{CPUs: u.size.CPUs, GPUs: u.size.GPUs, MemGB: u.size.MemGB, Tasks: 1})
+		if left > 0 {
+			out = append(out, wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left})
 		}
 	}
 	for _, p := range c.queue() {
@@ -563,6 +648,7 @@
 				zone = a.m.zone
 			}
 		}
+		waits := p.within && p.e.prio >= urgentRank && c.now-p.e.run.since > tuning.DireAfter
 		left := 0
 		for k := 0; k < p.pending; k++ {
 			lim := used[j.Team].Add(size)
@@ -582,11 +668,15 @@
 				left++
 			}
 		}
-		if left == 0 {
+		if left == 0 && !waits {
 			continue
 		}
 		n := wire.Need{Types: j.Types, Zone: zone, Spot: j.Spot, CPUs: size.CPUs, GPUs: size.GPUs, MemGB: size.MemGB, Tasks: left}
-		if p.within {
+		if waits {
+			// A boot is on its way at best; a borrowed machine is there now.
+			n.Dire, n.Booting, n.Tasks = true, left == 0, max(left, p.pending)
+		}
+		if p.within && left > 0 {
 			starved = true
 			if at, ok := c.dire[shard]; ok && c.now-at > tuning.DireAfter {
 				n.Dire = true
@@ -670,7 +760,7 @@
 	}
 	for i := range a {
 		x, y := a[i], b[i]
-		if x.Zone != y.Zone || x.Spot != y.Spot || x.CPUs != y.CPUs || x.GPUs != y.GPUs || x.MemGB != y.MemGB || x.Tasks != y.Tasks || x.Dire != y.Dire || len(x.Types) != len(y.Types) {
+		if x.Zone != y.Zone || x.Spot != y.Spot || x.CPUs != y.CPUs || x.GPUs != y.GPUs || x.MemGB != y.MemGB || x.Tasks != y.Tasks || x.Dire != y.Dire || x.Booting != y.Booting || len(x.Types) != len(y.Types) {
 			return false
 		}
 		for k := range x.Types {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -67,6 +67,12 @@
 	// UrgentMemory (duration): how long the size of an urgent task is remembered,
 	// for which one machine's room is kept.
 	UrgentMemory = 10 * time.Minute
+	// ArrivalWindow (duration): over which arrivals of urgent work are counted,
+	// to foresee how many come during a boot.
+	ArrivalWindow = 2 * time.Minute
+	// PreemptAfter (duration): urgent work that finds no room stops lesser work
+	// after this; often a task ends by itself sooner.
+	PreemptAfter = 1 * time.Second
 	// StartAhead (tasks): at least so many starts are written ahead, so that a
 	// freed slot is refilled in the very answer that reports it free.
 	StartAhead = 4
--- a/wire/records.go
+++ b/wire/records.go
@@ -108,4 +108,6 @@
 	// Dire: the tasks lie within their teams' guarantees and the cloud has
 	// given nothing for a while; shards that borrow are to give way.
 	Dire bool `cbor:"dire,omitempty"`
+	// Booting: machines for it are on their way; only blocks that are up help.
+	Booting bool `cbor:"booting,omitempty"`
 }
