Anchors keep to rented machines in use

Exception to Pogonip, recorded in the code: an anchor takes the largest beta among machines in use before it opens an empty rented one. Cause: each array's anchor and each one-task service opened an idle machine, which then could not be returned.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -275,7 +275,7 @@
 			if allowed = append(allowed, m); !placement.Fits(free[m], size) {
 				continue
 			}
-			cand := placement.Candidate{Free: free[m]}
+			cand := placement.Candidate{Free: free[m], Opens: !m.base && len(m.attempts) == 0}
 			if j.Shape == wire.ShapeService {
 				cand.Load = zones[m.zone]
 			}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,6 +45,10 @@
 	Free Size
 	// Load is how many tasks of the same service its zone holds; 0 elsewhere.
 	Load int
+	// Opens: the machine is empty and paid for by the second. Exception to the
+	// paper, where nodes cost nothing while empty: an anchor takes the largest
+	// beta among the machines already in use, if one fits.
+	Opens bool
 	// Better breaks ties of beta, larger first (an image at hand, say).
 	Better int
 }
@@ -68,6 +72,10 @@
 			if c.Load < o.Load {
 				best, bestBeta = i, b
 			}
+		case anchor && c.Opens != o.Opens:
+			if o.Opens {
+				best, bestBeta = i, b
+			}
 		case b != bestBeta:
 			if (b > bestBeta) == anchor {
 				best, bestBeta = i, b
