Messages between controllers: counts for polls, vouching in a shared outage

msgpack frames over TCP. A controller that nobody can have acted against keeps answering its workers through an outage longer than it may go on alone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -172,6 +172,7 @@
 	mirror
 	holder
 	users
+	peers
 	leader leaderState
 }
 
@@ -184,6 +185,7 @@
 	c.mirror = newMirror()
 	c.holder = newHolder()
 	c.users = newUsers()
+	c.peers = newPeers()
 	c.leader.reset()
 	return c
 }
@@ -204,7 +206,11 @@
 		c.onReady(v)
 	case WorkerReport:
 		c.onReport(v)
+	case Peer:
+		c.onPeer(v.Msg)
 	case StateDone:
+		r := &v.Reply
+		c.knows(max(r.Txn.Revision, r.Events.Revision, r.List.Revision, r.Item.Version))
 		if f := c.stateWait[v.ID]; f != nil {
 			delete(c.stateWait, v.ID)
 			f(v.Reply)
@@ -256,6 +262,7 @@
 func (c *Core) tick() {
 	c.keepPresence()
 	c.keepMirror()
+	c.tellPeers()
 	if !c.loaded {
 		return
 	}
@@ -491,7 +498,7 @@
 
 // confirmed tells whether the entitlement was confirmed recently enough.
 func (c *Core) confirmed() bool {
-	return c.loaded && c.now-min(c.renewOK, c.watchOK) < c.unconfirmedMax()
+	return c.loaded && c.now-c.confirmedAt() < c.unconfirmedMax()
 }
 
 func (c *Core) sizeOf(typ string) (placement.Size, bool) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -207,6 +207,54 @@
 	}
 }
 
+// Peers that are as cut off as we are vouch for each other: an outage longer
+// than a lone controller may go on costs no task either.
+func TestLongSharedOutageKeepsTasks(t *testing.T) {
+	w := newWorld(t, 5, 3)
+	w.run(4 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeService, 4))
+	w.run(20 * sec)
+	sessions := map[string]uint64{}
+	for n, m := range w.machines {
+		sessions[n] = m.session
+	}
+	w.outage(60 * sec)
+	w.run(70 * sec)
+	for n, m := range w.machines {
+		if m.session != sessions[n] {
+			t.Errorf("%s lost its session in the outage", n)
+		}
+	}
+}
+
+// A peer that has restarted cannot speak for its earlier life, and one that
+// knows of newer revisions vouches for nobody.
+func TestPeersVouchOnlyForWhatTheyKnow(t *testing.T) {
+	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Lease: 10 * sec, Cancel: 40 * sec})
+	c.boot, c.loaded, c.rev = 1, true, 100
+	c.renewOK, c.watchOK = 50*sec, 50*sec
+	at := func(now Time, up time.Duration, rev uint64) bool {
+		c.now = now
+		c.retryAt["peers"] = 0
+		c.tellPeers()
+		c.onPeer(PeerMessage{From: "b", Nonce: c.nonce, Reply: true, UpMS: up.Milliseconds(), Revision: rev})
+		return c.confirmed()
+	}
+	if !at(80*sec, 500*sec, 100) {
+		t.Error("a peer with no newer revision should cover")
+	}
+	if at(115*sec, 500*sec, 101) {
+		t.Error("a peer that knows more must not cover")
+	}
+	if at(116*sec, 20*sec, 90) {
+		t.Error("a restarted peer must not cover")
+	}
+	c.onPeer(PeerMessage{From: "b", Nonce: c.nonce - 40, Reply: true, UpMS: 1 << 30})
+	if c.confirmed() {
+		t.Error("an answer to a long forgotten ping must not cover")
+	}
+}
+
 // A holder that alone loses the state service must stop answering early
 // enough that a cancelled job's tasks are gone within cancel_s.
 func TestLoneOutageAndAbort(t *testing.T) {
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -174,6 +174,7 @@
 		id := key[len(wire.PrefixJob):]
 		if e := c.jobs[id]; e != nil {
 			delete(c.jobs, id)
+			delete(c.counts, id)
 			c.jobGone(e)
 		}
 	case strings.HasPrefix(key, wire.PrefixWant):
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -77,21 +77,13 @@
 }
 
 func (c *Core) statusOf(j *wire.Job) wire.JobStatus {
-	done := countRanges(j.Done)
-	running := j.Started - done
+	done, running := countRanges(j.Done), 0
 	if e := c.jobs[j.ID]; e != nil && e.run != nil {
-		running = 0
-		for _, a := range e.run.active {
-			if a.status == wire.TaskRunning || a.status == wire.TaskSaving {
-				running++
-			}
-		}
-		done = max(done, e.run.done.count())
-		done = min(done, j.Tasks-1) // "done" as a whole is said only once it is written
-		if j.Tasks == 1 {
-			done = 0
-		}
+		running, done = e.run.count()
+	} else if n, ok := c.counts[j.ID]; ok {
+		running, done = n.Running, max(done, n.Done) // as its holder last told
 	}
+	done = max(0, min(done, j.Tasks-1)) // done as a whole is said only once it is written
 	s := wire.JobStatus{ID: j.ID, Status: wire.JobQueued, Done: &done, Running: &running}
 	if running > 0 {
 		s.Status = wire.JobRunning
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -212,6 +212,12 @@
 			})
 		case CloudCall:
 			w.at(w.lag(), func() { r := w.cloud(v); w.at(w.lag(), back(CloudDone{v.ID, r})) })
+		case PeerSend:
+			a, b := w.params(n.name).Zone, w.params(v.To).Zone
+			if a != b && (w.apart[[2]string{a, b}] || w.apart[[2]string{b, a}]) {
+				continue
+			}
+			w.at(w.lag(), func() { w.step(w.nodes[v.To], Peer{v.Msg}) })
 		case Log:
 			if v.Level == 0 || testing.Verbose() {
 				w.t.Logf("%v %s: %s %v", w.now, n.name, v.Msg, v.KV)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,10 +11,13 @@
 	"runtime/debug"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/barrowbridge/barrowbridge/internal/cloud"
 	"github.com/barrowbridge/barrowbridge/internal/config"
 	"github.com/barrowbridge/barrowbridge/internal/core"
 	"github.com/barrowbridge/barrowbridge/internal/httpapi"
+	"github.com/barrowbridge/barrowbridge/internal/peer"
 	"github.com/barrowbridge/barrowbridge/internal/statestore"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 )
@@ -50,6 +53,7 @@
 	log     *slog.Logger
 	state   *statestore.Client
 	cloud   *cloud.Client
+	peers   *peer.Links
 	waiting map[uint64]chan httpapi.Reply
 	nextReq uint64
 }
@@ -69,8 +73,18 @@
 	if err != nil {
 		return fmt.Errorf("client_listen: %w", err)
 	}
+	pln, err := net.Listen("tcp", cfg.PeerListen)
+	if err != nil {
+		return fmt.Errorf("peer_bind: %w", err)
+	}
+	addrs := map[string]string{}
+	for _, p := range cfg.Peers {
+		addrs[p.Node] = p.Addr
+	}
+	n.peers = peer.Dial(ctx, addrs, log)
 	srv := httpapi.New(n.ask, log)
-	fail := make(chan error, 1)
+	fail := make(chan error, 2)
+	go func() { fail <- peer.Serve(netutil.LimitListener(pln, 4*len(addrs)+4), n.fromPeer, log) }()
 	go func() { fail <- srv.Serve(ln, cfg.Params.Limits.MaxSockets) }()
 	log.Info("serving", "node", cfg.Node, "zone", cfg.Zone, "listen", cfg.Listen)
 	go n.loop(ctx, core.New(Params(cfg)))
@@ -103,6 +117,14 @@
 	}
 }
 
+// fromPeer queues a peer's message; a full queue drops it.
+func (n *node) fromPeer(m core.PeerMessage) {
+	select {
+	case n.inbox <- core.Peer{Msg: m}:
+	default:
+	}
+}
+
 func (n *node) loop(ctx context.Context, c *core.Core) {
 	start := time.Now()
 	tick := time.NewTicker(tuning.Tick)
@@ -149,6 +171,8 @@
 			rep := n.cloud.Do(ctx, v)
 			n.inbox <- core.CloudDone{ID: v.ID, Reply: rep}
 		}()
+	case core.PeerSend:
+		n.peers.Send(v.To, v.Msg)
 	case core.Log:
 		n.log.Log(ctx, levels[v.Level], v.Msg, v.KV...)
 	}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,126 @@
+// Package peer carries messages between controllers: msgpack frames over TCP,
+// each controller sending on a connection of its own to every other. Messages
+// may be lost, late or held back; nothing that must not be depends on them.
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/barrowbridge/barrowbridge/internal/core"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+)
+
+// Write sends one frame: four bytes of length, then msgpack.
+func Write(w io.Writer, m core.PeerMessage) error {
+	b, err := msgpack.Marshal(&m)
+	if err != nil {
+		return err
+	}
+	if len(b) > tuning.PeerFrame {
+		return fmt.Errorf("frame of %d bytes", len(b))
+	}
+	_, err = w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...))
+	return err
+}
+
+// Read receives one frame.
+func Read(r io.Reader) (core.PeerMessage, error) {
+	var m core.PeerMessage
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return m, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > tuning.PeerFrame {
+		return m, fmt.Errorf("frame of %d bytes", n)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return m, err
+	}
+	return m, msgpack.Unmarshal(b, &m)
+}
+
+// Links holds the connections to the other controllers.
+type Links struct {
+	log *slog.Logger
+	out map[string]chan core.PeerMessage
+}
+
+// Dial starts a link to each address. Links connect, and connect again, by themselves.
+func Dial(ctx context.Context, addrs map[string]string, log *slog.Logger) *Links {
+	l := &Links{log: log, out: map[string]chan core.PeerMessage{}}
+	for name, addr := range addrs {
+		ch := make(chan core.PeerMessage, tuning.PeerQueue)
+		l.out[name] = ch
+		go l.keep(ctx, name, addr, ch)
+	}
+	return l
+}
+
+// Send queues a message; a full queue drops it.
+func (l *Links) Send(to string, m core.PeerMessage) {
+	select {
+	case l.out[to] <- m:
+	default:
+	}
+}
+
+func (l *Links) keep(ctx context.Context, name, addr string, ch chan core.PeerMessage) {
+	var conn net.Conn
+	for {
+		var m core.PeerMessage
+		select {
+		case <-ctx.Done():
+			return
+		case m = <-ch:
+		}
+		if conn == nil {
+			c, err := net.DialTimeout("tcp", addr, tuning.PeerTimeout)
+			if err != nil {
+				l.log.Debug("peer not reached", "peer", name, "err", err.Error())
+				continue
+			}
+			conn = c
+		}
+		_ = conn.SetWriteDeadline(time.Now().Add(tuning.PeerTimeout))
+		if err := Write(conn, m); err != nil {
+			l.log.Debug("peer link broken", "peer", name, "err", err.Error())
+			conn.Close()
+			conn = nil
+		}
+	}
+}
+
+// Serve takes connections and hands their messages on until the listener fails.
+func Serve(ln net.Listener, deliver func(core.PeerMessage), log *slog.Logger) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			defer conn.Close()
+			for {
+				_ = conn.SetReadDeadline(time.Now().Add(tuning.PeerIdle))
+				m, err := Read(conn)
+				if err != nil {
+					if !errors.Is(err, io.EOF) {
+						log.Debug("peer connection ended", "from", conn.RemoteAddr().String(), "err", err.Error())
+					}
+					return
+				}
+				deliver(m)
+			}
+		}()
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -111,6 +111,21 @@
 	// InboxSize (inputs): the bounded queue into the core; a full one sheds
 	// user requests with 503.
 	InboxSize = 2048
+	// PeerEvery (duration): between messages to the other controllers.
+	PeerEvery = 500 * time.Millisecond
+	// PeerTimeout (duration): to connect to a peer or write to it; shorter than
+	// a cut, so that a new connection is tried soon after it.
+	PeerTimeout = 2 * time.Second
+	// PeerIdle (duration): a silent incoming peer connection is closed.
+	PeerIdle = 30 * time.Second
+	// PeerQueue (messages): waiting for one peer; advice only, more is dropped.
+	PeerQueue = 16
+	// PeerFrame (bytes): the largest message between controllers.
+	PeerFrame = 64 << 10
+	// PeerPings (messages): unanswered pings remembered.
+	PeerPings = 16
+	// PeerJobs (jobs): counts in one message, for display.
+	PeerJobs = 300
 	// FinalCache (jobs): final states kept in memory.
 	FinalCache = 20000
 )
