A predecessor's next life proves its death: inherited leases end sooner

A shard now records that it is settled and from which life it came; once that life is dead, one lease is enough.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -426,7 +426,11 @@
 func (c *Core) takeShard(i int, node string, boot uint64) {
 	e := c.shards[i]
 	rec := e.rec
-	rec.Holder, rec.Boot = node, boot
+	rec.Prev, rec.PrevBoot = "", 0
+	if rec.Settled {
+		rec.Prev, rec.PrevBoot = rec.Holder, rec.Boot
+	}
+	rec.Holder, rec.Boot, rec.Settled = node, boot, false
 	key := shardKey(i)
 	if !c.every("take:"+key, tuning.RetryAfter) {
 		return
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -24,6 +24,7 @@
 	wantBusy bool
 	checking bool
 	nextLazy Time
+	prevDead map[int]Time    // since when the life a shard was taken from is known to be dead
 	vacating map[string]bool // blocks being emptied for another shard's guarantee
 	dire     map[int]Time    // since when a shard's guaranteed work finds no room
 	urgent   map[int]urgentSize
@@ -101,7 +102,7 @@
 
 func newHolder() holder {
 	return holder{machines: map[string]*machine{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
-		vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
+		prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -192,6 +193,7 @@
 		}
 		delete(c.pending, i)
 		c.held[i], c.unsettle[i] = true, true
+		delete(c.prevDead, i)
 		for _, id := range c.blockIDs() {
 			if b := c.blocks[id]; b.rec.Shard == i {
 				c.holdBlock(b, !b.rec.Idle)
@@ -615,6 +617,15 @@
 
 // watchMachines notices machines that have gone silent.
 func (c *Core) watchMachines() {
+	for _, i := range sortedInts(c.unsettle) {
+		if _, known := c.prevDead[i]; !known && c.shards[i] != nil {
+			r := c.shards[i].rec
+			n, up := c.nodes[r.Prev]
+			if r.Prev == c.p.Node || up && n.Boot != r.PrevBoot && r.Prev != "" {
+				c.prevDead[i] = c.now
+			}
+		}
+	}
 	if c.checking || !c.every("watchMachines", 200*time.Millisecond) {
 		return
 	}
@@ -633,8 +644,13 @@
 			}
 		} else {
 			// Inherited: the earlier holder may have answered it for as long as
-			// it could go unconfirmed, even after we took over.
-			since = max(m.lastOK, m.since+c.unconfirmedMax())
+			// it could go unconfirmed, even after we took over; but not beyond
+			// its death, which its next life proves.
+			since = m.since + c.unconfirmedMax()
+			if at, dead := c.prevDead[m.shard]; dead {
+				since = min(since, max(m.since, at))
+			}
+			since = max(m.lastOK, since)
 		}
 		if c.now > since+c.leaseOver() {
 			byShard[m.shard] = append(byShard[m.shard], m)
@@ -739,6 +755,16 @@
 			then = append(then, wire.Change{Put: blockKey(id), Value: rec})
 		}
 	}
+	for _, i := range c.shardIDs() {
+		s := c.shards[i]
+		if !c.mine(i) || c.unsettle[i] || s.rec.Settled || len(then) >= c.p.TxnOps {
+			continue
+		}
+		need(i)
+		rec := s.rec
+		rec.Settled = true
+		then = append(then, wire.Change{Put: shardKey(i), Value: rec})
+	}
 	if lazyDue {
 		c.nextLazy = c.now + tuning.LazyFlush
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -132,7 +132,7 @@
 		case !up || (n.Boot != s.rec.Boot && c.now-l.nodeUp[s.rec.Holder] > tuning.GrantTTL):
 			// Dead, or back without having retaken it. All of it goes to one successor.
 			to = c.successor(s.rec.Home, held)
-		case s.rec.Home != s.rec.Holder && held[s.rec.Home] == 0:
+		case s.rec.Home != s.rec.Holder && held[s.rec.Home] == 0 && s.rec.Settled:
 			if at, ok := l.nodeUp[s.rec.Home]; ok && c.now-at > tuning.HomeAfter {
 				to = s.rec.Home
 			}
--- a/wire/records.go
+++ b/wire/records.go
@@ -69,6 +69,13 @@
 	Boot   uint64   `cbor:"boot"`
 	Home   string   `cbor:"home"`
 	Teams  []string `cbor:"teams"`
+	// Settled: the holder has accounted for every machine it inherited, so that
+	// no holder before it can still be answering a worker.
+	Settled bool `cbor:"settled,omitempty"`
+	// Prev and PrevBoot name the life it was taken from, if that one had
+	// settled: once it is dead, nobody else can be answering.
+	Prev     string `cbor:"prev,omitempty"`
+	PrevBoot uint64 `cbor:"prevboot,omitempty"`
 }
 
 // Block is a few machines of one type, zone and kind, leased to a shard.
