--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -257,7 +257,7 @@
 		m := c.machines[bm.Name]
 		if m == nil {
 			m = &machine{name: bm.Name, block: b.id, typ: b.rec.Type, zone: b.rec.Zone, spot: b.rec.Spot,
-				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited,
+				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty,
 				attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, badJobs: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
 			c.machines[bm.Name] = m
@@ -742,8 +742,12 @@
 		rec, change := b.rec, false
 		rec.Machines = append([]wire.BlockMachine(nil), b.rec.Machines...)
 		for k := range rec.Machines {
-			if m := c.machines[rec.Machines[k].Name]; m != nil && m.drop && !rec.Machines[k].Drop {
-				rec.Machines[k].Drop, change = true, true
+			m, bm := c.machines[rec.Machines[k].Name], &rec.Machines[k]
+			if m == nil || !m.drop {
+				continue
+			}
+			if empty := m.accounted && len(m.attempts) == 0; !bm.Drop || empty && !bm.Empty {
+				bm.Drop, bm.Empty, change = true, bm.Empty || empty, true
 			}
 		}
 		if idle := c.offer(b); idle != rec.Idle {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -739,7 +739,9 @@
 		switch {
 		case !m.reported && c.now-m.since > boot:
 			why = "never came up"
-		case m.reported && c.now-m.lastReport > tuning.SilentDrop:
+		case m.over && !m.base, m.reported && c.now-m.lastReport > tuning.SilentDrop:
+			// A rented machine that was lost costs as much as another; one that
+			// stands here anyway may come back.
 			why = "silent"
 		case m.notice && c.now > m.noticeAt+2*time.Second && c.now-m.lastReport > 4*c.p.Report:
 			why = "taken"
--- a/wire/records.go
+++ b/wire/records.go
@@ -89,10 +89,13 @@
 	Machines []BlockMachine `cbor:"machines"`
 }
 
-// BlockMachine is a machine of a block. Drop asks the leader to delete it.
+// BlockMachine is a machine of a block. Drop asks the leader to delete it;
+// nothing is started on it any more. Empty says that nothing is on it either,
+// so that a later holder need not account for it.
 type BlockMachine struct {
-	Name string `cbor:"name"`
-	Drop bool   `cbor:"drop,omitempty"`
+	Name  string `cbor:"name"`
+	Drop  bool   `cbor:"drop,omitempty"`
+	Empty bool   `cbor:"empty,omitempty"`
 }
 
 // Want is what a shard's holder asks of the leader. Seen is the newest
