--- a/cmd/barrowbridge/main.go
+++ b/cmd/barrowbridge/main.go
@@ -18,7 +18,7 @@
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "barrowbridge:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
@@ -46,7 +46,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "", "settings file; serve as a controller")
-	cmd.AddCommand(&cobra.Command{
+	cmd.AddCommand(jobCommand(), adminCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "barrowbridge", version) },
 	}, &cobra.Command{
--- /dev/null
+++ b/internal/core/admin.go
@@ -0,0 +1,244 @@
+package core
+
+import (
+	"fmt"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Inputs of the administration API.
+type (
+	// AdminSettings reads the operators' settings, or changes them.
+	AdminSettings struct {
+		Req   uint64
+		Patch *wire.SettingsPatch
+	}
+	// AdminOverview asks for this controller's view of the cluster.
+	AdminOverview struct{ Req uint64 }
+	// AdminCordon sets or lifts a cordon.
+	AdminCordon struct {
+		Req     uint64
+		Machine string
+		Cordon  *wire.Cordon // nil: lift
+	}
+	// AdminWhy asks why a job waits.
+	AdminWhy struct {
+		Req uint64
+		ID  string
+	}
+)
+
+func defaultSettings() wire.Settings {
+	return wire.Settings{IdleReturnS: tuning.IdleReturn.Seconds(), SilentDropS: tuning.SilentDrop.Seconds(), Spot: true}
+}
+
+func (c *Core) settingsView() wire.SettingsView {
+	return wire.SettingsView{Version: c.ver[wire.KeySettings], Settings: c.settings}
+}
+
+func (c *Core) onAdminSettings(v AdminSettings) {
+	if !c.loaded {
+		c.answer(v.Req, 503, unavailable("state not read yet"))
+		return
+	}
+	if v.Patch == nil {
+		c.answer(v.Req, 200, c.settingsView())
+		return
+	}
+	s := c.settings
+	if p := v.Patch.IdleReturnS; p != nil {
+		s.IdleReturnS = *p
+	}
+	if p := v.Patch.SilentDropS; p != nil {
+		s.SilentDropS = *p
+	}
+	if p := v.Patch.Spot; p != nil {
+		s.Spot = *p
+	}
+	if err := s.Check(); err != nil {
+		c.answer(v.Req, 400, wire.Problem{Error: err.Error()})
+		return
+	}
+	if v.Patch.Version != c.ver[wire.KeySettings] {
+		c.answer(v.Req, 409, c.settingsView())
+		return
+	}
+	c.commit([]wire.Condition{{Key: wire.KeySettings, Version: v.Patch.Version}}, []wire.Change{{Put: wire.KeySettings, Value: s}}, func(r StateReply) {
+		c.adminDone(v.Req, r, func() any { return c.settingsView() })
+	})
+}
+
+// adminDone answers a change by how its write went.
+func (c *Core) adminDone(req uint64, r StateReply, body func() any) {
+	switch r.Status {
+	case 200:
+		c.log(1, "changed by an operator", "revision", r.Txn.Revision)
+		c.answer(req, 200, body())
+	case 409:
+		c.answer(req, 409, wire.Problem{Error: "changed meanwhile, read again"})
+	default:
+		c.answer(req, 503, unavailable("state service not reached"))
+	}
+	c.changed()
+}
+
+func (c *Core) onAdminCordon(v AdminCordon) {
+	if !c.loaded {
+		c.answer(v.Req, 503, unavailable("state not read yet"))
+		return
+	}
+	if c.blockOf(v.Machine) == nil {
+		c.answer(v.Req, 404, wire.Problem{Error: fmt.Sprintf("machine %q is in no block", v.Machine)})
+		return
+	}
+	key := wire.PrefixCordon + v.Machine
+	ch := wire.Change{Delete: key}
+	if v.Cordon != nil {
+		ch = wire.Change{Put: key, Value: *v.Cordon}
+	}
+	c.commit(nil, []wire.Change{ch}, func(r StateReply) {
+		c.adminDone(v.Req, r, func() any { return v.Cordon })
+	})
+}
+
+// cordonSeen applies a machine's cordon to what this controller holds.
+func (c *Core) cordonSeen(machine string) {
+	c.dirty = true
+	m, cordon := c.machines[machine], c.cordons[machine]
+	if m == nil || !cordon.Drain {
+		return
+	}
+	m.drop = true // given back once it is empty
+	for _, k := range sortedAttempts(m) {
+		if a := m.attempts[k]; a.sent && a.status != wire.TaskEnded {
+			c.stopAttempt(a)
+		}
+	}
+}
+
+func (c *Core) onAdminOverview(v AdminOverview) {
+	o := wire.Overview{Node: c.p.Node, Leader: c.chief.Node, Nodes: sortedKeys(c.nodes)}
+	for _, i := range c.shardIDs() {
+		s := c.shards[i]
+		o.Shards = append(o.Shards, wire.ShardView{Shard: i, Holder: s.rec.Holder, Home: s.rec.Home, Token: s.ver, Settled: s.rec.Settled, Teams: s.rec.Teams})
+	}
+	for _, id := range c.blockIDs() {
+		b := c.blocks[id].rec
+		bv := wire.BlockView{Block: id, Shard: b.Shard, Type: b.Type, Zone: b.Zone, Spot: b.Spot, Idle: b.Idle}
+		for _, bm := range b.Machines {
+			_, cordoned := c.cordons[bm.Name]
+			mv := wire.MachineView{Name: bm.Name, State: "held by " + c.holderName(b.Shard), Cordoned: cordoned}
+			if m := c.machines[bm.Name]; m != nil {
+				mv.State = m.state()
+				for _, k := range sortedAttempts(m) {
+					mv.Tasks = append(mv.Tasks, k.task)
+				}
+			}
+			bv.Machines = append(bv.Machines, mv)
+		}
+		o.Blocks = append(o.Blocks, bv)
+	}
+	used := c.usage()
+	waiting := map[string]int{}
+	for _, p := range c.queue() {
+		waiting[p.e.rec.Team] += p.pending
+	}
+	for _, t := range sortedKeys(c.p.Teams) {
+		i := c.shardOf(t)
+		o.Teams = append(o.Teams, wire.TeamView{Team: t, Shard: i, Known: c.mine(i), UsedCPU: used[t].CPUs,
+			CPUs: c.p.Teams[t].CPUs, CPUsMax: c.p.Teams[t].CPUsMax, Waiting: waiting[t]})
+	}
+	c.answer(v.Req, 200, o)
+}
+
+func (c *Core) holderName(shard int) string {
+	if s := c.shards[shard]; s != nil {
+		return s.rec.Holder
+	}
+	return ""
+}
+
+// state describes a held machine in a word.
+func (m *machine) state() string {
+	switch {
+	case m.drop:
+		return "leaving"
+	case m.over:
+		return "silent"
+	case !m.reported:
+		return "starting"
+	case !m.accounted:
+		return "not accounted for"
+	case m.notice:
+		return "taken soon"
+	}
+	return "up"
+}
+
+func (c *Core) onAdminWhy(v AdminWhy) {
+	e := c.jobs[v.ID]
+	if e == nil {
+		c.answer(v.Req, 404, wire.Problem{Error: "no such unfinished job"})
+		return
+	}
+	shard := c.shardOf(e.rec.Team)
+	w := wire.Why{Job: v.ID, Holder: c.holderName(shard)}
+	if e.run == nil {
+		w.Why = []string{"its holder knows; ask " + w.Holder}
+		c.answer(v.Req, 200, w)
+		return
+	}
+	w.Why = c.why(e, shard)
+	c.answer(v.Req, 200, w)
+}
+
+// why lists what keeps a job's waiting tasks from starting.
+func (c *Core) why(e *jobEntry, shard int) []string {
+	j := &e.rec
+	pending := len(e.run.retry) + j.Tasks - e.run.next
+	if pending == 0 && e.run.held == 0 {
+		return []string{"no task waits"}
+	}
+	var out []string
+	if !c.confirmed() {
+		out = append(out, "the state service has not confirmed this controller lately")
+	}
+	if c.unsettle[shard] && e.run.held > 0 {
+		n := 0
+		for _, m := range c.machines {
+			if m.shard == shard && m.inherited && !m.accounted {
+				n++
+			}
+		}
+		out = append(out, fmt.Sprintf("%d machines of an earlier holder are not accounted for", n))
+	}
+	if c.now < e.run.notYet {
+		out = append(out, fmt.Sprintf("its tasks failed; next try in %s", e.run.notYet-c.now))
+	}
+	t, size := c.p.Teams[j.Team], jobSize(j)
+	if u := c.usage()[j.Team]; u.CPUs+size.CPUs > t.CPUsMax+1e-6 || u.GPUs+size.GPUs > t.GPUsMax+1e-6 {
+		out = append(out, fmt.Sprintf("team %s uses %g of at most %g cpus", j.Team, u.CPUs, t.CPUsMax))
+	}
+	place, room := 0, 0
+	for _, m := range c.machines {
+		if m.shard == shard && c.usable(m) && allowsType(j.Types, m.typ) && (j.Zone == "" || m.zone == j.Zone) && (!m.spot || j.Spot) {
+			place++
+			if placement.Fits(c.free(m), size) {
+				room++
+			}
+		}
+	}
+	if room == 0 {
+		out = append(out, fmt.Sprintf("none of %d machines it may use has room", place))
+	}
+	ahead := 0
+	for _, p := range c.queue() {
+		if p.e == e {
+			break
+		}
+		ahead++
+	}
+	return append(out, fmt.Sprintf("%d jobs are served before it", ahead))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -208,6 +208,14 @@
 		c.onReport(v)
 	case Peer:
 		c.onPeer(v.Msg)
+	case AdminSettings:
+		c.onAdminSettings(v)
+	case AdminOverview:
+		c.onAdminOverview(v)
+	case AdminCordon:
+		c.onAdminCordon(v)
+	case AdminWhy:
+		c.onAdminWhy(v)
 	case StateDone:
 		r := &v.Reply
 		c.knows(max(r.Txn.Revision, r.Events.Revision, r.List.Revision, r.Item.Version))
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -265,7 +265,7 @@
 		// A block may move between two shards of one holder: a machine left in
 		// its old shard would take that shard's tasks, and lose them from sight
 		// with the next change of hands.
-		m.shard, m.base, m.drop = b.rec.Shard, b.rec.Base, m.drop || bm.Drop
+		m.shard, m.base, m.drop = b.rec.Shard, b.rec.Base, m.drop || bm.Drop || c.cordons[bm.Name].Drain
 	}
 }
 
@@ -405,11 +405,14 @@
 		c.log(2, "machine reports", "machine", m.name, "block", m.block)
 	}
 	if r.NoticeS != nil && !m.notice {
-		m.notice, m.noticeAt = true, c.now+time.Duration(*r.NoticeS*float64(time.Second))
+		m.notice, m.noticeAt = true, c.now+seconds(*r.NoticeS)
 		c.dirty = true
 		c.log(1, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
 	}
 	c.takeStock(m, r)
+	if c.cordons[m.name].Drain {
+		c.cordonSeen(m.name)
+	}
 	if !m.accounted && r.Token >= m.takenToken {
 		m.accounted = true
 		c.dirty = true
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -617,7 +617,7 @@
 				continue
 			}
 			offers = append(offers, offering{name, z, false, t.Price / per, z != zone})
-			if n.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
+			if n.Spot && c.settings.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
 				offers = append(offers, offering{name, z, true, t.SpotPrice / per, z != zone})
 			}
 		}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -11,15 +11,17 @@
 
 // mirror is this controller's copy of the live keys, in revision order.
 type mirror struct {
-	ver    map[string]uint64 // version of each key present
-	tombs  map[string]uint64 // keys removed ahead of the watch
-	jobs   map[string]*jobEntry
-	blocks map[string]*blockEntry
-	shards map[int]*shardEntry
-	nodes  map[string]wire.Node
-	wants  map[int]wire.Want
-	types  map[string]wire.MachineType
-	chief  wire.Leader
+	ver      map[string]uint64 // version of each key present
+	tombs    map[string]uint64 // keys removed ahead of the watch
+	jobs     map[string]*jobEntry
+	blocks   map[string]*blockEntry
+	shards   map[int]*shardEntry
+	nodes    map[string]wire.Node
+	wants    map[int]wire.Want
+	types    map[string]wire.MachineType
+	chief    wire.Leader
+	settings wire.Settings
+	cordons  map[string]wire.Cordon
 }
 
 type shardEntry struct {
@@ -43,7 +45,8 @@
 func newMirror() mirror {
 	return mirror{ver: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*jobEntry{},
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
-		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{}}
+		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
+		settings: defaultSettings(), cordons: map[string]wire.Cordon{}}
 }
 
 func shardKey(i int) string { return wire.PrefixShard + strconv.Itoa(i) }
@@ -93,6 +96,17 @@
 			}
 			c.chief = r
 		}
+	case key == wire.KeySettings:
+		r := defaultSettings()
+		if read(&r) {
+			c.settings = r
+		}
+	case strings.HasPrefix(key, wire.PrefixCordon):
+		var r wire.Cordon
+		if read(&r) {
+			c.cordons[key[len(wire.PrefixCordon):]] = r
+			c.cordonSeen(key[len(wire.PrefixCordon):])
+		}
 	case strings.HasPrefix(key, wire.PrefixNode):
 		var r wire.Node
 		if read(&r) {
@@ -165,6 +179,11 @@
 	case key == wire.KeyLeader:
 		c.chief = wire.Leader{}
 		c.log(1, "no leader")
+	case key == wire.KeySettings:
+		c.settings = defaultSettings()
+	case strings.HasPrefix(key, wire.PrefixCordon):
+		delete(c.cordons, key[len(wire.PrefixCordon):])
+		c.dirty = true
 	case strings.HasPrefix(key, wire.PrefixNode):
 		delete(c.nodes, key[len(wire.PrefixNode):])
 		c.log(1, "controller gone", "node", key[len(wire.PrefixNode):])
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -31,6 +31,9 @@
 // usable tells whether tasks may be placed on a machine now.
 func (c *Core) usable(m *machine) bool {
 	b := c.blocks[m.block]
+	if _, cordoned := c.cordons[m.name]; cordoned {
+		return false
+	}
 	return m.reported && m.accounted && !m.drop && !m.notice && !m.over && b != nil && !b.rec.Idle && !c.vacating[m.block] &&
 		c.now-m.lastReport < 2*c.p.Report+500*time.Millisecond
 }
@@ -734,18 +737,18 @@
 		if m.shard != shard || m.drop {
 			continue
 		}
-		boot := max(time.Duration(c.types[m.typ].BootS*tuning.BootGiveUp*float64(time.Second)), tuning.BootGiveUpMin)
+		boot := max(seconds(c.types[m.typ].BootS*tuning.BootGiveUp), tuning.BootGiveUpMin)
 		why := ""
 		switch {
 		case !m.reported && c.now-m.since > boot:
 			why = "never came up"
-		case m.over && !m.base, m.reported && c.now-m.lastReport > tuning.SilentDrop:
+		case m.over && !m.base, m.reported && c.now-m.lastReport > seconds(c.settings.SilentDropS):
 			// A rented machine that was lost costs as much as another; one that
 			// stands here anyway may come back.
 			why = "silent"
 		case m.notice && c.now > m.noticeAt+2*time.Second && c.now-m.lastReport > 4*c.p.Report:
 			why = "taken"
-		case !m.base && !busy && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > tuning.IdleReturn &&
+		case !m.base && !busy && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > seconds(c.settings.IdleReturnS) &&
 			(m.spot || c.spareBeyond(shard, m.name)):
 			why = "idle"
 		}
@@ -756,6 +759,8 @@
 	}
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 func sameNeeds(a, b []wire.Need) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/barrowbridge/barrowbridge/internal/core"
+	"github.com/barrowbridge/barrowbridge/internal/metrics"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -37,7 +38,7 @@
 }
 
 // New returns a server that puts requests to ask.
-func New(ask Ask, log *slog.Logger) *Server {
+func New(ask Ask, m *metrics.Metrics, log *slog.Logger) *Server {
 	s := &Server{echo: echo.New(), ask: ask, log: log}
 	e := s.echo
 	e.HideBanner, e.HidePort = true, true
@@ -56,6 +57,22 @@
 	e.POST("/v1/jobs/:id/abort", s.abort)
 	e.GET("/ready", s.ready)
 	e.POST("/hello", s.report)
+	a := e.Group("/admin/v1")
+	a.GET("/overview", s.overview)
+	a.GET("/settings", s.settings)
+	a.PUT("/settings", s.changeSettings)
+	a.GET("/jobs/:id/why", s.why)
+	a.PUT("/machines/:name/cordon", s.cordon)
+	a.DELETE("/machines/:name/cordon", s.uncordon)
+	e.GET("/metrics", echo.WrapHandler(m.Handler()))
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			began := time.Now()
+			err := next(c)
+			m.Request(c.Path(), c.Response().Status, time.Since(began))
+			return err
+		}
+	})
 	return s
 }
 
@@ -152,3 +169,43 @@
 	}
 	return send(c, s.ask(c.Request().Context(), func(id uint64) any { return core.WorkerReport{Req: id, Report: r} }, tuning.ReportTimeout))
 }
+
+// put sends an administrator's request to the core.
+func (s *Server) put(c echo.Context, in func(id uint64) any) error {
+	return send(c, s.ask(c.Request().Context(), in, tuning.UserTimeout))
+}
+
+func (s *Server) overview(c echo.Context) error {
+	return s.put(c, func(id uint64) any { return core.AdminOverview{Req: id} })
+}
+
+func (s *Server) settings(c echo.Context) error {
+	return s.put(c, func(id uint64) any { return core.AdminSettings{Req: id} })
+}
+
+func (s *Server) changeSettings(c echo.Context) error {
+	var p wire.SettingsPatch
+	if why := body(c, &p); why != "" {
+		return send(c, bad(why))
+	}
+	return s.put(c, func(id uint64) any { return core.AdminSettings{Req: id, Patch: &p} })
+}
+
+func (s *Server) why(c echo.Context) error {
+	job := c.Param("id")
+	return s.put(c, func(id uint64) any { return core.AdminWhy{Req: id, ID: job} })
+}
+
+func (s *Server) cordon(c echo.Context) error {
+	var v wire.Cordon
+	if why := body(c, &v); why != "" {
+		return send(c, bad(why))
+	}
+	name := c.Param("name")
+	return s.put(c, func(id uint64) any { return core.AdminCordon{Req: id, Machine: name, Cordon: &v} })
+}
+
+func (s *Server) uncordon(c echo.Context) error {
+	name := c.Param("name")
+	return s.put(c, func(id uint64) any { return core.AdminCordon{Req: id, Machine: name} })
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,52 @@
+// Package metrics counts and times what a controller does, for scraping.
+package metrics
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Metrics is one controller's set.
+type Metrics struct {
+	reg      *prometheus.Registry
+	requests *prometheus.HistogramVec
+	calls    *prometheus.HistogramVec
+	steps    prometheus.Histogram
+}
+
+// New returns the metrics; queue tells the length of the core's queue.
+func New(queue func() float64) *Metrics {
+	seconds := prometheus.ExponentialBuckets(0.0005, 2, 14) // half a millisecond to four seconds
+	m := &Metrics{
+		reg: prometheus.NewRegistry(),
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "barrowbridge_request_seconds",
+			Help: "Time to answer a request, by route and status.", Buckets: seconds}, []string{"route", "status"}),
+		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "barrowbridge_call_seconds",
+			Help: "Time of a call to an outside service, its own rate limit included; status 0 is no answer.", Buckets: seconds}, []string{"service", "status"}),
+		steps: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "barrowbridge_step_seconds",
+			Help: "Time the core takes for one input.", Buckets: prometheus.ExponentialBuckets(0.00001, 2, 14)}),
+	}
+	m.reg.MustRegister(m.requests, m.calls, m.steps, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "barrowbridge_queue_inputs", Help: "Inputs waiting for the core."}, queue))
+	return m
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler { return promhttp.HandlerFor(m.reg, promhttp.HandlerOpts{}) }
+
+// Request records an answered request.
+func (m *Metrics) Request(route string, status int, d time.Duration) {
+	m.requests.WithLabelValues(route, strconv.Itoa(status)).Observe(d.Seconds())
+}
+
+// Call records a call to an outside service.
+func (m *Metrics) Call(service string, status int, d time.Duration) {
+	m.calls.WithLabelValues(service, strconv.Itoa(status)).Observe(d.Seconds())
+}
+
+// Step records one input to the core.
+func (m *Metrics) Step(d time.Duration) { m.steps.Observe(d.Seconds()) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/config"
 	"github.com/barrowbridge/barrowbridge/internal/core"
 	"github.com/barrowbridge/barrowbridge/internal/httpapi"
+	"github.com/barrowbridge/barrowbridge/internal/metrics"
 	"github.com/barrowbridge/barrowbridge/internal/peer"
 	"github.com/barrowbridge/barrowbridge/internal/statestore"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -54,6 +55,7 @@
 	state   *statestore.Client
 	cloud   *cloud.Client
 	peers   *peer.Links
+	metrics *metrics.Metrics
 	waiting map[uint64]chan httpapi.Reply
 	nextReq uint64
 }
@@ -82,7 +84,8 @@
 		addrs[p.Node] = p.Addr
 	}
 	n.peers = peer.Dial(ctx, addrs, log)
-	srv := httpapi.New(n.ask, log)
+	n.metrics = metrics.New(func() float64 { return float64(len(n.inbox) + len(n.reqs)) })
+	srv := httpapi.New(n.ask, n.metrics, log)
 	fail := make(chan error, 2)
 	go func() { fail <- peer.Serve(netutil.LimitListener(pln, 4*len(addrs)+4), n.fromPeer, log) }()
 	go func() { fail <- srv.Serve(ln, cfg.Params.Limits.MaxSockets) }()
@@ -131,7 +134,9 @@
 	defer tick.Stop()
 	step := func(in any) {
 		now := time.Now()
-		for _, e := range c.Step(now.Sub(start), now, in) {
+		effects := c.Step(now.Sub(start), now, in)
+		n.metrics.Step(time.Since(now))
+		for _, e := range effects {
 			n.carryOut(ctx, e)
 		}
 	}
@@ -163,12 +168,18 @@
 		}
 	case core.StateCall:
 		go func() {
+			began := time.Now()
 			rep := n.state.Do(ctx, v)
+			if v.Op != core.OpWatch { // a watch is meant to take long
+				n.metrics.Call("state", rep.Status, time.Since(began))
+			}
 			n.inbox <- core.StateDone{ID: v.ID, Reply: rep}
 		}()
 	case core.CloudCall:
 		go func() {
+			began := time.Now()
 			rep := n.cloud.Do(ctx, v)
+			n.metrics.Call("cloud", rep.Status, time.Since(began))
 			n.inbox <- core.CloudDone{ID: v.ID, Reply: rep}
 		}()
 	case core.PeerSend:
--- /dev/null
+++ b/wire/admin.go
@@ -0,0 +1,112 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+)
+
+// Keys of the operators' own settings.
+const (
+	KeySettings  = "live/settings"
+	PrefixCordon = "live/cordon/"
+)
+
+// Settings are the operators' own, changed through the administration API.
+type Settings struct {
+	IdleReturnS float64 `cbor:"idle_return_s" json:"idle_return_s"`
+	SilentDropS float64 `cbor:"silent_drop_s" json:"silent_drop_s"`
+	Spot        bool    `cbor:"spot" json:"spot"`
+}
+
+// Check names the first field out of its range.
+func (s Settings) Check() error {
+	for _, f := range []struct {
+		name     string
+		v        float64
+		min, max float64
+	}{{"idle_return_s", s.IdleReturnS, 1, 86400}, {"silent_drop_s", s.SilentDropS, 5, 86400}} {
+		if math.IsNaN(f.v) || f.v < f.min || f.v > f.max {
+			return fmt.Errorf("%s: must be from %g to %g", f.name, f.min, f.max)
+		}
+	}
+	return nil
+}
+
+// SettingsPatch changes some settings; Version is the one that was read, 0 if
+// none had been written.
+type SettingsPatch struct {
+	Version     uint64   `cbor:"version"`
+	IdleReturnS *float64 `cbor:"idle_return_s,omitempty"`
+	SilentDropS *float64 `cbor:"silent_drop_s,omitempty"`
+	Spot        *bool    `cbor:"spot,omitempty"`
+}
+
+// SettingsView answers the administration API.
+type SettingsView struct {
+	Version  uint64   `cbor:"version" json:"version"`
+	Settings Settings `cbor:"settings" json:"settings"`
+}
+
+// Cordon keeps new tasks off a machine; with Drain what runs there is stopped
+// and the machine is given back.
+type Cordon struct {
+	Drain bool `cbor:"drain" json:"drain"`
+}
+
+// Overview is one controller's view of the cluster.
+type Overview struct {
+	Node   string      `cbor:"node" json:"node"`
+	Leader string      `cbor:"leader" json:"leader"`
+	Nodes  []string    `cbor:"nodes" json:"nodes"`
+	Shards []ShardView `cbor:"shards" json:"shards"`
+	Blocks []BlockView `cbor:"blocks" json:"blocks"`
+	Teams  []TeamView  `cbor:"teams" json:"teams"`
+}
+
+// ShardView tells who holds a shard.
+type ShardView struct {
+	Shard   int      `cbor:"shard" json:"shard"`
+	Holder  string   `cbor:"holder" json:"holder"`
+	Home    string   `cbor:"home" json:"home"`
+	Token   uint64   `cbor:"token" json:"token"`
+	Settled bool     `cbor:"settled" json:"settled"`
+	Teams   []string `cbor:"teams" json:"teams"`
+}
+
+// BlockView tells of a block; tasks are known to its holder only.
+type BlockView struct {
+	Block    string        `cbor:"block" json:"block"`
+	Shard    int           `cbor:"shard" json:"shard"`
+	Type     string        `cbor:"type" json:"type"`
+	Zone     string        `cbor:"zone" json:"zone"`
+	Spot     bool          `cbor:"spot" json:"spot"`
+	Idle     bool          `cbor:"idle" json:"idle"`
+	Machines []MachineView `cbor:"machines" json:"machines"`
+}
+
+// MachineView tells of a machine.
+type MachineView struct {
+	Name     string   `cbor:"name" json:"name"`
+	State    string   `cbor:"state" json:"state"`
+	Cordoned bool     `cbor:"cordoned" json:"cordoned"`
+	Tasks    []string `cbor:"tasks,omitempty" json:"tasks,omitempty"`
+}
+
+// TeamView tells a team's use against its guarantee and limit; Known is false
+// on controllers that do not hold it.
+type TeamView struct {
+	Team    string  `cbor:"team" json:"team"`
+	Shard   int     `cbor:"shard" json:"shard"`
+	Known   bool    `cbor:"known" json:"known"`
+	UsedCPU float64 `cbor:"used_cpus" json:"used_cpus"`
+	CPUs    float64 `cbor:"cpus" json:"cpus"`
+	CPUsMax float64 `cbor:"cpus_max" json:"cpus_max"`
+	Waiting int     `cbor:"waiting_tasks" json:"waiting_tasks"`
+}
+
+// Why tells why a job waits.
+type Why struct {
+	Job    string   `cbor:"job" json:"job"`
+	Holder string   `cbor:"holder" json:"holder"`
+	Why    []string `cbor:"why" json:"why"`
+}
