--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -153,21 +153,22 @@
 	cloudWait map[uint64]func(CloudReply)
 
 	// Own presence.
-	boot     uint64 // first grant of this process: names this life of the node
-	grant    uint64
-	granting bool
-	present  bool
-	extendAt Time
-	extendIn bool
-	renewOK  Time // when the last successful renewal was sent
-	watchOK  Time // when the last answered watch or list was sent
-	loaded   bool
-	loading  bool
-	watching bool
-	listSeen map[string]bool
-	listRev  uint64
-	rev      uint64 // revision the mirror has reached
-	retryAt  map[string]Time
+	boot         uint64 // first grant of this process: names this life of the node
+	grant        uint64
+	granting     bool
+	present      bool
+	extendAt     Time
+	extendIn     bool
+	renewOK      Time // when the last successful renewal was sent
+	wasConfirmed bool
+	watchOK      Time // when the last answered watch or list was sent
+	loaded       bool
+	loading      bool
+	watching     bool
+	listSeen     map[string]bool
+	listRev      uint64
+	rev          uint64 // revision the mirror has reached
+	retryAt      map[string]Time
 
 	mirror
 	holder
@@ -247,6 +248,15 @@
 }
 
 func (c *Core) answer(req uint64, status int, body any) {
+	if x, ok := c.relayed[req]; ok { // the report came through a peer, so does its answer
+		delete(c.relayed, req)
+		ans := &RelayAnswer{ID: x.id, Status: status}
+		if r, ok := body.(wire.ReportReply); ok {
+			ans.Token, ans.Commands = r.Token, r.Commands
+		}
+		c.out = append(c.out, PeerSend{x.from, PeerMessage{From: c.p.Node, Boot: c.boot, Answer: ans}})
+		return
+	}
 	a := Answer{Req: req, Status: status, Body: body}
 	if status == 503 || status == 429 {
 		a.RetryAfter = tuning.RetryHint
@@ -274,6 +284,10 @@
 	if !c.loaded {
 		return
 	}
+	if ok := c.confirmed(); ok != c.wasConfirmed {
+		c.wasConfirmed = ok
+		c.log(1, "entitlement confirmed", "now", ok, "renewed_ago", (c.now - c.renewOK).String(), "watched_ago", (c.now - c.watchOK).String())
+	}
 	c.lead()
 	c.hold()
 }
@@ -372,6 +386,7 @@
 				c.watching = true // until the list is read
 				c.loadPage("", c.now)
 			default:
+				c.log(2, "watch failed", "status", r.Status, "err", r.Err)
 				c.retryAt["watch"] = c.now + tuning.RetryAfter
 			}
 		})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -129,6 +129,7 @@
 	}
 	for _, n := range sortedKeys(w.nodes) {
 		var got Answer
+		w.nodes[n].core.heard = map[string]Time{} // no peer in reach to pass it on to
 		w.ask(n, func(q uint64) any {
 			return WorkerReport{q, wire.Report{Machine: name, Type: "std", Zone: "n", Session: 9, Seq: 1}}
 		}, func(a Answer) { got = a })
@@ -188,6 +189,41 @@
 	}
 }
 
+// Found in an incident at Dakar: a controller that no worker reached any more,
+// alive otherwise, lost all its tasks. Others pass its workers' reports on.
+func TestWorkersCutFromTheirHolder(t *testing.T) {
+	w := newWorld(t, 9, 3)
+	w.run(4 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeService, 4))
+	w.run(20 * sec)
+	sessions := map[string]uint64{}
+	for n, m := range w.machines {
+		sessions[n] = m.session
+		w.lost[w.holderOf(n)] = true
+	}
+	w.run(60 * sec)
+	for n, m := range w.machines {
+		if m.session != sessions[n] {
+			t.Errorf("%s lost its session", n)
+		}
+	}
+}
+
+// Found in the same incident: a controller cut off from the state service kept
+// its workers for 25 s from the one that had been granted its shard.
+func TestYieldsToLaterToken(t *testing.T) {
+	w := newWorld(t, 10, 3)
+	name := w.addMachine("n", false, sec)
+	w.run(10 * sec)
+	old := w.holderOf(name)
+	w.cutState[old] = true
+	w.run(9 * sec)
+	next := w.holderOf(name)
+	if next == old || w.nodes[next].core.machines[name] == nil || !w.nodes[next].core.machines[name].accounted {
+		t.Fatalf("9 s after %s lost the state, %s has not accounted for its machine", old, next)
+	}
+}
+
 // A state outage longer than a worker's lease costs no task.
 func TestSharedOutageKeepsTasks(t *testing.T) {
 	w := newWorld(t, 5, 3)
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -163,6 +163,7 @@
 // shardSeen is called for every new version of a shard record.
 func (c *Core) shardSeen(i int, old *shardEntry) {
 	c.dirty = true
+	delete(c.yielded, i)
 	named := c.boot != 0 && c.shards[i].rec.Holder == c.p.Node && c.shards[i].rec.Boot == c.boot
 	switch {
 	case named && !c.held[i]:
@@ -222,6 +223,7 @@
 			e.run = nil
 		}
 	}
+	c.dirty = true
 	c.log(1, "shard lost", "shard", i, "to", c.shards[i].rec.Holder)
 }
 
@@ -438,11 +440,21 @@
 					continue
 				}
 				s := c.shards[b.rec.Shard]
-				if s != nil && s.rec.Holder != c.p.Node {
-					if n, up := c.nodes[s.rec.Holder]; up && n.Boot == s.rec.Boot {
-						c.answer(req, 421, wire.Redirect{Holder: s.rec.Holder})
-						return
+				if s == nil {
+					continue
+				}
+				holder := s.rec.Holder
+				if n, up := c.nodes[holder]; !up || n.Boot != s.rec.Boot {
+					holder = ""
+				}
+				if to, ok := c.yielded[b.rec.Shard]; ok {
+					holder = to
+				}
+				if _, ours := c.relayed[req]; holder != "" && holder != c.p.Node && !ours {
+					if !c.relay(req, r, holder) {
+						c.answer(req, 421, wire.Redirect{Holder: holder})
 					}
+					return
 				}
 				c.answer(req, 503, unavailable("holder not known"))
 				return
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -20,6 +20,31 @@
 	Revision uint64     `msgpack:"revision"`
 	UpMS     int64      `msgpack:"up_ms"`
 	Jobs     []JobCount `msgpack:"jobs,omitempty"`
+	// Holds names the shards the sender holds, with their tokens.
+	Holds []HeldShard `msgpack:"holds,omitempty"`
+	// Relay passes a worker's report to its holder, Answer what it said.
+	Relay  *RelayReport `msgpack:"relay,omitempty"`
+	Answer *RelayAnswer `msgpack:"answer,omitempty"`
+}
+
+// HeldShard is a shard and the revision that granted it.
+type HeldShard struct {
+	Shard int    `msgpack:"shard"`
+	Token uint64 `msgpack:"token"`
+}
+
+// RelayReport is a worker's report on its way to the holder.
+type RelayReport struct {
+	ID     uint64      `msgpack:"id"`
+	Report wire.Report `msgpack:"report"`
+}
+
+// RelayAnswer is the holder's answer on its way back.
+type RelayAnswer struct {
+	ID       uint64         `msgpack:"id"`
+	Status   int            `msgpack:"status"`
+	Token    uint64         `msgpack:"token"`
+	Commands []wire.Command `msgpack:"commands"`
 }
 
 // JobCount is the progress of a job its holder sees, for display.
@@ -45,11 +70,34 @@
 	pinged  map[uint64]Time // ping -> when it was sent
 	covered map[string]Time // peer -> until then it had done nothing we do not know of
 	counts  map[string]JobCount
-	topRev  uint64 // newest revision known, ahead of the watch or not
+	heard   map[string]Time      // peer -> its last answer to a ping
+	yielded map[int]string       // shards a peer holds under a later token than we have heard of
+	relays  map[string]*relaying // machines whose reports we pass on
+	passed  map[uint64]passedOn  // reports passed on, by relay id
+	relayed map[uint64]relayedIn // reports passed to us, by request
+	topRev  uint64               // newest revision known, ahead of the watch or not
+}
+
+// relaying counts the reports passed on for one machine.
+type relaying struct {
+	n    int
+	last Time
+	home Time // when it was last sent to its holder
+}
+
+type passedOn struct {
+	req uint64
+	at  Time
+}
+
+type relayedIn struct {
+	from string
+	id   uint64
 }
 
 func newPeers() peers {
-	return peers{pinged: map[uint64]Time{}, covered: map[string]Time{}, counts: map[string]JobCount{}}
+	return peers{heard: map[string]Time{}, yielded: map[int]string{}, relays: map[string]*relaying{},
+		passed: map[uint64]passedOn{}, relayed: map[uint64]relayedIn{}, pinged: map[uint64]Time{}, covered: map[string]Time{}, counts: map[string]JobCount{}}
 }
 
 func (c *Core) knows(rev uint64) { c.topRev = max(c.topRev, rev) }
@@ -69,9 +117,18 @@
 			jobs = append(jobs, JobCount{id, running, done})
 		}
 	}
+	var holds []HeldShard
+	for _, i := range sortedInts(c.held) {
+		holds = append(holds, HeldShard{i, c.shards[i].ver})
+	}
+	for id, x := range c.passed {
+		if c.now-x.at > tuning.ReportTimeout {
+			delete(c.passed, id)
+		}
+	}
 	for _, n := range sortedKeys(c.p.Nodes) {
 		if n != c.p.Node {
-			c.out = append(c.out, PeerSend{n, PeerMessage{From: c.p.Node, Boot: c.boot, Nonce: c.nonce, Revision: c.topRev, UpMS: c.now.Milliseconds(), Jobs: jobs}})
+			c.out = append(c.out, PeerSend{n, PeerMessage{From: c.p.Node, Boot: c.boot, Nonce: c.nonce, Revision: c.topRev, UpMS: c.now.Milliseconds(), Jobs: jobs, Holds: holds}})
 		}
 	}
 }
@@ -81,6 +138,34 @@
 		c.log(1, "message from no controller of this deployment", "from", m.From)
 		return
 	}
+	switch {
+	case m.Relay != nil:
+		c.seq++
+		req := 1<<63 | c.seq
+		c.relayed[req] = relayedIn{m.From, m.Relay.ID}
+		c.onReport(WorkerReport{req, m.Relay.Report})
+		return
+	case m.Answer != nil:
+		if x, ok := c.passed[m.Answer.ID]; ok {
+			delete(c.passed, m.Answer.ID)
+			if m.Answer.Status == 200 {
+				c.answer(x.req, 200, wire.ReportReply{Token: m.Answer.Token, Commands: m.Answer.Commands})
+			} else {
+				c.answer(x.req, 503, unavailable("holder does not take it"))
+			}
+		}
+		return
+	}
+	for _, h := range m.Holds {
+		// A peer that holds our shard under a later token has read the grant
+		// in the state; we cannot, or have not yet. To go on answering would keep
+		// the workers from it for as long as we may go unconfirmed.
+		if s := c.shards[h.Shard]; s != nil && c.held[h.Shard] && h.Token > s.ver {
+			c.leaveShard(h.Shard)
+			c.yielded[h.Shard] = m.From
+			c.log(1, "shard yielded to a later token", "shard", h.Shard, "to", m.From, "token", h.Token)
+		}
+	}
 	if !m.Reply {
 		for _, j := range m.Jobs {
 			if e := c.jobs[j.ID]; e != nil && e.run == nil {
@@ -94,6 +179,7 @@
 	if !ok {
 		return // not ours, or too old to mean anything
 	}
+	c.heard[m.From] = c.now
 	// The peer spoke after our ping left. If it knows of no revision that our
 	// mirror lacks, and has lived since our last confirmation, then until the
 	// ping it had told no user of an abort, and taken nothing over, unknown to us.
@@ -103,6 +189,31 @@
 	}
 }
 
+// relay passes a report on to its holder, for a worker that may be cut off from
+// it: being sent there would cost it a time-out, and two of them a lease. After a
+// few it is sent home once; if it comes back, home cannot be reached from there
+// and the next try waits longer.
+func (c *Core) relay(req uint64, r *wire.Report, holder string) bool {
+	at, ok := c.heard[holder]
+	if !ok || c.now-at > 3*tuning.PeerEvery {
+		return false
+	}
+	x := c.relays[r.Machine]
+	if x == nil || c.now-x.last > c.p.Lease {
+		x = &relaying{home: -tuning.RelayFor}
+		c.relays[r.Machine] = x
+	}
+	x.last = c.now
+	if x.n++; x.n > tuning.RelayReports && c.now-x.home > tuning.RelayFor {
+		x.n, x.home = 0, c.now
+		return false
+	}
+	c.seq++
+	c.passed[c.seq] = passedOn{req, c.now}
+	c.out = append(c.out, PeerSend{holder, PeerMessage{From: c.p.Node, Boot: c.boot, Relay: &RelayReport{c.seq, *r}}})
+	return true
+}
+
 // lastConfirmed is when the state service last confirmed our entitlement.
 func (c *Core) lastConfirmed() Time { return min(c.renewOK, c.watchOK) }
 
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -45,6 +45,7 @@
 	jobs    map[string]*userJob
 	cancelS time.Duration
 	apart   map[[2]string]bool // zone pairs that cannot reach each other
+	lost    map[string]bool    // controllers that no worker reaches
 	broken  []string
 }
 
@@ -121,7 +122,7 @@
 func newWorld(t *testing.T, seed uint64, nodes int) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), keys: map[string]wire.Item{}, grants: map[uint64]time.Duration{},
 		stateUp: true, cloudUp: true, cutState: map[string]bool{}, machines: map[string]*worker{}, bookings: map[string][]string{}, capacity: 40,
-		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, cancelS: 40 * time.Second,
+		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, cancelS: 40 * time.Second,
 		teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 12}, "blue": {CPUs: 8, CPUsMax: 12}, "green": {CPUs: 8, CPUsMax: 12}},
 		types: []wire.MachineType{{Name: "std", CPUs: 4, MemoryGB: 16, FetchGBps: 1, Price: 0.2, SpotPrice: 0.05, BootS: 5, Zones: []string{"n", "s"}}},
 	}
@@ -510,7 +511,7 @@
 	}
 	w.at(4*time.Second, give)
 	zone := w.params(to).Zone
-	if w.apart[[2]string{m.info.Zone, zone}] || w.apart[[2]string{zone, m.info.Zone}] {
+	if w.lost[to] || w.apart[[2]string{m.info.Zone, zone}] || w.apart[[2]string{zone, m.info.Zone}] {
 		return
 	}
 	w.at(w.lag(), func() {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -124,6 +124,12 @@
 	PeerFrame = 64 << 10
 	// PeerPings (messages): unanswered pings remembered.
 	PeerPings = 16
+	// RelayReports (reports): passed on for a worker before it is sent to its
+	// holder itself; one may be all it takes after a change of hands.
+	RelayReports = 3
+	// RelayFor (duration): a worker that came back from its holder is passed on
+	// for so long before the next try, which costs it half a lease.
+	RelayFor = 20 * time.Second
 	// PeerJobs (jobs): counts in one message, for display.
 	PeerJobs = 300
 	// FinalCache (jobs): final states kept in memory.
