--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -80,8 +80,6 @@
 	status           string // "" until reported
 	cause            string
 	sent             bool
-	sentSession      uint64
-	sentSeq          uint64
 	stop             bool
 	graceS           float64
 	created, running Time
@@ -424,8 +422,7 @@
 		c.dirty = false
 		c.place()
 	}
-	reply := wire.ReportReply{Token: token, Commands: []wire.Command{}}
-	reply.Commands = c.commands(m, r)
+	reply := wire.ReportReply{Token: token, Commands: c.commands(m)}
 	m.lastOK = c.now
 	c.answer(v.Req, 200, reply)
 	c.flush()
@@ -584,7 +581,7 @@
 }
 
 // commands for a machine, in answer to its report.
-func (c *Core) commands(m *machine, r *wire.Report) []wire.Command {
+func (c *Core) commands(m *machine) []wire.Command {
 	cmds := []wire.Command{}
 	if !m.accounted {
 		return cmds
@@ -611,7 +608,7 @@
 				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: k.task, Attempt: k.try, GraceS: &g})
 			}
 		case a.status == "" && e.rec.Started > a.idx:
-			a.sent, a.sentSession, a.sentSeq = true, r.Session, r.Seq
+			a.sent = true
 			cmds = append(cmds, wire.Command{Verb: wire.VerbRun, Task: k.task, Attempt: k.try})
 		}
 	}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"fmt"
 	"sort"
 	"strconv"
 	"strings"
@@ -248,5 +247,3 @@
 func jobKey(id string) string   { return wire.PrefixJob + id }
 func finalKey(id string) string { return wire.PrefixFinal + id }
 func blockKey(id string) string { return wire.PrefixBlock + id }
-
-func (b *blockEntry) String() string { return fmt.Sprintf("%s@%d", b.id, b.ver) }
