--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -118,6 +118,28 @@
 	}
 }
 
+// Machines found at the very first start are the operator's and stay; a stray
+// one that turns up when nothing is held is returned like any other.
+func TestStandingMachinesStayStraysGo(t *testing.T) {
+	w := newWorld(t, 11, 1)
+	standing := w.addMachine("n", false, sec)
+	w.run(60 * sec)
+	if w.machines[standing].gone {
+		t.Error("the standing machine was returned")
+	}
+	v := newWorld(t, 12, 1)
+	v.run(20 * sec)
+	stray := v.addMachine("n", false, sec)
+	v.run(20 * sec)
+	if v.holderOf(stray) == "" {
+		t.Error("the stray machine was not adopted")
+	}
+	v.run(40 * sec)
+	if !v.machines[stray].gone {
+		t.Error("the stray machine is paid for ever")
+	}
+}
+
 // Only the holder of a machine's block says 200; others name it.
 func TestOnlyTheHolderAnswers(t *testing.T) {
 	w := newWorld(t, 3, 3)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -33,6 +33,7 @@
 	nodeUp    map[string]Time
 	bookings  uint64
 	standing  bool // the first machines, found when there was no block at all
+	founded   Time // when this term made the shards: the cluster started for the first time; 0: it did not
 }
 
 func (l *leaderState) reset() {
@@ -117,7 +118,13 @@
 			then = append(then, wire.Change{Put: shardKey(i), Value: wire.Shard{Holder: holder, Boot: c.nodes[holder].Boot, Home: n, Teams: teams[i]}})
 		}
 		l.writing = true
-		c.commit(when, then, func(r StateReply) { l.writing = false; c.changed() })
+		c.commit(when, then, func(r StateReply) {
+			l.writing = false
+			if r.Status == 200 {
+				l.founded = c.now
+			}
+			c.changed()
+		})
 		return
 	}
 	held := map[string]int{}
@@ -438,7 +445,8 @@
 	if l.writing || !l.firstList || len(c.shards) < len(c.p.Nodes) || len(l.strangers) == 0 || !c.every("adopt", 200*time.Millisecond) {
 		return
 	}
-	first := len(c.blocks) == 0 || l.standing
+	// Lists lag by up to twice the usual time.
+	first := l.founded > 0 && c.now-l.founded < 2*c.p.ListLag && (len(c.blocks) == 0 || l.standing)
 	var names []string
 	for _, n := range sortedKeys(l.strangers) {
 		if c.blockOf(n) != nil {
@@ -454,7 +462,9 @@
 	if len(names) == 0 {
 		return
 	}
-	// Machines found before there was any block are the operator's standing ones.
+	// Machines found when the cluster starts for the first time are the
+	// operator's standing ones. A stray one found later, when all others have been
+	// returned, is not: it would be paid for ever.
 	var infos []wire.MachineInfo
 	for _, n := range names {
 		infos = append(infos, l.strangers[n])
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -126,6 +126,11 @@
 			delete(c.passed, id)
 		}
 	}
+	for name, x := range c.relays {
+		if c.now-x.last > 2*tuning.RelayFor {
+			delete(c.relays, name)
+		}
+	}
 	for _, n := range sortedKeys(c.p.Nodes) {
 		if n != c.p.Node {
 			c.out = append(c.out, PeerSend{n, PeerMessage{From: c.p.Node, Boot: c.boot, Nonce: c.nonce, Revision: c.topRev, UpMS: c.now.Milliseconds(), Jobs: jobs, Holds: holds}})
