--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -140,6 +140,35 @@
 	}
 }
 
+// A replica left alone on a rented machine moves to one in use that has its
+// image, and the machine goes back; nothing runs twice on the way.
+func TestLoneReplicaMovesOff(t *testing.T) {
+	w := newWorld(t, 13, 1)
+	w.run(4 * sec)
+	for i := range 2 {
+		s := spec(fmt.Sprintf("job-%06d", i), "red", wire.ShapeService, 1)
+		s.CPUs = ptr(3.0) // one a machine
+		w.submit(s)
+		w.run(8 * sec)
+	}
+	w.abort("job-000000")
+	for i := 2; i < 4; i++ { // fill up beside and instead, then leave one alone
+		w.submit(spec(fmt.Sprintf("job-%06d", i), "red", wire.ShapeService, 1))
+		w.run(8 * sec)
+	}
+	w.run(200 * sec)
+	held, replicas := 0, 0
+	for _, n := range w.order {
+		if m := w.machines[n]; !m.gone {
+			held++
+			replicas += len(m.tasks)
+		}
+	}
+	if replicas != 3 || held > 2 {
+		t.Fatalf("%d replicas on %d machines, want 3 on at most 2", replicas, held)
+	}
+}
+
 // Only the holder of a machine's block says 200; others name it.
 func TestOnlyTheHolderAnswers(t *testing.T) {
 	w := newWorld(t, 3, 3)
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -51,6 +51,7 @@
 	session, seq           uint64
 	lastReport             Time
 	lastOK                 Time // when our last 200 left
+	moving                 bool // its replicas are being moved off
 	over                   bool // its lease is surely over; confirmed by the state
 	notice                 bool
 	noticeAt               Time
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"math"
 	"sort"
 	"time"
@@ -34,7 +35,7 @@
 	if _, cordoned := c.cordons[m.name]; cordoned {
 		return false
 	}
-	return m.reported && m.accounted && !m.drop && !m.notice && !m.over && b != nil && !b.rec.Idle && !c.vacating[m.block] &&
+	return m.reported && m.accounted && !m.drop && !m.notice && !m.over && !m.moving && b != nil && !b.rec.Idle && !c.vacating[m.block] &&
 		c.now-m.lastReport < 2*c.p.Report+500*time.Millisecond
 }
 
@@ -713,6 +714,9 @@
 			}
 		}
 		c.retire(i, len(w.Needs) > 0)
+		if len(w.Needs) == 0 {
+			c.moveOff(i)
+		}
 		old := c.wants[i]
 		if sameNeeds(old.Needs, w.Needs) && (len(w.Needs) == 0 || old.Seen == w.Seen) {
 			c.wantSent[i] = old
@@ -730,6 +734,66 @@
 	}
 }
 
+// moveOff frees one rented machine that runs nothing but a few replicas, if all
+// of them find room, and their image, on machines in use. Anchors spread by
+// design; once the batches around them have ended, each holds a machine alone.
+func (c *Core) moveOff(shard int) {
+	if c.unsettle[shard] || !c.every(fmt.Sprintf("move%d", shard), tuning.MoveEvery) {
+		return
+	}
+	var in []*machine
+	for _, name := range sortedKeys(c.machines) {
+		if m := c.machines[name]; m.shard == shard {
+			if m.moving {
+				return // one at a time
+			}
+			if c.usable(m) && len(m.attempts) > 0 {
+				in = append(in, m)
+			}
+		}
+	}
+	sort.SliceStable(in, func(i, j int) bool { return c.free(in[i]).CPUs > c.free(in[j]).CPUs })
+	for _, m := range in {
+		if !m.base && c.movable(m, in) {
+			m.moving = true
+			for _, k := range sortedAttempts(m) {
+				c.stopAttempt(m.attempts[k])
+			}
+			c.log(1, "moving replicas off a machine", "machine", m.name, "replicas", len(m.attempts))
+			return
+		}
+	}
+}
+
+// movable tells whether everything on a machine could be moved to the others.
+func (c *Core) movable(m *machine, in []*machine) bool {
+	free := map[*machine]placement.Size{}
+	for _, o := range in {
+		free[o] = c.free(o)
+	}
+	for _, k := range sortedAttempts(m) {
+		a := m.attempts[k]
+		e := c.jobs[a.job]
+		if e == nil || e.run == nil || e.rec.Shape != wire.ShapeService || e.rec.OneZone || e.rec.Spread || a.stop ||
+			a.status != wire.TaskRunning || c.now-a.running < tuning.MoveAfter {
+			return false
+		}
+		found := false
+		for _, o := range in {
+			if o != m && allowsType(e.rec.Types, o.typ) && (e.rec.Zone == "" || o.zone == e.rec.Zone) && (!o.spot || e.rec.Spot) &&
+				o.images[e.rec.Image] && placement.Fits(free[o], a.size) {
+				free[o] = free[o].Sub(a.size)
+				found = true
+				break
+			}
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
 // retire marks machines to be given back: idle, silent, never up, or taken.
 func (c *Core) retire(shard int, busy bool) {
 	for _, name := range sortedKeys(c.machines) {
@@ -748,6 +812,8 @@
 			why = "silent"
 		case m.notice && c.now > m.noticeAt+2*time.Second && c.now-m.lastReport > 4*c.p.Report:
 			why = "taken"
+		case m.moving && len(m.attempts) == 0:
+			why = "moved off"
 		case !m.base && !busy && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > seconds(c.settings.IdleReturnS) &&
 			(m.spot || c.spareBeyond(shard, m.name)):
 			why = "idle"
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -49,12 +49,15 @@
 	// paper, where nodes cost nothing while empty: an anchor takes the largest
 	// beta among the machines already in use, if one fits.
 	Opens bool
-	// Better breaks ties of beta, larger first (an image at hand, say).
+	// Better, larger first, breaks ties of beta (an image at hand, say). Second
+	// exception: for an anchor it goes before beta, since a fetch takes longer
+	// than users wait for a first task.
 	Better int
 }
 
-// Pick returns the chosen candidate's index, or -1. The anchor takes the
-// largest beta; others the zone with the least load, then the first smallest beta.
+// Pick returns the chosen candidate's index, or -1: the zone with the least
+// load; for the anchor then the largest beta, for others the first smallest.
+// The two exceptions stand with Candidate.
 func Pick(cs []Candidate, ask Size, anchor bool) int {
 	best, bestBeta := -1, 0
 	for i, c := range cs {
@@ -72,6 +75,10 @@
 			if c.Load < o.Load {
 				best, bestBeta = i, b
 			}
+		case anchor && c.Better != o.Better:
+			if c.Better > o.Better {
+				best, bestBeta = i, b
+			}
 		case anchor && c.Opens != o.Opens:
 			if o.Opens {
 				best, bestBeta = i, b
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -59,6 +59,12 @@
 	// IdleReturn (duration): an empty rented machine is given back after this.
 	// Short of a boot, since a machine costs as much while it boots.
 	IdleReturn = 20 * time.Second
+	// MoveAfter (duration): a replica that has run so long may be moved to free
+	// its machine; a move costs it some seconds, a machine costs until it ends.
+	MoveAfter = 60 * time.Second
+	// MoveEvery (duration): between moves in one shard, so that few replicas are
+	// away at a time.
+	MoveEvery = 12 * time.Second
 	// IdleOffer (duration): an empty block is offered to other shards after this.
 	IdleOffer = 3 * time.Second
 	// DireAfter (duration): work within a guarantee that has found no machine
