--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -169,6 +169,53 @@
 	}
 }
 
+// Zone, one-zone, spread, spot and team limits hold for every start; the world
+// checks them. Without its guard this fleet breaks each of them.
+func TestPlacesAllowed(t *testing.T) {
+	w := newWorld(t, 14, 1)
+	for i := range 12 {
+		w.addMachine([]string{"n", "s"}[i%2], i < 2, sec)
+	}
+	w.run(6 * sec)
+	zone, one, spread := spec("job-000001", "red", wire.ShapeBatch, 4), spec("job-000002", "blue", wire.ShapeBatch, 6), spec("job-000003", "green", wire.ShapeBatch, 5)
+	zone.Zone, zone.Spot = ptr("s"), ptr(false)
+	one.OneZone = ptr(true)
+	spread.Spread, spread.Spot = ptr(true), ptr(false)
+	for _, s := range []wire.JobSpec{zone, one, spread} {
+		w.submit(s)
+	}
+	w.run(20 * sec)
+	w.submit(spec("job-000004", "red", wire.ShapeBatch, 30)) // room for 30, a limit of 12
+	w.pollAll()
+	w.run(60 * sec)
+	if u := w.unfinished(); u != nil {
+		t.Fatalf("not done: %v", u)
+	}
+}
+
+// A drained machine is emptied and given back, a cordoned one gets nothing new.
+func TestCordonAndDrain(t *testing.T) {
+	w := newWorld(t, 15, 1)
+	a, b := w.addMachine("n", false, sec), w.addMachine("n", false, sec)
+	w.run(6 * sec)
+	set := func(machine string, c *wire.Cordon) {
+		w.ask("c0", func(q uint64) any { return AdminCordon{q, machine, c} }, func(Answer) {})
+		w.run(sec)
+	}
+	set(a, &wire.Cordon{})
+	w.submit(spec("job-000001", "red", wire.ShapeService, 3))
+	w.run(10 * sec)
+	if len(w.machines[a].tasks) != 0 || len(w.machines[b].tasks) != 3 {
+		t.Fatalf("cordoned machine has %d tasks, the other %d", len(w.machines[a].tasks), len(w.machines[b].tasks))
+	}
+	set(a, nil)
+	set(b, &wire.Cordon{Drain: true})
+	w.run(15 * sec)
+	if !w.machines[b].gone || len(w.machines[a].tasks) != 3 {
+		t.Errorf("drained machine gone: %v; %d tasks on the other", w.machines[b].gone, len(w.machines[a].tasks))
+	}
+}
+
 // Only the holder of a machine's block says 200; others name it.
 func TestOnlyTheHolderAnswers(t *testing.T) {
 	w := newWorld(t, 3, 3)
@@ -243,21 +290,12 @@
 // Found in an incident at Dakar: a controller that no worker reached any more,
 // alive otherwise, lost all its tasks. Others pass its workers' reports on.
 func TestWorkersCutFromTheirHolder(t *testing.T) {
-	w := newWorld(t, 9, 3)
-	w.run(4 * sec)
-	w.submit(spec("job-000001", "red", wire.ShapeService, 4))
-	w.run(20 * sec)
-	sessions := map[string]uint64{}
-	for n, m := range w.machines {
-		sessions[n] = m.session
+	w, kept := runningServices(t, 9)
+	for n := range w.machines {
 		w.lost[w.holderOf(n)] = true
 	}
 	w.run(60 * sec)
-	for n, m := range w.machines {
-		if m.session != sessions[n] {
-			t.Errorf("%s lost its session", n)
-		}
-	}
+	kept()
 }
 
 // Found in the same incident: a controller cut off from the state service kept
@@ -275,29 +313,21 @@
 	}
 }
 
-// A state outage longer than a worker's lease costs no task.
+// An outage of the state service that all share costs no task, whether shorter
+// than a lone controller may go on, or longer: then peers vouch for each other.
 func TestSharedOutageKeepsTasks(t *testing.T) {
-	w := newWorld(t, 5, 3)
-	w.run(4 * sec)
-	w.submit(spec("job-000001", "red", wire.ShapeService, 4))
-	w.run(20 * sec)
-	sessions := map[string]uint64{}
-	for n, m := range w.machines {
-		sessions[n] = m.session
-	}
-	w.outage(20 * sec)
-	w.run(30 * sec)
-	for n, m := range w.machines {
-		if m.session != sessions[n] {
-			t.Errorf("%s lost its session in the outage", n)
-		}
+	for _, d := range []time.Duration{20 * sec, 60 * sec} {
+		w, kept := runningServices(t, 5)
+		w.outage(d)
+		w.run(d + 10*sec)
+		kept()
 	}
 }
 
-// Peers that are as cut off as we are vouch for each other: an outage longer
-// than a lone controller may go on costs no task either.
-func TestLongSharedOutageKeepsTasks(t *testing.T) {
-	w := newWorld(t, 5, 3)
+// runningServices returns a world in which four replicas run, and a check that
+// no machine has lost its session since.
+func runningServices(t *testing.T, seed uint64) (*world, func()) {
+	w := newWorld(t, seed, 3)
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeService, 4))
 	w.run(20 * sec)
@@ -305,11 +335,12 @@
 	for n, m := range w.machines {
 		sessions[n] = m.session
 	}
-	w.outage(60 * sec)
-	w.run(70 * sec)
-	for n, m := range w.machines {
-		if m.session != sessions[n] {
-			t.Errorf("%s lost its session in the outage", n)
+	return w, func() {
+		t.Helper()
+		for n, m := range w.machines {
+			if m.session != sessions[n] {
+				t.Errorf("%s lost its session", n)
+			}
 		}
 	}
 }
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -576,6 +576,7 @@
 			if m.info.Spot && !*j.spec.Spot || j.spec.Zone != nil && *j.spec.Zone != m.info.Zone {
 				w.fail("wrong_place: %s on %s", c.Task, m.info.Name)
 			}
+			w.checkPlace(j, id, c.Task, m.info.Zone)
 			r := &running{name: c.Task, try: c.Attempt, status: wire.TaskRunning, job: id}
 			if *j.spec.Shape == wire.ShapeBatch {
 				r.until = w.now + m.runS + time.Duration(w.rng.IntN(4000))*time.Millisecond
@@ -595,6 +596,27 @@
 	return len(cmds) > 0
 }
 
+// checkPlace: one zone for all tasks, or at most half of them in one, as asked.
+func (w *world) checkPlace(j *userJob, id, task, zone string) {
+	here, total := 1, 1
+	for _, m := range w.machines {
+		for _, r := range m.tasks {
+			if w.alive(m) && r.job == id && r.status != wire.TaskEnded {
+				total++
+				if m.info.Zone == zone {
+					here++
+				}
+			}
+		}
+	}
+	if *j.spec.OneZone && here < total {
+		w.fail("wrong_place: %s in %s, others elsewhere", task, zone)
+	}
+	if *j.spec.Spread && here > (int(*j.spec.Tasks)+1)/2 {
+		w.fail("wrong_place: %d tasks of %s in %s", here, id, zone)
+	}
+}
+
 func (w *world) checkQuota(team string) {
 	sum := 0.0
 	for _, m := range w.machines {
