--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,6 +4,8 @@
 package core
 
 import (
+	"hash/fnv"
+	"math/rand/v2"
 	"sort"
 	"strings"
 	"time"
@@ -169,6 +171,7 @@
 	listRev      uint64
 	rev          uint64 // revision the mirror has reached
 	retryAt      map[string]Time
+	jitter       *rand.Rand // seeded by the node's name: spreads retries, repeats in tests
 
 	mirror
 	holder
@@ -183,6 +186,9 @@
 		stateWait: map[uint64]func(StateReply){}, cloudWait: map[uint64]func(CloudReply){},
 		retryAt: map[string]Time{},
 	}
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(p.Node))
+	c.jitter = rand.New(rand.NewPCG(seed.Sum64(), 0))
 	c.mirror = newMirror()
 	c.holder = newHolder()
 	c.users = newUsers()
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -217,7 +217,7 @@
 func (c *Core) cloudFailed(what string, r CloudReply) {
 	l := &c.leader
 	l.backoff = min(max(2*l.backoff, tuning.RetryAfter), tuning.CloudBackoffMax)
-	l.cloudAt = c.now + l.backoff
+	l.cloudAt = c.now + time.Duration(float64(l.backoff)*(1-tuning.Jitter*c.jitter.Float64()))
 	c.log(1, "cloud call failed", "call", what, "status", r.Status, "err", r.Err, "pause", l.backoff.String())
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -44,6 +44,9 @@
 	CloudTimeout = 5 * time.Second
 	// CloudBackoffMax (duration): longest pause after failed cloud calls.
 	CloudBackoffMax = 4 * time.Second
+	// Jitter (share): a pause is shortened by up to this share at random, so that
+	// retries of several callers fall apart.
+	Jitter = 0.3
 	// ListEvery (duration): how often the leader reads the machine list.
 	ListEvery = 3 * time.Second
 	// TypesEvery (duration): how often prices are read again.
