--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -216,6 +216,57 @@
 	}
 }
 
+// A job of the largest size is served like any other: its record stays small and
+// passes over it stay cheap enough for a small share of a processor.
+func TestLargestJob(t *testing.T) {
+	w := newWorld(t, 16, 1)
+	w.run(4 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeBatch, wire.MaxTasks))
+	w.submit(spec("job-000002", "blue", wire.ShapeBatch, 4))
+	w.pollAll()
+	w.run(60 * sec)
+	if w.jobs["job-000002"].final != wire.JobDone {
+		t.Error("the small job waits behind the large one")
+	}
+	if n := len(w.jobs["job-000001"].done); n < 60 {
+		t.Errorf("%d tasks of the large job done in a minute", n)
+	}
+	if it := w.keys[jobKey("job-000001")]; len(it.Value) > 2048 {
+		t.Errorf("its record has %d bytes", len(it.Value))
+	}
+	w.kill("c0")
+	w.at(4*sec, func() { w.start("c0") })
+	before := len(w.jobs["job-000001"].done)
+	w.run(40 * sec)
+	if n := len(w.jobs["job-000001"].done); n <= before {
+		t.Error("the large job does not go on after a restart")
+	}
+}
+
+// A watch that is too old is answered 410: the keys are read again, and what
+// vanished meanwhile leaves the mirror.
+func TestWatchTooOld(t *testing.T) {
+	w := newWorld(t, 17, 1)
+	w.run(4 * sec)
+	c := w.nodes["c0"].core
+	raw, err := wire.Marshal(wire.Node{Boot: 99})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.put(wire.PrefixNode+"ghost", raw, 1) // seen once, removed unseen
+	w.tooOld = true
+	w.run(6 * sec)
+	if _, ok := c.nodes["ghost"]; ok {
+		t.Error("a key removed before the mirror was read again is still there")
+	}
+	w.submit(spec("job-000001", "red", wire.ShapeBatch, 2))
+	w.pollAll()
+	w.run(40 * sec)
+	if u := w.unfinished(); u != nil {
+		t.Errorf("not done: %v", u)
+	}
+}
+
 // Only the holder of a machine's block says 200; others name it.
 func TestOnlyTheHolderAnswers(t *testing.T) {
 	w := newWorld(t, 3, 3)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -31,6 +31,7 @@
 	stateUp  bool
 	cutState map[string]bool // nodes alone without the state service
 	watches  []*watch
+	tooOld   bool // the next watch is answered 410
 
 	types    []wire.MachineType
 	machines map[string]*worker
@@ -352,6 +353,11 @@
 		w.at(3*time.Second+time.Millisecond, w.expire)
 		reply(StateReply{Status: 200})
 	case OpWatch:
+		if w.tooOld {
+			w.tooOld = false
+			reply(StateReply{Status: 410})
+			return
+		}
 		w.watches = append(w.watches, &watch{c.Key, c.Revision, w.now + c.Hold, reply})
 		w.at(c.Hold, w.wake)
 		w.wake()
