One piece of code for limits, allowed machines, shard sizes and messages

Found on reading the whole change again: the team limit stood in five places, the test whether a job may use a machine in five, a shard's CPUs and guarantee in two, the sender's fields of a message in four. A gang's placed tasks were counted where none can be placed, and one field was never read. No change of behaviour is meant.

--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -218,12 +218,12 @@
 		out = append(out, fmt.Sprintf("its tasks failed; next try in %s", e.run.notYet-c.now))
 	}
 	t, size := c.p.Teams[j.Team], jobSize(j)
-	if u := c.usage()[j.Team]; u.CPUs+size.CPUs > t.CPUsMax+1e-6 || u.GPUs+size.GPUs > t.GPUsMax+1e-6 {
+	if u := c.usage()[j.Team]; t.exceeds(u.Add(size)) {
 		out = append(out, fmt.Sprintf("team %s uses %g of at most %g cpus", j.Team, u.CPUs, t.CPUsMax))
 	}
 	place, room := 0, 0
 	for _, m := range c.machines {
-		if m.shard == shard && c.usable(m) && allowsType(j.Types, m.typ) && (j.Zone == "" || m.zone == j.Zone) && (!m.spot || j.Spot) {
+		if m.shard == shard && c.usable(m) && allows(j, m) {
 			place++
 			if placement.Fits(c.free(m), size) {
 				room++
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -260,7 +260,7 @@
 		if r, ok := body.(wire.ReportReply); ok {
 			ans.Token, ans.Commands = r.Token, r.Commands
 		}
-		c.out = append(c.out, PeerSend{x.from, PeerMessage{From: c.p.Node, Boot: c.boot, Answer: ans}})
+		c.tell(x.from, PeerMessage{Answer: ans})
 		return
 	}
 	a := Answer{Req: req, Status: status, Body: body}
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -34,7 +34,6 @@
 // urgentSize is the largest urgent task a shard has seen lately.
 type urgentSize struct {
 	size placement.Size
-	spot bool
 	seen Time
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -522,18 +522,10 @@
 // poorest is the shard with the fewest machines for its teams' guarantees,
 // among those held in the zone if any is.
 func (c *Core) poorest(zone string) int {
-	have := map[int]float64{}
-	for _, b := range c.blocks {
-		full, _ := c.sizeOf(b.rec.Type)
-		have[b.rec.Shard] += full.CPUs * float64(len(b.rec.Machines))
-	}
+	have := c.shardCPUs()
 	best, score := -1, 0.0
 	for _, i := range c.shardIDs() {
-		g := 0.0
-		for _, t := range c.shards[i].rec.Teams {
-			g += c.p.Teams[t].CPUs
-		}
-		s := (have[i] + 0.001) / (g + 0.001)
+		s := (have[i] + 0.001) / (c.guarantee(i) + 0.001)
 		if c.p.Nodes[c.shards[i].rec.Holder] == zone {
 			s *= 0.7
 		}
@@ -613,7 +605,7 @@
 		return false
 	}
 	zone := c.p.Nodes[c.shards[shard].rec.Holder]
-	ask := placement.Size{CPUs: n.CPUs, GPUs: n.GPUs, MemGB: n.MemGB}
+	ask := needSize(n)
 	var offers []offering
 	for _, name := range sortedKeys(c.types) {
 		t := c.types[name]
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -102,6 +102,12 @@
 
 func (c *Core) knows(rev uint64) { c.topRev = max(c.topRev, rev) }
 
+// tell sends a message, with what every message says of its sender.
+func (c *Core) tell(to string, m PeerMessage) {
+	m.From, m.Boot, m.Revision, m.UpMS = c.p.Node, c.boot, c.topRev, c.now.Milliseconds()
+	c.out = append(c.out, PeerSend{to, m})
+}
+
 // tellPeers pings every other controller; holders add their jobs' progress.
 func (c *Core) tellPeers() {
 	if c.boot == 0 || len(c.p.Nodes) < 2 || !c.every("peers", tuning.PeerEvery) {
@@ -133,7 +139,7 @@
 	}
 	for _, n := range sortedKeys(c.p.Nodes) {
 		if n != c.p.Node {
-			c.out = append(c.out, PeerSend{n, PeerMessage{From: c.p.Node, Boot: c.boot, Nonce: c.nonce, Revision: c.topRev, UpMS: c.now.Milliseconds(), Jobs: jobs, Holds: holds}})
+			c.tell(n, PeerMessage{Nonce: c.nonce, Jobs: jobs, Holds: holds})
 		}
 	}
 }
@@ -177,7 +183,7 @@
 				c.counts[j.ID] = j
 			}
 		}
-		c.out = append(c.out, PeerSend{m.From, PeerMessage{From: c.p.Node, Boot: c.boot, Nonce: m.Nonce, Reply: true, Revision: c.topRev, UpMS: c.now.Milliseconds()}})
+		c.tell(m.From, PeerMessage{Nonce: m.Nonce, Reply: true})
 		return
 	}
 	sent, ok := c.pinged[m.Nonce]
@@ -215,7 +221,7 @@
 	}
 	c.seq++
 	c.passed[c.seq] = passedOn{req, c.now}
-	c.out = append(c.out, PeerSend{holder, PeerMessage{From: c.p.Node, Boot: c.boot, Relay: &RelayReport{c.seq, *r}}})
+	c.tell(holder, PeerMessage{Relay: &RelayReport{c.seq, *r}})
 	return true
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -29,6 +29,16 @@
 	return f
 }
 
+// allows tells whether a job's tasks may run on machines of this type, zone and kind.
+func allows(j *wire.Job, m *machine) bool {
+	return allowsType(j.Types, m.typ) && (j.Zone == "" || m.zone == j.Zone) && (!m.spot || j.Spot)
+}
+
+// exceeds tells whether a use is over the team's limit.
+func (t Team) exceeds(use placement.Size) bool {
+	return use.CPUs > t.CPUsMax+1e-6 || use.GPUs > t.GPUsMax+1e-6
+}
+
 // usable tells whether tasks may be placed on a machine now.
 func (c *Core) usable(m *machine) bool {
 	b := c.blocks[m.block]
@@ -255,13 +265,13 @@
 	for len(run.retry) > 0 || run.next < j.Tasks {
 		u := used[j.Team]
 		lim := u.Add(placement.Size{CPUs: size.CPUs * float64(maybe+1), GPUs: size.GPUs * float64(maybe+1)})
-		if lim.CPUs > team.CPUsMax+1e-6 || lim.GPUs > team.GPUsMax+1e-6 {
+		if team.exceeds(lim) {
 			return
 		}
 		var cs []placement.Candidate
 		var cm, allowed []*machine
 		for _, m := range ms {
-			if m.shard != shard || !allowsType(j.Types, m.typ) || (j.Zone != "" && m.zone != j.Zone) || (m.spot && !j.Spot) {
+			if m.shard != shard || !allows(j, m) {
 				continue
 			}
 			if j.OneZone && len(zones) > 0 && zones[m.zone] == 0 {
@@ -317,7 +327,8 @@
 	}
 }
 
-// gangFits tells whether all waiting tasks of a gang find room at once; a part
+// gangFits tells whether all waiting tasks of a gang, none of which is placed,
+// find room at once; a part
 // of a gang would only wait on its machines. On a yes for a gang bound to one
 // zone, the anchor's choice binds the rest, so each zone is tried alone.
 func (c *Core) gangFits(e *jobEntry, shard int, ms []*machine, free map[*machine]placement.Size, used map[string]placement.Size) bool {
@@ -325,30 +336,25 @@
 	size, team := jobSize(j), c.p.Teams[j.Team]
 	waiting := len(run.retry) + j.Tasks - run.next
 	n := float64(waiting)
-	u := used[j.Team]
-	if u.CPUs+n*size.CPUs > team.CPUsMax+1e-6 || u.GPUs+n*size.GPUs > team.GPUsMax+1e-6 {
+	if team.exceeds(used[j.Team].Add(placement.Size{CPUs: n * size.CPUs, GPUs: n * size.GPUs})) {
 		return false
 	}
 	room := map[string]int{}
 	for _, m := range ms {
-		if m.shard == shard && allowsType(j.Types, m.typ) && (j.Zone == "" || m.zone == j.Zone) && (!m.spot || j.Spot) {
+		if m.shard == shard && allows(j, m) {
 			room[m.zone] += placement.Beta(free[m], size) + 1
 		}
 	}
-	here := map[string]int{}
-	for _, a := range run.active {
-		here[a.m.zone]++
-	}
 	total := 0
 	for _, z := range sortedKeys(room) {
 		switch {
 		case j.OneZone:
-			if (len(here) == 0 || here[z] > 0) && room[z] >= waiting {
+			if room[z] >= waiting {
 				run.zone = z
 				return true
 			}
 		case j.Spread:
-			total += min(room[z], (j.Tasks+1)/2-here[z])
+			total += min(room[z], (j.Tasks+1)/2)
 		default:
 			total += room[z]
 		}
@@ -515,27 +521,38 @@
 // borrower is the shard with the most CPUs beyond its teams' guarantees.
 func (c *Core) borrower(except int) int {
 	best, most := -1, 0.0
+	have := c.shardCPUs()
 	for _, i := range c.shardIDs() {
-		over := 0.0
-		for _, b := range c.blocks {
-			if b.rec.Shard == i {
-				full, _ := c.sizeOf(b.rec.Type)
-				over += full.CPUs * float64(len(b.rec.Machines))
-			}
-		}
-		for _, t := range c.shards[i].rec.Teams {
-			over -= c.p.Teams[t].CPUs
-		}
-		if i != except && over > most {
+		if over := have[i] - c.guarantee(i); i != except && over > most {
 			best, most = i, over
 		}
 	}
 	return best
 }
 
+// shardCPUs sums up the machines of each shard's blocks.
+func (c *Core) shardCPUs() map[int]float64 {
+	have := map[int]float64{}
+	for _, id := range c.blockIDs() {
+		b := c.blocks[id].rec
+		full, _ := c.sizeOf(b.Type)
+		have[b.Shard] += full.CPUs * float64(len(b.Machines))
+	}
+	return have
+}
+
+// guarantee sums up the guarantees of a shard's teams.
+func (c *Core) guarantee(shard int) float64 {
+	g := 0.0
+	for _, t := range c.shards[shard].rec.Teams {
+		g += c.p.Teams[t].CPUs
+	}
+	return g
+}
+
 func (c *Core) vacateFor(shard int, n wire.Need) {
 	want := n.Tasks
-	ask := placement.Size{CPUs: n.CPUs, GPUs: n.GPUs, MemGB: n.MemGB}
+	ask := needSize(n)
 	best, loss := "", time.Duration(0)
 	for _, id := range c.blockIDs() {
 		b := c.blocks[id]
@@ -593,11 +610,15 @@
 	return ks
 }
 
+func needSize(n wire.Need) placement.Size {
+	return placement.Size{CPUs: n.CPUs, GPUs: n.GPUs, MemGB: n.MemGB}
+}
+
 // serves tells whether a block's machines could hold a task of a need.
 func (c *Core) serves(b *blockEntry, n wire.Need) bool {
 	full, ok := c.sizeOf(b.rec.Type)
 	return ok && allowsType(n.Types, b.rec.Type) && (n.Zone == "" || n.Zone == b.rec.Zone) && (!b.rec.Spot || n.Spot) &&
-		placement.Fits(full, placement.Size{CPUs: n.CPUs, GPUs: n.GPUs, MemGB: n.MemGB})
+		placement.Fits(full, needSize(n))
 }
 
 func (c *Core) wantedHere(shard int) bool {
@@ -656,13 +677,13 @@
 		left := 0
 		for k := 0; k < p.pending; k++ {
 			lim := used[j.Team].Add(size)
-			if lim.CPUs > team.CPUsMax+1e-6 || lim.GPUs > team.GPUsMax+1e-6 {
+			if team.exceeds(lim) {
 				break
 			}
 			used[j.Team] = lim
 			found := false
 			for _, m := range ms {
-				if allowsType(j.Types, m.typ) && (zone == "" || m.zone == zone) && (!m.spot || j.Spot) && placement.Fits(free[m], size) {
+				if allows(j, m) && (zone == "" || m.zone == zone) && placement.Fits(free[m], size) {
 					free[m] = free[m].Sub(size)
 					found = true
 					break
@@ -780,8 +801,7 @@
 		}
 		found := false
 		for _, o := range in {
-			if o != m && allowsType(e.rec.Types, o.typ) && (e.rec.Zone == "" || o.zone == e.rec.Zone) && (!o.spot || e.rec.Spot) &&
-				o.images[e.rec.Image] && placement.Fits(free[o], a.size) {
+			if o != m && allows(&e.rec, o) && o.images[e.rec.Image] && placement.Fits(free[o], a.size) {
 				free[o] = free[o].Sub(a.size)
 				found = true
 				break
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -219,7 +219,7 @@
 	if j.Shape != wire.ShapeBatch {
 		n = float64(j.Tasks)
 	}
-	if j.CPUs*n > t.CPUsMax+1e-6 || j.GPUs*n > t.GPUsMax+1e-6 {
+	if t.exceeds(placement.Size{CPUs: j.CPUs * n, GPUs: j.GPUs * n}) {
 		return fmt.Sprintf("the job needs more than team %q may use", j.Team)
 	}
 	for _, name := range sortedKeys(c.types) {
