--- /dev/null
+++ b/internal/core/bench_test.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// largeWorld is a deployment of n machines, all found standing, with work for
+// about all of them, run until it is steady.
+func largeWorld(t testing.TB, n int) *world {
+	w := newWorld(t, 7, 3)
+	w.capacity = 2 * n
+	cpus := float64(4 * n)
+	w.teams = map[string]Team{"red": {CPUs: cpus / 3, CPUsMax: cpus}, "blue": {CPUs: cpus / 3, CPUsMax: cpus}, "green": {CPUs: cpus / 3, CPUsMax: cpus}}
+	for _, c := range sortedKeys(w.nodes) {
+		w.start(c)
+	}
+	for i := range n {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(20 * sec)
+	for i := range n / 10 {
+		team := []string{"red", "blue", "green"}[i%3]
+		s := spec(fmt.Sprintf("job-%06d", 2*i), team, wire.ShapeBatch, 60)
+		s.DueS = ptr(3000.0)
+		w.submit(s)
+		v := spec(fmt.Sprintf("job-%06d", 2*i+1), team, wire.ShapeService, 1)
+		v.Priority, v.DueS = ptr("urgent"), nil
+		w.submit(v)
+	}
+	w.run(20 * sec)
+	return w
+}
+
+// busiest is the controller that holds most machines.
+func (w *world) busiest() *ctrl {
+	best := w.nodes["c0"]
+	for _, n := range sortedKeys(w.nodes) {
+		if c := w.nodes[n]; len(c.core.machines) > len(best.core.machines) {
+			best = c
+		}
+	}
+	return best
+}
+
+func BenchmarkCore(b *testing.B) {
+	for _, n := range []int{10, 100, 500} {
+		w := largeWorld(b, n)
+		c := w.busiest().core
+		now, wall := w.now-w.busiest().began, time.UnixMilli(1e12).Add(w.now)
+		var held []*worker
+		for _, name := range w.order {
+			if c.machines[name] != nil {
+				held = append(held, w.machines[name])
+			}
+		}
+		step := func(in any) {
+			now += time.Millisecond
+			c.renewOK, c.watchOK = now, now // as if the state service had just answered
+			c.Step(now, wall, in)
+		}
+		req := uint64(1 << 40)
+		b.Run(fmt.Sprintf("report-%d", n), func(b *testing.B) {
+			for i := range b.N {
+				m := held[i%len(held)]
+				m.seq++
+				req++
+				step(WorkerReport{req, wire.Report{Machine: m.info.Name, Type: "std", Zone: m.info.Zone, Session: m.session, Seq: m.seq, Token: m.token, Attempts: m.listing()}})
+			}
+		})
+		b.Run(fmt.Sprintf("tick-%d", n), func(b *testing.B) {
+			for range b.N {
+				now += 49 * time.Millisecond
+				step(Tick{})
+			}
+		})
+		b.Run(fmt.Sprintf("place-%d", n), func(b *testing.B) {
+			for range b.N {
+				c.renewOK, c.watchOK = c.now, c.now
+				c.place()
+			}
+		})
+		b.Run(fmt.Sprintf("needs-%d", n), func(b *testing.B) {
+			for range b.N {
+				c.needs(held0shard(c))
+			}
+		})
+	}
+}
+
+func held0shard(c *Core) int { return sortedInts(c.held)[0] }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -338,6 +338,33 @@
 	}
 }
 
+// Found on a rough day of the grown lift co-operative: when a cut that had held
+// packets back ended, reports of sessions long over named dozens of tasks that
+// ran elsewhere by then.
+func TestReportOfASessionThatIsOver(t *testing.T) {
+	w, _ := runningServices(t, 21)
+	var hung *worker
+	for _, n := range w.order {
+		if m := w.machines[n]; len(m.tasks) > 0 && !m.gone {
+			hung = m
+		}
+	}
+	name, list := hung.info.Name, hung.listing()
+	holder := w.nodes[w.holderOf(name)]
+	hung.hung, w.cloudUp = true, false // so that it is not deleted at once
+	w.run(12 * sec)
+	if m := holder.core.machines[name]; m == nil || !m.over {
+		t.Fatal("the machine's lease should be over, and the machine still held")
+	}
+	var got Answer
+	w.ask(holder.name, func(q uint64) any {
+		return WorkerReport{q, wire.Report{Machine: name, Type: "std", Zone: hung.info.Zone, Session: hung.session, Seq: hung.seq + 1, Token: hung.token, Attempts: list}}
+	}, func(a Answer) { got = a })
+	if got.Status != 503 || len(holder.core.machines[name].attempts) > 0 {
+		t.Errorf("answered %d, %d tasks taken for running", got.Status, len(holder.core.machines[name].attempts))
+	}
+}
+
 // Found in an incident at Dakar: a controller that no worker reached any more,
 // alive otherwise, lost all its tasks. Others pass its workers' reports on.
 func TestWorkersCutFromTheirHolder(t *testing.T) {
@@ -601,6 +628,7 @@
 					id++
 				}
 				w.run(time.Duration(w.rng.IntN(6000)) * time.Millisecond)
+				w.recount()
 			}
 			// All is well again: what was accepted gets done.
 			for _, id := range sortedKeys(w.jobs) {
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -29,6 +29,9 @@
 	dire     map[int]Time    // since when a shard's guaranteed work finds no room
 	urgent   map[int]urgentSize
 	came     map[int][]Time // arrivals of urgent jobs, by shard
+
+	machineList []*machine            // by name; nil: to be made again
+	onTask      map[string][]*attempt // task -> its attempts on machines
 }
 
 // urgentSize is the largest urgent task a shard has seen lately.
@@ -59,6 +62,22 @@
 	badJobs                map[string]bool
 	idleSince              Time
 	images                 map[string]bool
+	sum                    machineSum
+}
+
+// machineSum is what a machine has left and what each team has on it. It is
+// made again when the machine's attempts or its type have changed.
+type machineSum struct {
+	ok      bool
+	sizes   int // state of the machine types it was made with
+	free    placement.Size
+	teams   []teamUse
+	unknown int // attempts of unknown size
+}
+
+type teamUse struct {
+	team string
+	size placement.Size
 }
 
 type attemptKey struct {
@@ -99,7 +118,7 @@
 }
 
 func newHolder() holder {
-	return holder{machines: map[string]*machine{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
+	return holder{machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
 		prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
@@ -152,12 +171,57 @@
 	}
 	for _, a := range e.run.active {
 		if !a.sent && a.status == "" {
-			delete(a.m.attempts, a.key)
+			c.dropAttempt(a)
 		}
 	}
 	e.run = nil
 }
 
+// heldMachines lists the machines of the held blocks by name.
+func (c *Core) heldMachines() []*machine {
+	if c.machineList == nil {
+		c.machineList = make([]*machine, 0, len(c.machines))
+		for _, m := range c.machines {
+			c.machineList = append(c.machineList, m)
+		}
+		sort.Slice(c.machineList, func(i, j int) bool { return c.machineList[i].name < c.machineList[j].name })
+	}
+	return c.machineList
+}
+
+// dropMachine forgets a machine, and the attempts that were on it.
+func (c *Core) dropMachine(m *machine) {
+	for _, a := range m.attempts {
+		c.dropAttempt(a)
+	}
+	delete(c.machines, m.name)
+	c.machineList = nil
+}
+
+// addAttempt and dropAttempt are the only ones to change what is on a machine.
+func (c *Core) addAttempt(a *attempt) {
+	a.m.attempts[a.key] = a
+	a.m.sum.ok = false
+	c.onTask[a.key.task] = append(c.onTask[a.key.task], a)
+}
+
+func (c *Core) dropAttempt(a *attempt) {
+	delete(a.m.attempts, a.key)
+	a.m.sum.ok = false
+	list := c.onTask[a.key.task]
+	for i, o := range list {
+		if o == a {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(c.onTask, a.key.task)
+	} else {
+		c.onTask[a.key.task] = list
+	}
+}
+
 // shardSeen is called for every new version of a shard record.
 func (c *Core) shardSeen(i int, old *shardEntry) {
 	c.dirty = true
@@ -211,9 +275,9 @@
 func (c *Core) leaveShard(i int) {
 	delete(c.held, i)
 	delete(c.unsettle, i)
-	for name, m := range c.machines {
+	for _, m := range c.heldMachines() {
 		if m.shard == i {
-			delete(c.machines, name)
+			c.dropMachine(m)
 		}
 	}
 	for _, e := range c.jobs {
@@ -246,7 +310,7 @@
 			// The leader takes a name out only once the cloud has deleted it, or
 			// the block moved, which only an empty one does.
 			c.machineGone(m, "deleted")
-			delete(c.machines, bm.Name)
+			c.dropMachine(m)
 			delete(c.vacating, id)
 		}
 	}
@@ -261,6 +325,7 @@
 				attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, badJobs: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
 			c.machines[bm.Name] = m
+			c.machineList = nil
 		}
 		// A block may move between two shards of one holder: a machine left in
 		// its old shard would take that shard's tasks, and lose them from sight
@@ -297,7 +362,7 @@
 // attemptGone takes an attempt off its machine; its task is started again
 // unless it is done.
 func (c *Core) attemptGone(a *attempt, why string) {
-	delete(a.m.attempts, a.key)
+	c.dropAttempt(a)
 	c.dirty = true
 	e := c.jobs[a.job]
 	if e == nil || e.run == nil || e.run.active[a.idx] != a {
@@ -324,15 +389,13 @@
 
 // elsewhere finds another attempt of a's task that may be on a machine.
 func (c *Core) elsewhere(a *attempt) *attempt {
-	for _, name := range sortedKeys(c.machines) {
-		m := c.machines[name]
-		for _, k := range sortedAttempts(m) {
-			if o := m.attempts[k]; o != a && o.job == a.job && o.idx == a.idx && o.status != wire.TaskEnded {
-				return o
-			}
+	var found *attempt
+	for _, o := range c.onTask[a.key.task] {
+		if o != a && o.status != wire.TaskEnded && (found == nil || o.m.name < found.m.name || o.m == found.m && o.key.try < found.key.try) {
+			found = o
 		}
 	}
-	return nil
+	return found
 }
 
 // settle lets started tasks go again once every machine inherited with a shard
@@ -352,8 +415,8 @@
 		delete(c.unsettle, i)
 		c.dirty = true
 		c.log(1, "all inherited machines accounted for", "shard", i)
-		for _, id := range sortedKeys(c.jobs) {
-			if e := c.jobs[id]; e.run != nil && c.shardOf(e.rec.Team) == i {
+		for _, e := range c.jobsByAge() {
+			if e.run != nil && c.shardOf(e.rec.Team) == i {
 				c.settleJob(e, i)
 			}
 		}
@@ -431,31 +494,23 @@
 // redirect answers a worker of a block this controller does not hold.
 func (c *Core) redirect(req uint64, r *wire.Report) {
 	if c.loaded {
-		for _, b := range c.blocks {
-			for _, bm := range b.rec.Machines {
-				if bm.Name != r.Machine {
-					continue
-				}
-				s := c.shards[b.rec.Shard]
-				if s == nil {
-					continue
-				}
-				holder := s.rec.Holder
-				if n, up := c.nodes[holder]; !up || n.Boot != s.rec.Boot {
-					holder = ""
-				}
-				if to, ok := c.yielded[b.rec.Shard]; ok {
-					holder = to
-				}
-				if _, ours := c.relayed[req]; holder != "" && holder != c.p.Node && !ours {
-					if !c.relay(req, r, holder) {
-						c.answer(req, 421, wire.Redirect{Holder: holder})
-					}
-					return
+		if b := c.blockOf(r.Machine); b != nil && c.shards[b.rec.Shard] != nil {
+			s := c.shards[b.rec.Shard]
+			holder := s.rec.Holder
+			if n, up := c.nodes[holder]; !up || n.Boot != s.rec.Boot {
+				holder = ""
+			}
+			if to, ok := c.yielded[b.rec.Shard]; ok {
+				holder = to
+			}
+			if _, ours := c.relayed[req]; holder != "" && holder != c.p.Node && !ours {
+				if !c.relay(req, r, holder) {
+					c.answer(req, 421, wire.Redirect{Holder: holder})
 				}
-				c.answer(req, 503, unavailable("holder not known"))
 				return
 			}
+			c.answer(req, 503, unavailable("holder not known"))
+			return
 		}
 		c.surprise(r)
 		if c.chief.Node != "" && c.chief.Node != c.p.Node {
@@ -494,7 +549,7 @@
 					}
 				}
 			}
-			m.attempts[k] = a
+			c.addAttempt(a)
 			c.dirty = true
 		}
 		if a.status == t.Status {
@@ -502,7 +557,6 @@
 		}
 		was := a.status
 		a.status, a.cause = t.Status, t.Cause
-		c.dirty = true
 		switch t.Status {
 		case wire.TaskRunning:
 			a.running = c.now
@@ -511,6 +565,8 @@
 			}
 			c.log(2, "task runs", "task", a.key.task, "machine", m.name, "after", (c.now - a.created).String())
 		case wire.TaskEnded:
+			m.sum.ok = false
+			c.dirty = true
 			c.attemptEnded(a, was)
 		}
 	}
@@ -642,8 +698,7 @@
 		return
 	}
 	byShard := map[int][]*machine{}
-	for _, name := range sortedKeys(c.machines) {
-		m := c.machines[name]
+	for _, m := range c.heldMachines() {
 		if m.over || !c.mine(m.shard) {
 			continue
 		}
@@ -685,6 +740,12 @@
 			for _, m := range names {
 				if c.machines[m.name] == m && c.now > m.lastOK+c.leaseOver() {
 					m.over = true
+					if m.session > 0 {
+						// Its worker kills all and goes on with the next session. A
+						// report of this one that a cut has held back would bring
+						// tasks that run elsewhere by now back to the machine.
+						m.session, m.seq = m.session+1, 0
+					}
 					c.log(1, "machine silent, its lease is over", "machine", m.name, "tasks", len(m.attempts))
 					c.machineGone(m, "lease over")
 				}
@@ -712,11 +773,14 @@
 		}
 	}
 	bytes := 0
-	for _, id := range sortedKeys(c.jobs) {
-		e := c.jobs[id]
-		if e.run == nil || len(then)+2 > c.p.TxnOps || bytes > 40<<10 {
+	for _, e := range c.jobsByAge() {
+		if len(then)+2 > c.p.TxnOps || bytes > 40<<10 {
+			break
+		}
+		if e.run == nil {
 			continue
 		}
+		id := e.rec.ID
 		complete := e.run.done.count() >= e.rec.Tasks
 		started := max(e.rec.Started, e.run.next)
 		if ahead := max(tuning.StartAhead, len(e.run.active)/2); e.rec.Started-e.run.next < ahead/2 && e.run.next > 0 {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -22,6 +22,7 @@
 	strangeAt map[string]Time
 	firstList bool
 	deleting  bool
+	dead      map[string]bool            // to be deleted: failed, or no longer listed
 	goneReady map[string]bool            // deleted in the cloud, to be taken out of its block
 	renting   map[int]bool               // shards being served
 	booked    map[int][]wire.MachineInfo // rented, not yet in a block
@@ -39,7 +40,7 @@
 func (l *leaderState) reset() {
 	b := l.bookings // request names never repeat
 	*l = leaderState{listedAt: map[string]Time{}, strangers: map[string]wire.MachineInfo{}, strangeAt: map[string]Time{},
-		goneReady: map[string]bool{}, renting: map[int]bool{}, booked: map[int][]wire.MachineInfo{}, pause: map[string]Time{}, nodeUp: map[string]Time{}, bookings: b}
+		dead: map[string]bool{}, goneReady: map[string]bool{}, renting: map[int]bool{}, booked: map[int][]wire.MachineInfo{}, pause: map[string]Time{}, nodeUp: map[string]Time{}, bookings: b}
 }
 
 // leading tells whether this life of this controller is the leader.
@@ -257,12 +258,8 @@
 
 // blockOf finds a machine's block.
 func (c *Core) blockOf(name string) *blockEntry {
-	for _, id := range c.blockIDs() {
-		for _, bm := range c.blocks[id].rec.Machines {
-			if bm.Name == name {
-				return c.blocks[id]
-			}
-		}
+	if id, ok := c.blockIn[name]; ok {
+		return c.blocks[id]
 	}
 	return nil
 }
@@ -339,7 +336,7 @@
 // dropNow has a machine deleted that is already dead to us.
 func (c *Core) dropNow(name string) {
 	if !c.leader.goneReady[name] {
-		c.leader.strangeAt["drop:"+name] = c.now
+		c.leader.dead[name] = true
 	}
 }
 
@@ -404,12 +401,14 @@
 		return
 	}
 	var names []string
-	for _, id := range c.blockIDs() {
-		for _, bm := range c.blocks[id].rec.Machines {
-			_, dead := l.strangeAt["drop:"+bm.Name]
-			if (bm.Drop || dead) && !l.goneReady[bm.Name] && len(names) < tuning.DeleteMax {
-				names = append(names, bm.Name)
-			}
+	for _, n := range sortedKeys(c.dropping) {
+		if !l.goneReady[n] && len(names) < tuning.DeleteMax {
+			names = append(names, n)
+		}
+	}
+	for _, n := range sortedKeys(l.dead) {
+		if c.blockIn[n] != "" && !c.dropping[n] && !l.goneReady[n] && len(names) < tuning.DeleteMax {
+			names = append(names, n)
 		}
 	}
 	for _, n := range sortedKeys(l.strangers) {
@@ -432,7 +431,7 @@
 		for _, n := range names {
 			l.goneReady[n] = true
 			l.strangeAt["gone:"+n] = c.now
-			delete(l.strangeAt, "drop:"+n)
+			delete(l.dead, n)
 			delete(l.strangers, n)
 		}
 		c.changed()
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -21,6 +21,16 @@
 	chief    wire.Leader
 	settings wire.Settings
 	cordons  map[string]wire.Cordon
+
+	// Kept up with the records, so that a report or a poll costs the same
+	// however many machines there are; the tests count them afresh.
+	blockIn   map[string]string // machine -> its block
+	dropping  map[string]bool   // machines marked to be deleted
+	teamHome  map[string]int    // team -> its shard
+	shardList []int             // in order; nil: to be made again
+	blockList []string          // in order; nil: to be made again
+	jobList   []*jobEntry       // by acceptance; nil: to be made again
+	sizes     int               // counts changes of machine types
 }
 
 type shardEntry struct {
@@ -45,7 +55,8 @@
 	return mirror{ver: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*jobEntry{},
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
 		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
-		settings: defaultSettings(), cordons: map[string]wire.Cordon{}}
+		settings: defaultSettings(), cordons: map[string]wire.Cordon{},
+		blockIn: map[string]string{}, dropping: map[string]bool{}, teamHome: map[string]int{}}
 }
 
 func shardKey(i int) string { return wire.PrefixShard + strconv.Itoa(i) }
@@ -54,15 +65,72 @@
 func (m *mirror) keys() []string { return sortedKeys(m.ver) }
 
 func (m *mirror) shardIDs() []int {
-	ids := make([]int, 0, len(m.shards))
-	for i := range m.shards {
-		ids = append(ids, i)
+	if m.shardList == nil {
+		m.shardList = sortedInts(m.shards)
+	}
+	return m.shardList
+}
+
+func (m *mirror) blockIDs() []string {
+	if m.blockList == nil {
+		m.blockList = sortedKeys(m.blocks)
+	}
+	return m.blockList
+}
+
+// jobsByAge lists the live jobs in the order they were accepted.
+func (m *mirror) jobsByAge() []*jobEntry {
+	if m.jobList == nil {
+		m.jobList = make([]*jobEntry, 0, len(m.jobs))
+		for _, e := range m.jobs {
+			m.jobList = append(m.jobList, e)
+		}
+		sort.Slice(m.jobList, func(i, j int) bool {
+			a, b := &m.jobList[i].rec, &m.jobList[j].rec
+			if a.AcceptedMS != b.AcceptedMS {
+				return a.AcceptedMS < b.AcceptedMS
+			}
+			return a.ID < b.ID
+		})
+	}
+	return m.jobList
+}
+
+// indexBlock keeps the machine indexes in step with a block's record.
+func (m *mirror) indexBlock(id string, old, now *blockEntry) {
+	if (old == nil) != (now == nil) {
+		m.blockList = nil
+	}
+	if old != nil {
+		for _, bm := range old.rec.Machines {
+			if m.blockIn[bm.Name] == id {
+				delete(m.blockIn, bm.Name)
+				delete(m.dropping, bm.Name)
+			}
+		}
+	}
+	if now != nil {
+		for _, bm := range now.rec.Machines {
+			m.blockIn[bm.Name] = id
+			if bm.Drop {
+				m.dropping[bm.Name] = true
+			}
+		}
 	}
-	sort.Ints(ids)
-	return ids
 }
 
-func (m *mirror) blockIDs() []string { return sortedKeys(m.blocks) }
+// indexTeams finds each team's shard; the first one that names it counts.
+func (m *mirror) indexTeams() {
+	m.shardList = nil
+	clear(m.teamHome)
+	for _, i := range m.shardIDs() {
+		for _, t := range m.shards[i].rec.Teams {
+			if _, known := m.teamHome[t]; !known {
+				m.teamHome[t] = i
+			}
+		}
+	}
+}
 
 func (m *mirror) dropTombs(rev uint64) {
 	for k, v := range m.tombs {
@@ -115,6 +183,8 @@
 		var r wire.MachineType
 		if read(&r) {
 			c.types[r.Name] = r
+			c.sizes++
+			c.dirty = true
 		}
 	case strings.HasPrefix(key, wire.PrefixJob):
 		var r wire.Job
@@ -123,6 +193,7 @@
 			if e == nil {
 				e = &jobEntry{}
 				c.jobs[r.ID] = e
+				c.jobList = nil
 			}
 			e.rec, e.ver, e.prio = r, ver, wire.PriorityRank(r.Priority)
 			c.ver[key] = ver
@@ -137,6 +208,7 @@
 			c.ver[key] = ver
 			old := c.shards[i]
 			c.shards[i] = &shardEntry{r, ver}
+			c.indexTeams()
 			c.shardSeen(i, old)
 		}
 	case strings.HasPrefix(key, wire.PrefixWant):
@@ -154,6 +226,7 @@
 			c.ver[key] = ver
 			old := c.blocks[id]
 			c.blocks[id] = &blockEntry{id, r, ver}
+			c.indexBlock(id, old, c.blocks[id])
 			c.blockSeen(id, old)
 		}
 	}
@@ -188,11 +261,13 @@
 		c.log(1, "controller gone", "node", key[len(wire.PrefixNode):])
 	case strings.HasPrefix(key, wire.PrefixType):
 		delete(c.types, key[len(wire.PrefixType):])
+		c.sizes++
 	case strings.HasPrefix(key, wire.PrefixJob):
 		id := key[len(wire.PrefixJob):]
 		if e := c.jobs[id]; e != nil {
 			delete(c.jobs, id)
 			delete(c.counts, id)
+			c.jobList = nil
 			c.jobGone(e)
 		}
 	case strings.HasPrefix(key, wire.PrefixWant):
@@ -203,6 +278,7 @@
 		id := key[len(wire.PrefixBlock):]
 		old := c.blocks[id]
 		delete(c.blocks, id)
+		c.indexBlock(id, old, nil)
 		c.blockSeen(id, old)
 	case strings.HasPrefix(key, wire.PrefixShard):
 		c.log(0, "a shard record was removed", "key", key)
@@ -219,12 +295,8 @@
 
 // shardOf returns the shard that a team is homed in, or -1.
 func (c *Core) shardOf(team string) int {
-	for _, i := range c.shardIDs() {
-		for _, t := range c.shards[i].rec.Teams {
-			if t == team {
-				return i
-			}
-		}
+	if i, ok := c.teamHome[team]; ok {
+		return i
 	}
 	return -1
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -12,21 +12,39 @@
 )
 
 // free is what a machine has left, counting every attempt that may be on it.
-func (c *Core) free(m *machine) placement.Size {
-	f, ok := c.sizeOf(m.typ)
-	if !ok {
-		return placement.Size{}
+func (c *Core) free(m *machine) placement.Size { return c.sumOf(m).free }
+
+// sumOf adds up what is on a machine, if that has changed since.
+func (c *Core) sumOf(m *machine) *machineSum {
+	x := &m.sum
+	if x.ok && x.sizes == c.sizes {
+		return x
 	}
-	for _, a := range m.attempts {
-		if a.status == wire.TaskEnded {
+	full, _ := c.sizeOf(m.typ)
+	*x = machineSum{ok: true, sizes: c.sizes, free: full, teams: x.teams[:0]}
+	for _, k := range sortedAttempts(m) {
+		a := m.attempts[k]
+		switch {
+		case a.status == wire.TaskEnded:
+			continue
+		case !a.known:
+			x.unknown++
 			continue
 		}
-		if !a.known {
-			return placement.Size{} // a stranger of unknown size: leave room for it all
+		x.free = x.free.Sub(a.size)
+		i := 0
+		for i < len(x.teams) && x.teams[i].team != a.team {
+			i++
+		}
+		if i == len(x.teams) {
+			x.teams = append(x.teams, teamUse{team: a.team})
 		}
-		f = f.Sub(a.size)
+		x.teams[i].size = x.teams[i].size.Add(a.size)
 	}
-	return f
+	if x.unknown > 0 {
+		x.free = placement.Size{} // a stranger of unknown size: leave room for it all
+	}
+	return x
 }
 
 // allows tells whether a job's tasks may run on machines of this type, zone and kind.
@@ -55,26 +73,26 @@
 func (c *Core) usage() map[string]placement.Size {
 	u := map[string]placement.Size{}
 	strangers := map[int]placement.Size{}
-	for _, m := range c.machines {
+	for _, m := range c.heldMachines() {
+		x := c.sumOf(m)
+		n := x.unknown
 		if m.inherited && !m.accounted {
-			// Anything may run there, for any team.
-			full, _ := c.sizeOf(m.typ)
-			strangers[m.shard] = strangers[m.shard].Add(full)
+			n++ // anything may run there, for any team
 		}
-		for _, a := range m.attempts {
-			if a.status == wire.TaskEnded {
-				continue
-			}
-			if a.known {
-				u[a.team] = u[a.team].Add(a.size)
-			} else {
-				full, _ := c.sizeOf(m.typ)
+		if n > 0 {
+			full, _ := c.sizeOf(m.typ)
+			for range n {
 				strangers[m.shard] = strangers[m.shard].Add(full)
 			}
 		}
+		for _, t := range x.teams {
+			u[t.team] = u[t.team].Add(t.size)
+		}
 	}
-	for team := range c.p.Teams {
-		u[team] = u[team].Add(strangers[c.shardOf(team)])
+	if len(strangers) > 0 {
+		for team := range c.p.Teams {
+			u[team] = u[team].Add(strangers[c.shardOf(team)])
+		}
 	}
 	return u
 }
@@ -99,13 +117,12 @@
 func (c *Core) queue() []placing {
 	var q []placing
 	demand := map[string]placement.Size{}
-	ids := sortedKeys(c.jobs)
-	sort.SliceStable(ids, func(i, j int) bool { return c.jobs[ids[i]].rec.AcceptedMS < c.jobs[ids[j]].rec.AcceptedMS })
+	jobs := c.jobsByAge()
 	byTeam := map[string][]*placing{}
 	services := map[string]float64{}
-	all := make([]placing, 0, len(ids))
-	for _, id := range ids {
-		e := c.jobs[id]
+	all := make([]placing, 0, len(jobs))
+	waiting := 0
+	for _, e := range jobs {
 		if e.run == nil {
 			continue
 		}
@@ -127,15 +144,21 @@
 		if e.rec.Shape == wire.ShapeService {
 			services[e.rec.Team] += s.CPUs * float64(rest)
 		}
+		if p.pending > 0 {
+			waiting++
+		}
 		all = append(all, p)
 	}
+	if waiting == 0 {
+		return nil
+	}
 	for i := range all {
 		if p := &all[i]; !math.IsInf(p.due, 1) {
 			byTeam[p.e.rec.Team] = append(byTeam[p.e.rec.Team], p)
 		}
 	}
 	have := map[int]float64{}
-	for _, m := range c.machines {
+	for _, m := range c.heldMachines() {
 		full, _ := c.sizeOf(m.typ)
 		have[m.shard] += full.CPUs
 	}
@@ -205,9 +228,10 @@
 	if !c.confirmed() || len(c.machines) == 0 {
 		return
 	}
-	for _, name := range sortedKeys(c.machines) {
-		m := c.machines[name]
+	var f field
+	for _, m := range c.heldMachines() {
 		if c.usable(m) {
+			f.usable = append(f.usable, m)
 			continue
 		}
 		for _, k := range sortedAttempts(m) {
@@ -216,22 +240,57 @@
 			}
 		}
 	}
-	used := c.usage()
-	free := map[*machine]placement.Size{}
-	var ms []*machine
-	for _, name := range sortedKeys(c.machines) {
-		if m := c.machines[name]; c.usable(m) {
-			ms = append(ms, m)
-			free[m] = c.free(m)
+	q := c.queue()
+	if len(q) == 0 {
+		return
+	}
+	f.used = c.usage()
+	f.least = jobSize(&q[0].e.rec)
+	for _, p := range q[1:] {
+		s := jobSize(&p.e.rec)
+		f.least = placement.Size{CPUs: min(f.least.CPUs, s.CPUs), GPUs: min(f.least.GPUs, s.GPUs), MemGB: min(f.least.MemGB, s.MemGB)}
+	}
+	for _, m := range f.usable {
+		if placement.Fits(c.free(m), f.least) {
+			f.open = append(f.open, m)
 		}
 	}
-	for _, p := range c.queue() {
-		c.placeJob(p.e, ms, free, used)
+	for _, p := range q {
+		c.placeJob(p.e, &f)
 	}
 }
 
+// field is what one placement pass chooses from. Most machines of a large
+// fleet are full at any time: a pass looks only at those that are not.
+type field struct {
+	usable []*machine
+	open   []*machine     // those with room for the least that any waiting task asks
+	least  placement.Size // of each resource
+	used   map[string]placement.Size
+	cs     []placement.Candidate
+	cm     []*machine
+}
+
+// allowed tells whether a task of the job may be placed on a machine, room apart.
+func (c *Core) allowed(e *jobEntry, m *machine, shard int, zones map[string]int) bool {
+	j, run := &e.rec, e.run
+	switch {
+	case m.shard != shard || !allows(j, m):
+		return false
+	case j.OneZone && len(zones) > 0 && zones[m.zone] == 0:
+		return false
+	case j.Shape == wire.ShapeGang && j.OneZone && m.zone != run.zone:
+		return false
+	case j.Spread && zones[m.zone]+1 > (j.Tasks+1)/2:
+		return false
+	case m.badJobs[j.ID] && run.fails > 0:
+		return false
+	}
+	return true
+}
+
 // placeJob starts as many of a job's waiting tasks as fit.
-func (c *Core) placeJob(e *jobEntry, ms []*machine, free map[*machine]placement.Size, used map[string]placement.Size) {
+func (c *Core) placeJob(e *jobEntry, f *field) {
 	j, run := &e.rec, e.run
 	shard := c.shardOf(j.Team)
 	if c.now < run.notYet {
@@ -257,39 +316,24 @@
 	anchor := len(run.active) == 0 && run.done.count() == 0
 	gang := j.Shape == wire.ShapeGang
 	if gang {
-		if len(run.active) > 0 || !c.gangFits(e, shard, ms, free, used) {
+		if len(run.active) > 0 || !c.gangFits(e, shard, f) {
 			return
 		}
 		c.tryNo++ // workers let a gang run when all of it is there under one attempt number
 	}
 	for len(run.retry) > 0 || run.next < j.Tasks {
-		u := used[j.Team]
+		u := f.used[j.Team]
 		lim := u.Add(placement.Size{CPUs: size.CPUs * float64(maybe+1), GPUs: size.GPUs * float64(maybe+1)})
 		if team.exceeds(lim) {
 			return
 		}
-		var cs []placement.Candidate
-		var cm, allowed []*machine
-		for _, m := range ms {
-			if m.shard != shard || !allows(j, m) {
-				continue
-			}
-			if j.OneZone && len(zones) > 0 && zones[m.zone] == 0 {
+		cs, cm := f.cs[:0], f.cm[:0]
+		for _, m := range f.open {
+			free := c.free(m)
+			if !placement.Fits(free, size) || !c.allowed(e, m, shard, zones) {
 				continue
 			}
-			if gang && j.OneZone && m.zone != run.zone {
-				continue
-			}
-			if j.Spread && zones[m.zone]+1 > (j.Tasks+1)/2 {
-				continue
-			}
-			if m.badJobs[j.ID] && run.fails > 0 {
-				continue
-			}
-			if allowed = append(allowed, m); !placement.Fits(free[m], size) {
-				continue
-			}
-			cand := placement.Candidate{Free: free[m], Opens: !m.base && len(m.attempts) == 0}
+			cand := placement.Candidate{Free: free, Opens: !m.base && len(m.attempts) == 0}
 			if j.Shape == wire.ShapeService {
 				cand.Load = zones[m.zone]
 			}
@@ -298,10 +342,17 @@
 			}
 			cs, cm = append(cs, cand), append(cm, m)
 		}
+		f.cs, f.cm = cs, cm
 		k := placement.Pick(cs, size, anchor)
 		if k < 0 {
 			if e.prio >= urgentRank && c.now-run.since > tuning.PreemptAfter {
-				c.preempt(e, allowed, free)
+				var allowed []*machine
+				for _, m := range f.usable {
+					if c.allowed(e, m, shard, zones) {
+						allowed = append(allowed, m)
+					}
+				}
+				c.preempt(e, allowed)
 			}
 			return
 		}
@@ -317,10 +368,10 @@
 		}
 		a := &attempt{key: attemptKey{wire.TaskName(j.ID, idx), c.boot<<24 | c.tryNo}, job: j.ID, idx: idx, team: j.Team,
 			size: size, known: true, m: m, created: c.now, running: c.now}
-		m.attempts[a.key], run.active[idx] = a, a
+		c.addAttempt(a)
+		run.active[idx] = a
 		m.idleSince = c.now
-		free[m] = free[m].Sub(size)
-		used[j.Team] = u.Add(size)
+		f.used[j.Team] = u.Add(size)
 		zones[m.zone]++
 		c.log(2, "task placed", "task", a.key.task, "try", a.key.try, "machine", m.name, "zone", m.zone, "anchor", anchor, "beta", placement.Beta(cs[k].Free, size))
 		anchor = false
@@ -331,18 +382,18 @@
 // find room at once; a part
 // of a gang would only wait on its machines. On a yes for a gang bound to one
 // zone, the anchor's choice binds the rest, so each zone is tried alone.
-func (c *Core) gangFits(e *jobEntry, shard int, ms []*machine, free map[*machine]placement.Size, used map[string]placement.Size) bool {
+func (c *Core) gangFits(e *jobEntry, shard int, f *field) bool {
 	j, run := &e.rec, e.run
 	size, team := jobSize(j), c.p.Teams[j.Team]
 	waiting := len(run.retry) + j.Tasks - run.next
 	n := float64(waiting)
-	if team.exceeds(used[j.Team].Add(placement.Size{CPUs: n * size.CPUs, GPUs: n * size.GPUs})) {
+	if team.exceeds(f.used[j.Team].Add(placement.Size{CPUs: n * size.CPUs, GPUs: n * size.GPUs})) {
 		return false
 	}
 	room := map[string]int{}
-	for _, m := range ms {
-		if m.shard == shard && allows(j, m) {
-			room[m.zone] += placement.Beta(free[m], size) + 1
+	for _, m := range f.open {
+		if free := c.free(m); m.shard == shard && allows(j, m) && placement.Fits(free, size) {
+			room[m.zone] += placement.Beta(free, size) + 1
 		}
 	}
 	total := 0
@@ -369,7 +420,7 @@
 	if c.vacating[b.id] {
 		return c.empty(b, 0)
 	}
-	if c.wantedHere(b.rec.Shard) || !c.spareBeyond(b.rec.Shard, b.id) {
+	if c.wantedHere(b.rec.Shard) {
 		return false
 	}
 	asked := false
@@ -380,10 +431,7 @@
 			}
 		}
 	}
-	if !asked {
-		return false
-	}
-	return c.empty(b, tuning.IdleOffer)
+	return asked && c.empty(b, tuning.IdleOffer) && c.spareBeyond(b.rec.Shard, b.id)
 }
 
 // empty tells whether nothing has been on a block for a while.
@@ -432,8 +480,7 @@
 // given block (or machine): such work should not wait for a boot.
 func (c *Core) spareBeyond(shard int, without string) bool {
 	left := c.spareTarget(shard)
-	for _, name := range sortedKeys(c.machines) {
-		m := c.machines[name]
+	for _, m := range c.heldMachines() {
 		if left <= 0 {
 			break
 		}
@@ -446,13 +493,13 @@
 
 // preempt stops lesser work for an urgent task that finds no room, on the
 // machine where the least running time is lost.
-func (c *Core) preempt(e *jobEntry, fits []*machine, free map[*machine]placement.Size) {
+func (c *Core) preempt(e *jobEntry, fits []*machine) {
 	size := jobSize(&e.rec)
 	var best []*attempt
 	loss := time.Duration(math.MaxInt64)
 	for _, m := range fits {
 		var victims []*attempt
-		f := free[m]
+		f := c.free(m)
 		for _, k := range sortedAttempts(m) {
 			a := m.attempts[k]
 			v := c.jobs[a.job]
@@ -630,8 +677,7 @@
 func (c *Core) needs(shard int) []wire.Need {
 	free := map[*machine]placement.Size{}
 	var ms []*machine
-	for _, name := range sortedKeys(c.machines) {
-		m := c.machines[name]
+	for _, m := range c.heldMachines() {
 		if m.shard != shard || m.drop || m.notice || m.over {
 			continue
 		}
@@ -674,22 +720,19 @@
 			}
 		}
 		waits := p.within && p.e.prio >= urgentRank && c.now-p.e.run.since > tuning.DireAfter
-		left := 0
+		left, at := 0, 0 // machines before at have no room for this job's tasks
 		for k := 0; k < p.pending; k++ {
 			lim := used[j.Team].Add(size)
 			if team.exceeds(lim) {
 				break
 			}
 			used[j.Team] = lim
-			found := false
-			for _, m := range ms {
-				if allows(j, m) && (zone == "" || m.zone == zone) && placement.Fits(free[m], size) {
-					free[m] = free[m].Sub(size)
-					found = true
-					break
-				}
+			for at < len(ms) && !(allows(j, ms[at]) && (zone == "" || ms[at].zone == zone) && placement.Fits(free[ms[at]], size)) {
+				at++
 			}
-			if !found {
+			if at < len(ms) {
+				free[ms[at]] = free[ms[at]].Sub(size)
+			} else {
 				left++
 			}
 		}
@@ -763,8 +806,8 @@
 		return
 	}
 	var in []*machine
-	for _, name := range sortedKeys(c.machines) {
-		if m := c.machines[name]; m.shard == shard {
+	for _, m := range c.heldMachines() {
+		if m.shard == shard {
 			if m.moving {
 				return // one at a time
 			}
@@ -816,8 +859,7 @@
 
 // retire marks machines to be given back: idle, silent, never up, or taken.
 func (c *Core) retire(shard int, busy bool) {
-	for _, name := range sortedKeys(c.machines) {
-		m := c.machines[name]
+	for _, m := range c.heldMachines() {
 		if m.shard != shard || m.drop {
 			continue
 		}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -9,6 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -16,7 +20,7 @@
 // workers and users, all on one fake clock and one seed. It checks the
 // protocol's rules itself, whatever a test does.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	now   time.Duration
 	rng   *rand.Rand
 	queue events
@@ -120,7 +124,7 @@
 	return x
 }
 
-func newWorld(t *testing.T, seed uint64, nodes int) *world {
+func newWorld(t testing.TB, seed uint64, nodes int) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), keys: map[string]wire.Item{}, grants: map[uint64]time.Duration{},
 		stateUp: true, cloudUp: true, cutState: map[string]bool{}, machines: map[string]*worker{}, bookings: map[string][]string{}, capacity: 40,
 		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, cancelS: 40 * time.Second,
@@ -759,6 +763,81 @@
 	return out
 }
 
+// recount counts afresh, the plain way, what the cores keep up as they go: the
+// fast way must never choose otherwise than the plain one would.
+func (w *world) recount() {
+	for _, name := range sortedKeys(w.nodes) {
+		c := w.nodes[name].core
+		if c == nil {
+			continue
+		}
+		in, dropping, home := map[string]string{}, map[string]bool{}, map[string]int{}
+		for _, id := range sortedKeys(c.blocks) {
+			for _, bm := range c.blocks[id].rec.Machines {
+				in[bm.Name] = id
+				if bm.Drop {
+					dropping[bm.Name] = true
+				}
+			}
+		}
+		for i := len(c.shards) - 1; i >= 0; i-- {
+			for _, t := range c.shards[i].rec.Teams {
+				home[t] = i
+			}
+		}
+		use, onTask := map[string]placement.Size{}, map[string]int{}
+		for _, mn := range sortedKeys(c.machines) {
+			m := c.machines[mn]
+			free, _ := c.sizeOf(m.typ)
+			unknown := m.inherited && !m.accounted
+			for _, k := range sortedAttempts(m) {
+				a := m.attempts[k]
+				onTask[k.task]++
+				if a.status == wire.TaskEnded {
+					continue
+				}
+				if !a.known {
+					free, unknown = placement.Size{CPUs: -100}, true
+					continue
+				}
+				free = free.Sub(a.size)
+				use[a.team] = use[a.team].Add(a.size)
+			}
+			if free.CPUs < -50 {
+				free = placement.Size{}
+			}
+			w.same(name+" free "+mn, free, c.free(m), cmpopts.EquateApprox(0, 1e-9))
+			if unknown {
+				use = nil // counted as all of the machine; see usage
+				break
+			}
+		}
+		if use != nil {
+			got := c.usage()
+			for t := range w.teams {
+				w.same(name+" usage of "+t, use[t], got[t], cmpopts.EquateApprox(0, 1e-9))
+			}
+			tasks := map[string]int{}
+			for t, list := range c.onTask {
+				tasks[t] = len(list)
+			}
+			w.same(name+" attempts by task", onTask, tasks)
+		}
+		w.same(name+" blocks of machines", in, c.blockIn)
+		w.same(name+" machines to delete", dropping, c.dropping)
+		w.same(name+" shards of teams", home, c.teamHome)
+		w.same(name+" blocks", sortedKeys(c.blocks), c.blockIDs(), cmpopts.EquateEmpty())
+		w.same(name+" jobs", len(c.jobs), len(c.jobsByAge()))
+		w.same(name+" machines", len(c.machines), len(c.heldMachines()))
+	}
+}
+
+func (w *world) same(what string, want, got any, opts ...cmp.Option) {
+	if diff := cmp.Diff(want, got, opts...); diff != "" {
+		w.t.Fatalf("%v: %s: counted afresh (-), kept up (+):\n%s", w.now, what, diff)
+	}
+}
+
 // holderOf names the holder of a machine's block as the state has it.
 func (w *world) holderOf(machine string) string {
 	for _, k := range sortedKeys(w.keys) {
