--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -65,7 +65,7 @@
 		c.answer(v.Req, 409, c.settingsView())
 		return
 	}
-	c.commit([]wire.Condition{{Key: wire.KeySettings, Version: v.Patch.Version}}, []wire.Change{{Put: wire.KeySettings, Value: s}}, func(r StateReply) {
+	c.commit(LaneUser, []wire.Condition{{Key: wire.KeySettings, Version: v.Patch.Version}}, []wire.Change{{Put: wire.KeySettings, Value: s}}, func(r StateReply) {
 		c.adminDone(v.Req, r, func() any { return c.settingsView() })
 	})
 }
@@ -98,7 +98,7 @@
 	if v.Cordon != nil {
 		ch = wire.Change{Put: key, Value: *v.Cordon}
 	}
-	c.commit(nil, []wire.Change{ch}, func(r StateReply) {
+	c.commit(LaneUser, nil, []wire.Change{ch}, func(r StateReply) {
 		c.adminDone(v.Req, r, func() any { return v.Cordon })
 	})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -87,6 +87,13 @@
 	OpDelete
 )
 
+// Lanes of writes, by what may not wait when the state service's limit is short.
+const (
+	LaneFirst = iota // entitlement: leadership, shards, presence
+	LaneUser         // acceptances, aborts, starts and ends
+	LaneLater        // progress, blocks, wants: nothing is lost if they wait
+)
+
 // Effects.
 type (
 	// Answer replies to request Req. Holder is set on a 421.
@@ -103,6 +110,7 @@
 		Key      string
 		After    string
 		Txn      wire.Txn
+		Lane     int
 		Lease    uint64
 		Revision uint64
 		Hold     time.Duration
@@ -325,7 +333,7 @@
 			return
 		}
 		g := c.grant
-		c.commit(nil, []wire.Change{{Put: wire.PrefixNode + c.p.Node, Value: wire.Node{Boot: c.boot, Zone: c.p.Zone}, Lease: g}}, func(r StateReply) {
+		c.commit(LaneFirst, nil, []wire.Change{{Put: wire.PrefixNode + c.p.Node, Value: wire.Node{Boot: c.boot, Zone: c.p.Zone}, Lease: g}}, func(r StateReply) {
 			if r.Status == 200 && c.grant == g {
 				c.present = true
 				c.log(1, "present", "node", c.p.Node, "boot", c.boot, "grant", g)
@@ -455,9 +463,15 @@
 func (c *Core) takeShard(i int, node string, boot uint64) {
 	e := c.shards[i]
 	rec := e.rec
-	rec.Prev, rec.PrevBoot = "", 0
+	// Two crashes in a row used to hide who had held the shard before the last
+	// one, and its tasks then waited half a minute for machines that never answer.
+	last := wire.Life{Node: rec.Holder, Boot: rec.Boot}
 	if rec.Settled {
-		rec.Prev, rec.PrevBoot = rec.Holder, rec.Boot
+		rec.Past, rec.Known = []wire.Life{last}, true
+	} else if len(rec.Past) < tuning.PastLives {
+		rec.Past = append(append([]wire.Life(nil), rec.Past...), last)
+	} else {
+		rec.Known = false
 	}
 	rec.Holder, rec.Boot, rec.Settled = node, boot, false
 	key := shardKey(i)
@@ -465,7 +479,7 @@
 		return
 	}
 	from := e.rec.Holder
-	c.commit([]wire.Condition{{Key: key, Version: e.ver}}, []wire.Change{{Put: key, Value: rec}}, func(r StateReply) {
+	c.commit(LaneFirst, []wire.Condition{{Key: key, Version: e.ver}}, []wire.Change{{Put: key, Value: rec}}, func(r StateReply) {
 		c.log(1, "shard taken", "shard", i, "holder", node, "from", from, "status", r.Status)
 		c.changed()
 	})
@@ -473,8 +487,8 @@
 
 // commit writes a transaction; on success the mirror is brought up at once, on
 // a conflict the failed keys are read again.
-func (c *Core) commit(when []wire.Condition, then []wire.Change, f func(StateReply)) {
-	c.state(StateCall{Op: OpCommit, Txn: wire.Txn{If: when, Then: then}}, func(r StateReply) {
+func (c *Core) commit(lane int, when []wire.Condition, then []wire.Change, f func(StateReply)) {
+	c.state(StateCall{Op: OpCommit, Lane: lane, Txn: wire.Txn{If: when, Then: then}}, func(r StateReply) {
 		switch r.Status {
 		case 200:
 			for _, ch := range then {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -365,6 +365,96 @@
 	}
 }
 
+// Found on a day of troubles of the grown Dakar site: of hundreds of rented
+// machines a few never come up, and after a takeover every started task waited
+// half a minute for them, though nothing had ever been started there.
+func TestTakeoverDoesNotWaitForUnusedMachines(t *testing.T) {
+	w := newWorld(t, 22, 3)
+	w.run(4 * sec)
+	w.unborn = 1
+	w.submit(spec("job-000001", "red", wire.ShapeService, 8))
+	w.run(15 * sec)
+	w.kill(w.shardRec("red").Holder)
+	w.run(10 * sec)
+	if r := w.shardRec("red"); !r.Settled {
+		t.Errorf("held by %s since a while and not settled", r.Holder)
+	}
+}
+
+// The same day had two crashes of one controller in a row: that the lives before
+// the last one were dead could not be proven any more.
+func TestTwoCrashesInARow(t *testing.T) {
+	w := newWorld(t, 23, 1)
+	w.addMachine("n", false, sec)
+	w.run(4 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeService, 8))
+	w.run(15 * sec)
+	for _, m := range w.machines {
+		if len(m.tasks) > 0 {
+			m.hung = true
+			break
+		}
+	}
+	for range 2 {
+		w.kill("c0")
+		w.run(3 * sec)
+		w.start("c0")
+		w.run(2 * sec)
+	}
+	w.run(10 * sec)
+	if !w.shardRec("red").Settled {
+		t.Error("all earlier lives are dead and all leases over, and the shard is not settled")
+	}
+}
+
+// Found on the rough day of the grown lift co-operative: all controllers were
+// down for longer than a lease, and every replica waited for the one machine
+// that was cut off. A replica waits for its own machine only, and goes back there.
+func TestReplicasGoBackWithoutWaitingForOthers(t *testing.T) {
+	w := newWorld(t, 24, 3)
+	w.run(4 * sec)
+	for i := range 8 {
+		s := spec(fmt.Sprintf("job-%06d", i), "red", wire.ShapeService, 1)
+		s.Priority, s.DueS = ptr("urgent"), nil
+		w.submit(s)
+	}
+	w.run(20 * sec)
+	at := map[string]string{} // task -> machine
+	var hung *worker
+	for _, n := range w.order {
+		for _, r := range w.machines[n].tasks {
+			at[r.name] = n
+			hung = w.machines[n]
+		}
+	}
+	if len(at) != 8 {
+		t.Fatalf("%d replicas run", len(at))
+	}
+	hung.hung = true
+	for _, n := range sortedKeys(w.nodes) {
+		w.kill(n)
+	}
+	w.run(13 * sec) // every lease is over
+	writes := w.rev
+	for _, n := range sortedKeys(w.nodes) {
+		w.start(n)
+	}
+	w.run(6 * sec)
+	for task, n := range at {
+		m := w.machines[n]
+		back := false
+		for _, r := range m.tasks {
+			back = back || r.name == task
+		}
+		if m != hung && !back {
+			t.Errorf("%s does not run on %s again", task, n)
+		}
+	}
+	if n := w.rev - writes; n > 25 {
+		t.Errorf("%d writes to start again where all was", n)
+	}
+}
+
 // Found in an incident at Dakar: a controller that no worker reached any more,
 // alive otherwise, lost all its tasks. Others pass its workers' reports on.
 func TestWorkersCutFromTheirHolder(t *testing.T) {
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -13,22 +13,23 @@
 // holder is what this controller knows as the holder of shards: the machines
 // of their blocks, and the tasks on them.
 type holder struct {
-	machines map[string]*machine
-	held     map[int]bool // shards this life holds and has taken up
-	pending  map[int]bool // shards granted, the mirror not there yet
-	unsettle map[int]bool // shards taken over, not all machines accounted for yet
-	dirty    bool         // a placement pass is due
-	flushing bool
-	tryNo    uint64
-	wantSent map[int]wire.Want
-	wantBusy bool
-	checking bool
-	nextLazy Time
-	prevDead map[int]Time    // since when the life a shard was taken from is known to be dead
-	vacating map[string]bool // blocks being emptied for another shard's guarantee
-	dire     map[int]Time    // since when a shard's guaranteed work finds no room
-	urgent   map[int]urgentSize
-	came     map[int][]Time // arrivals of urgent jobs, by shard
+	machines                map[string]*machine
+	held                    map[int]bool // shards this life holds and has taken up
+	pending                 map[int]bool // shards granted, the mirror not there yet
+	unsettle                map[int]bool // shards taken over, not all machines accounted for yet
+	dirty                   bool         // a placement pass is due
+	flushing, flushingLater bool
+	tryNo                   uint64
+	wantSent                map[int]wire.Want
+	wantBusy                bool
+	checking                bool
+	used                    map[string]bool // blocks with fresh machines that are up
+	entered                 map[int]Time    // when a held shard was taken up
+	prevDead                map[int]Time    // since when the life a shard was taken from is known to be dead
+	vacating                map[string]bool // blocks being emptied for another shard's guarantee
+	dire                    map[int]Time    // since when a shard's guaranteed work finds no room
+	urgent                  map[int]urgentSize
+	came                    map[int][]Time // arrivals of urgent jobs, by shard
 
 	machineList []*machine            // by name; nil: to be made again
 	onTask      map[string][]*attempt // task -> its attempts on machines
@@ -45,6 +46,7 @@
 	name, block, typ, zone string
 	shard                  int
 	spot, base, drop       bool
+	fresh                  bool   // nothing may be started here before the block's record says so
 	since                  Time   // held since
 	takenToken             uint64 // a report carrying this token or a later one accounts for it
 	inherited              bool   // an earlier holder may have started tasks here
@@ -106,20 +108,22 @@
 
 // jobRun is what the holder knows of a job's tasks.
 type jobRun struct {
-	active map[int]*attempt
-	retry  []int // started once, nowhere now, to be started again
-	next   int   // first index never reserved
-	held   int   // tasks below this may run on inherited machines; 0 once settled
-	done   ranges
-	notYet Time // after failures: nothing is started before this
-	fails  int
-	zone   string // chosen for a gang that must be in one zone
-	since  Time   // known here, or waiting for room again, since
+	active  map[int]*attempt
+	retry   []int // started once, nowhere now, to be started again
+	next    int   // first index never reserved
+	held    int   // tasks below this may run on inherited machines; 0 once settled
+	done    ranges
+	notYet  Time // after failures: nothing is started before this
+	fails   int
+	zone    string // chosen for a gang that must be in one zone
+	since   Time   // known here, or waiting for room again, since
+	wrote   Time   // when its progress was last written
+	writing bool   // a write of its record is under way
 }
 
 func newHolder() holder {
 	return holder{machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
-		prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
+		used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -255,7 +259,7 @@
 			continue
 		}
 		delete(c.pending, i)
-		c.held[i], c.unsettle[i] = true, true
+		c.held[i], c.unsettle[i], c.entered[i] = true, true, c.now
 		delete(c.prevDead, i)
 		for _, id := range c.blockIDs() {
 			if b := c.blocks[id]; b.rec.Shard == i {
@@ -321,7 +325,7 @@
 		m := c.machines[bm.Name]
 		if m == nil {
 			m = &machine{name: bm.Name, block: b.id, typ: b.rec.Type, zone: b.rec.Zone, spot: b.rec.Spot,
-				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty,
+				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty && !bm.Fresh,
 				attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, badJobs: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
 			c.machines[bm.Name] = m
@@ -330,6 +334,10 @@
 		// A block may move between two shards of one holder: a machine left in
 		// its old shard would take that shard's tasks, and lose them from sight
 		// with the next change of hands.
+		m.fresh = bm.Fresh
+		if m.fresh && m.reported {
+			c.used[b.id] = true
+		}
 		m.shard, m.base, m.drop = b.rec.Shard, b.rec.Base, m.drop || bm.Drop || c.cordons[bm.Name].Drain
 	}
 }
@@ -342,6 +350,7 @@
 		c.attemptGone(m.attempts[k], why)
 	}
 	m.accounted = true
+	c.settleOn(m)
 	c.settle()
 }
 
@@ -414,7 +423,7 @@
 		}
 		delete(c.unsettle, i)
 		c.dirty = true
-		c.log(1, "all inherited machines accounted for", "shard", i)
+		c.log(1, "all inherited machines accounted for", "shard", i, "after", (c.now - c.entered[i]).String())
 		for _, e := range c.jobsByAge() {
 			if e.run != nil && c.shardOf(e.rec.Team) == i {
 				c.settleJob(e, i)
@@ -423,20 +432,68 @@
 	}
 }
 
+// settleOn does the same for jobs of few tasks once a machine is accounted for
+// that one of them was started on: which machine that is stands in the record.
+func (c *Core) settleOn(m *machine) {
+	if !c.unsettle[m.shard] {
+		return
+	}
+	for _, e := range c.jobsByAge() {
+		if e.run != nil && e.run.held > 0 && contains(e.rec.On, m.name) {
+			c.settleJob(e, m.shard)
+		}
+	}
+}
+
+// tracked tells whether a job's starts are written down machine by machine.
+func tracked(j *wire.Job) bool { return j.Tasks <= tuning.TrackTasks }
+
+// onOf is the machine a tracked job's task was last started on, "" if not known.
+func onOf(j *wire.Job, idx int) string {
+	if idx < len(j.On) {
+		return j.On[idx]
+	}
+	return ""
+}
+
+// mayBeOn tells whether a started task may be on a machine of an earlier holder
+// that is not accounted for. A machine that has left the shard was deleted, or
+// promised empty.
+func (c *Core) mayBeOn(e *jobEntry, idx, shard int) bool {
+	if !c.unsettle[shard] {
+		return false
+	}
+	on := onOf(&e.rec, idx)
+	if on == "" {
+		return true
+	}
+	m := c.machines[on]
+	return m != nil && m.shard == shard && m.inherited && !m.accounted
+}
+
 func (c *Core) settleJob(e *jobEntry, shard int) {
-	if e.run.held == 0 || c.unsettle[shard] {
+	if e.run.held == 0 || c.unsettle[shard] && !tracked(&e.rec) {
 		return
 	}
 	queued := map[int]bool{}
 	for _, k := range e.run.retry {
 		queued[k] = true
 	}
+	open := false
 	for k := 0; k < e.run.held; k++ {
-		if !e.run.done.has(k) && e.run.active[k] == nil && !queued[k] {
-			e.run.retry = append(e.run.retry, k)
+		if e.run.done.has(k) || e.run.active[k] != nil || queued[k] {
+			continue
+		}
+		if c.mayBeOn(e, k, shard) {
+			open = true
+			continue
 		}
+		e.run.retry = append(e.run.retry, k)
+		c.dirty = true
+	}
+	if !open {
+		e.run.held = 0
 	}
-	e.run.held = 0
 }
 
 // onReport answers a worker. Only the holder of its block says 200.
@@ -463,6 +520,9 @@
 	m.session, m.seq, m.lastReport, m.over = r.Session, r.Seq, c.now, false
 	if !m.reported {
 		m.reported = true
+		if m.fresh {
+			c.used[m.block] = true
+		}
 		m.idleSince = c.now
 		c.dirty = true
 		c.log(2, "machine reports", "machine", m.name, "block", m.block)
@@ -479,6 +539,7 @@
 	if !m.accounted && r.Token >= m.takenToken {
 		m.accounted = true
 		c.dirty = true
+		c.settleOn(m)
 		c.settle()
 	}
 	if c.dirty { // a slot that this report frees is refilled in its answer
@@ -663,7 +724,7 @@
 				}
 				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: k.task, Attempt: k.try, GraceS: &g})
 			}
-		case a.status == "" && e.rec.Started > a.idx:
+		case a.status == "" && !m.fresh && e.rec.Started > a.idx && (!tracked(&e.rec) || onOf(&e.rec, a.idx) == m.name):
 			a.sent = true
 			cmds = append(cmds, wire.Command{Verb: wire.VerbRun, Task: k.task, Attempt: k.try})
 		}
@@ -687,9 +748,7 @@
 func (c *Core) watchMachines() {
 	for _, i := range sortedInts(c.unsettle) {
 		if _, known := c.prevDead[i]; !known && c.shards[i] != nil {
-			r := c.shards[i].rec
-			n, up := c.nodes[r.Prev]
-			if r.Prev == c.p.Node || up && n.Boot != r.PrevBoot && r.Prev != "" {
+			if r := c.shards[i].rec; r.Known && c.allDead(r.Past) {
 				c.prevDead[i] = c.now
 			}
 		}
@@ -756,114 +815,238 @@
 	}
 }
 
-// flush writes progress of jobs, and wishes about blocks, by compare-and-set.
+// allDead tells whether none of these lives can be answering a worker now: a
+// later life of the same node proves it, and this node answers as itself only.
+func (c *Core) allDead(lives []wire.Life) bool {
+	for _, l := range lives {
+		if n, up := c.nodes[l.Node]; l.Node != c.p.Node && (!up || n.Boot == l.Boot) {
+			return false
+		}
+	}
+	return true
+}
+
+// flush writes what the holder has to make durable, by compare-and-set: first
+// what tasks and users wait for, then the rest, so that a short write limit
+// never keeps a start behind progress.
 func (c *Core) flush() {
-	if c.flushing || !c.every("flush", tuning.Tick) {
+	if !c.every("flush", tuning.Tick) {
 		return
 	}
-	lazyDue := c.now >= c.nextLazy
-	var when []wire.Condition
-	var then []wire.Change
-	finals := map[string]wire.Final{}
-	cond := map[int]bool{}
-	need := func(shard int) {
-		if !cond[shard] {
-			cond[shard] = true
-			when = append(when, wire.Condition{Key: shardKey(shard), Version: c.shards[shard].ver})
-		}
+	c.flushJobs()
+	c.flushLater()
+}
+
+// batch is one write of the holder: every part of it compares its shard.
+type batch struct {
+	c     *Core
+	when  []wire.Condition
+	then  []wire.Change
+	jobs  []*jobEntry
+	bytes int
+	max   int // changes
+	shard map[int]bool
+}
+
+func (c *Core) newBatch(most int) *batch {
+	return &batch{c: c, max: max(2, min(most, c.p.TxnOps)), shard: map[int]bool{}}
+}
+
+func (b *batch) full() bool { return len(b.then)+2 > b.max || b.bytes > tuning.TxnBytes }
+
+func (b *batch) add(shard int, cond *wire.Condition, changes ...wire.Change) {
+	if !b.shard[shard] {
+		b.shard[shard] = true
+		b.when = append(b.when, wire.Condition{Key: shardKey(shard), Version: b.c.shards[shard].ver})
 	}
-	bytes := 0
-	for _, e := range c.jobsByAge() {
-		if len(then)+2 > c.p.TxnOps || bytes > 40<<10 {
-			break
-		}
-		if e.run == nil {
-			continue
-		}
-		id := e.rec.ID
-		complete := e.run.done.count() >= e.rec.Tasks
-		started := max(e.rec.Started, e.run.next)
-		if ahead := max(tuning.StartAhead, len(e.run.active)/2); e.rec.Started-e.run.next < ahead/2 && e.run.next > 0 {
-			started = max(started, min(e.rec.Tasks, e.run.next+ahead))
-		}
-		more := started > e.rec.Started
-		progress := lazyDue && e.run.done.count() > countRanges(e.rec.Done)
-		if !complete && !more && !progress {
-			continue
+	if cond != nil {
+		b.when = append(b.when, *cond)
+	}
+	b.then = append(b.then, changes...)
+}
+
+// addJob writes a job's starts and progress as they stand now.
+func (b *batch) addJob(e *jobEntry, started int) {
+	rec := e.rec
+	rec.Started, rec.Done = started, e.run.done.clone()
+	if tracked(&rec) {
+		rec.On = make([]string, rec.Tasks)
+		copy(rec.On, e.rec.On)
+		for k, a := range e.run.active {
+			rec.On[k] = a.m.name
 		}
-		need(c.shardOf(e.rec.Team))
-		when = append(when, wire.Condition{Key: jobKey(id), Version: e.ver})
-		if complete {
-			f := wire.Final{Status: wire.JobDone, Done: e.rec.Tasks}
-			then = append(then, wire.Change{Delete: jobKey(id)}, wire.Change{Put: finalKey(id), Value: f})
-			finals[id] = f
-			bytes += 200
-			continue
+	}
+	if raw, err := wire.Marshal(rec); err == nil && len(raw) > b.c.p.ValueBytes-64 {
+		// Too scattered to keep: what is left out would only run again.
+		rec.Done = rec.Done[:len(rec.Done)/2]
+	} else {
+		b.bytes += len(raw)
+	}
+	b.jobs = append(b.jobs, e)
+	e.run.writing = true
+	b.add(b.c.shardOf(rec.Team), &wire.Condition{Key: jobKey(rec.ID), Version: e.ver}, wire.Change{Put: jobKey(rec.ID), Value: rec})
+}
+
+// send commits the batch; f hears whether it was written.
+func (b *batch) send(lane int, f func(ok bool)) {
+	c := b.c
+	c.commit(lane, b.when, b.then, func(r StateReply) {
+		for _, e := range b.jobs {
+			if e.run != nil {
+				e.run.writing = false
+			}
 		}
-		rec := e.rec
-		rec.Started, rec.Done = started, e.run.done.clone()
-		if raw, err := wire.Marshal(rec); err == nil && len(raw) > c.p.ValueBytes-64 {
-			// Too scattered to keep: what is left out would only run again.
-			rec.Done = rec.Done[:len(rec.Done)/2]
-		} else {
-			bytes += len(raw)
+		if r.Status != 200 {
+			c.log(2, "not written", "changes", len(b.then), "status", r.Status, "err", r.Err, "failed", strings.Join(r.Txn.Failed, " "))
 		}
-		then = append(then, wire.Change{Put: jobKey(id), Value: rec})
+		f(r.Status == 200)
+		c.dirty = true
+		c.hold()
+	})
+}
+
+// flushJobs writes starts, before they are made, and ends of jobs, urgent ones first.
+func (c *Core) flushJobs() {
+	if c.flushing || c.now < c.retryAt["flushJobs"] {
+		return
 	}
-	for _, id := range c.blockIDs() {
-		b := c.blocks[id]
-		if !c.mine(b.rec.Shard) || len(then) >= c.p.TxnOps {
-			continue
-		}
-		rec, change := b.rec, false
-		rec.Machines = append([]wire.BlockMachine(nil), b.rec.Machines...)
-		for k := range rec.Machines {
-			m, bm := c.machines[rec.Machines[k].Name], &rec.Machines[k]
-			if m == nil || !m.drop {
+	b := c.newBatch(c.p.TxnOps)
+	finals := map[string]wire.Final{}
+	for _, urgent := range []bool{true, false} {
+		for _, e := range c.jobsByAge() {
+			if b.full() {
+				break
+			}
+			if e.run == nil || e.run.writing || (e.prio >= urgentRank) != urgent {
 				continue
 			}
-			if empty := m.accounted && len(m.attempts) == 0; !bm.Drop || empty && !bm.Empty {
-				bm.Drop, bm.Empty, change = true, bm.Empty || empty, true
+			id := e.rec.ID
+			if e.run.done.count() >= e.rec.Tasks {
+				f := wire.Final{Status: wire.JobDone, Done: e.rec.Tasks}
+				finals[id] = f
+				b.jobs = append(b.jobs, e)
+				e.run.writing = true
+				b.add(c.shardOf(e.rec.Team), &wire.Condition{Key: jobKey(id), Version: e.ver},
+					wire.Change{Delete: jobKey(id)}, wire.Change{Put: finalKey(id), Value: f})
+				continue
+			}
+			started := max(e.rec.Started, e.run.next)
+			if ahead := max(tuning.StartAhead, len(e.run.active)/2); e.rec.Started-e.run.next < ahead/2 && e.run.next > 0 {
+				started = max(started, min(e.rec.Tasks, e.run.next+ahead))
+			}
+			if started > e.rec.Started || c.movedOn(e) {
+				b.addJob(e, started)
 			}
 		}
-		if idle := c.offer(b); idle != rec.Idle {
-			rec.Idle, change = idle, true
-		}
-		if change {
-			need(rec.Shard)
-			when = append(when, wire.Condition{Key: blockKey(id), Version: b.ver})
-			then = append(then, wire.Change{Put: blockKey(id), Value: rec})
+	}
+	for _, id := range sortedKeys(c.used) {
+		x := c.blocks[id]
+		if x == nil || !c.mine(x.rec.Shard) {
+			delete(c.used, id)
+		} else if !b.full() {
+			if rec, change := c.markBlock(x); change {
+				b.add(rec.Shard, &wire.Condition{Key: blockKey(id), Version: x.ver}, wire.Change{Put: blockKey(id), Value: rec})
+			} else {
+				delete(c.used, id)
+			}
 		}
 	}
 	for _, i := range c.shardIDs() {
 		s := c.shards[i]
-		if !c.mine(i) || c.unsettle[i] || s.rec.Settled || len(then) >= c.p.TxnOps {
+		if !c.mine(i) || c.unsettle[i] || s.rec.Settled || b.full() {
 			continue
 		}
-		need(i)
 		rec := s.rec
 		rec.Settled = true
-		then = append(then, wire.Change{Put: shardKey(i), Value: rec})
-	}
-	if lazyDue {
-		c.nextLazy = c.now + tuning.LazyFlush
+		b.add(i, nil, wire.Change{Put: shardKey(i), Value: rec})
 	}
-	if len(then) == 0 {
+	if len(b.then) == 0 {
 		return
 	}
 	c.flushing = true
-	c.commit(when, then, func(r StateReply) {
+	b.send(LaneUser, func(ok bool) {
 		c.flushing = false
-		if r.Status == 200 {
-			for _, id := range sortedKeys(finals) {
-				c.keepFinal(id, finals[id])
-				c.log(1, "job done", "job", id)
+		if !ok {
+			c.retryAt["flushJobs"] = c.now + tuning.RetryAfter/2
+			return
+		}
+		for _, id := range sortedKeys(finals) {
+			c.keepFinal(id, finals[id])
+			c.log(1, "job done", "job", id)
+		}
+	})
+}
+
+// markBlock is a block's record as it should stand.
+func (c *Core) markBlock(x *blockEntry) (rec wire.Block, change bool) {
+	rec = x.rec
+	rec.Machines = append([]wire.BlockMachine(nil), x.rec.Machines...)
+	for k := range rec.Machines {
+		m, bm := c.machines[rec.Machines[k].Name], &rec.Machines[k]
+		if m == nil {
+			continue
+		}
+		if bm.Fresh && m.reported {
+			bm.Fresh, change = false, true
+		}
+		if m.drop {
+			if empty := m.accounted && len(m.attempts) == 0; !bm.Drop || empty && !bm.Empty {
+				bm.Drop, bm.Empty, change = true, bm.Empty || empty, true
 			}
-		} else {
-			c.retryAt["flush"] = c.now + tuning.RetryAfter/2
-			c.log(2, "progress not written", "status", r.Status, "err", r.Err, "failed", strings.Join(r.Txn.Failed, " "))
 		}
-		c.dirty = true
-		c.hold()
+	}
+	if idle := c.offer(x); idle != rec.Idle {
+		rec.Idle, change = idle, true
+	}
+	return rec, change
+}
+
+// movedOn tells whether a tracked job has a task on another machine than written.
+func (c *Core) movedOn(e *jobEntry) bool {
+	if tracked(&e.rec) {
+		for k, a := range e.run.active {
+			if onOf(&e.rec, k) != a.m.name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// flushLater writes marks on blocks and the progress of jobs.
+func (c *Core) flushLater() {
+	if c.flushingLater || !c.every("flushLater", tuning.LaterEvery) {
+		return
+	}
+	b := c.newBatch(c.p.TxnOps / 2)
+	for _, id := range c.blockIDs() {
+		x := c.blocks[id]
+		if !c.mine(x.rec.Shard) || b.full() {
+			continue
+		}
+		if rec, change := c.markBlock(x); change && !c.used[id] {
+			b.add(rec.Shard, &wire.Condition{Key: blockKey(id), Version: x.ver}, wire.Change{Put: blockKey(id), Value: rec})
+		}
+	}
+	for _, e := range c.jobsByAge() {
+		if b.full() {
+			break
+		}
+		// Progress of a job that still has starts to write goes with them.
+		if e.run == nil || e.run.writing || c.now-e.run.wrote < tuning.LazyFlush || e.run.done.count() <= countRanges(e.rec.Done) {
+			continue
+		}
+		e.run.wrote = c.now
+		b.addJob(e, max(e.rec.Started, e.run.next))
+	}
+	if len(b.then) == 0 {
+		return
+	}
+	c.flushingLater = true
+	b.send(LaneLater, func(ok bool) {
+		c.flushingLater = false
+		if !ok {
+			c.retryAt["flushLater"] = c.now + tuning.RetryAfter/2
+		}
 	})
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -59,7 +59,7 @@
 		// Free, or held by this node's earlier life, which is dead.
 		if (c.chief.Node == "" || c.chief.Node == c.p.Node) && c.present && !l.claiming && c.every("claim", tuning.RetryAfter) {
 			l.claiming = true
-			c.commit([]wire.Condition{{Key: wire.KeyLeader, Version: c.ver[wire.KeyLeader]}},
+			c.commit(LaneFirst, []wire.Condition{{Key: wire.KeyLeader, Version: c.ver[wire.KeyLeader]}},
 				[]wire.Change{{Put: wire.KeyLeader, Value: wire.Leader{Node: c.p.Node, Boot: c.boot}, Lease: c.grant}}, func(r StateReply) {
 					l.claiming = false
 					c.changed()
@@ -116,10 +116,10 @@
 				holder = c.p.Node
 			}
 			when = append(when, wire.Condition{Key: shardKey(i)})
-			then = append(then, wire.Change{Put: shardKey(i), Value: wire.Shard{Holder: holder, Boot: c.nodes[holder].Boot, Home: n, Teams: teams[i]}})
+			then = append(then, wire.Change{Put: shardKey(i), Value: wire.Shard{Holder: holder, Boot: c.nodes[holder].Boot, Home: n, Teams: teams[i], Known: true}})
 		}
 		l.writing = true
-		c.commit(when, then, func(r StateReply) {
+		c.commit(LaneFirst, when, then, func(r StateReply) {
 			l.writing = false
 			if r.Status == 200 {
 				l.founded = c.now
@@ -209,7 +209,7 @@
 		s := c.shards[best]
 		rec := s.rec
 		rec.Teams = append(append([]string(nil), rec.Teams...), t)
-		c.commit([]wire.Condition{c.leaderCond(), {Key: shardKey(best), Version: s.ver}}, []wire.Change{{Put: shardKey(best), Value: rec}}, func(StateReply) { c.changed() })
+		c.commit(LaneFirst, []wire.Condition{c.leaderCond(), {Key: shardKey(best), Version: s.ver}}, []wire.Change{{Put: shardKey(best), Value: rec}}, func(StateReply) { c.changed() })
 		return
 	}
 }
@@ -246,7 +246,7 @@
 				then = append(then, wire.Change{Put: wire.PrefixType + t.Name, Value: t})
 			}
 			r.Types = r.Types[n:]
-			c.commit([]wire.Condition{c.leaderCond()}, then, func(r StateReply) {
+			c.commit(LaneUser, []wire.Condition{c.leaderCond()}, then, func(r StateReply) {
 				if r.Status != 200 {
 					c.retryAt["types"] = c.now + tuning.RetryAfter
 				}
@@ -383,7 +383,7 @@
 		}
 		if len(then) > 0 {
 			l.writing = true
-			c.commit(when, then, func(r StateReply) { l.writing = false; c.changed() })
+			c.commit(LaneLater, when, then, func(r StateReply) { l.writing = false; c.changed() })
 			return
 		}
 		// Kept a while longer: old lists still name them.
@@ -468,23 +468,36 @@
 	for _, n := range names {
 		infos = append(infos, l.strangers[n])
 	}
-	c.writeBlocks(infos, first, func(b *wire.Block) { b.Shard = c.poorest(b.Zone) }, nil)
+	have := c.shardCPUs()
+	c.writeBlocks(infos, first, false, func(b *wire.Block) {
+		b.Shard = c.poorest(b.Zone, have)
+		full, _ := c.sizeOf(b.Type)
+		have[b.Shard] += full.CPUs * float64(len(b.Machines))
+	}, nil)
 }
 
 // writeBlocks forms blocks of one type, zone and kind out of machines and
-// writes as many as one transaction holds.
-func (c *Core) writeBlocks(infos []wire.MachineInfo, base bool, assign func(*wire.Block), done func(ok bool)) {
+// writes as many as one transaction holds. Fresh machines have just been rented
+// and have never been in a block.
+func (c *Core) writeBlocks(infos []wire.MachineInfo, base, fresh bool, assign func(*wire.Block), done func(ok bool)) {
 	l := &c.leader
 	var blocks []wire.Block
-	last := map[string]int{}
+	last, size := map[string]int{}, map[string]int{}
+	kind := func(m wire.MachineInfo) string { return m.Type + "|" + m.Zone + "|" + fmt.Sprint(m.Spot) }
 	for _, m := range infos {
-		k := m.Type + "|" + m.Zone + "|" + fmt.Sprint(m.Spot)
-		if i, ok := last[k]; ok && len(blocks[i].Machines) < tuning.BlockSize {
-			blocks[i].Machines = append(blocks[i].Machines, wire.BlockMachine{Name: m.Name})
+		size[kind(m)]++
+	}
+	for k, n := range size {
+		size[k] = min(max(n/tuning.BlocksAtOnce, tuning.BlockSize), tuning.BlockSizeMax)
+	}
+	for _, m := range infos {
+		k, bm := kind(m), wire.BlockMachine{Name: m.Name, Fresh: fresh}
+		if i, ok := last[k]; ok && len(blocks[i].Machines) < size[k] {
+			blocks[i].Machines = append(blocks[i].Machines, bm)
 			continue
 		}
 		last[k] = len(blocks)
-		blocks = append(blocks, wire.Block{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Base: base, Machines: []wire.BlockMachine{{Name: m.Name}}})
+		blocks = append(blocks, wire.Block{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Base: base, Machines: []wire.BlockMachine{bm}})
 	}
 	l.writing = true
 	var write func(rest []wire.Block, allOK bool)
@@ -507,7 +520,7 @@
 			then = append(then, wire.Change{Put: blockKey(id), Value: rest[k]})
 			c.log(1, "block formed", "block", id, "shard", rest[k].Shard, "zone", rest[k].Zone, "machines", len(rest[k].Machines), "spot", rest[k].Spot)
 		}
-		c.commit(when, then, func(r StateReply) {
+		c.commit(LaneUser, when, then, func(r StateReply) {
 			if r.Status == 429 || r.Status == 503 {
 				// Not executed: the machines stay strangers until it works.
 				allOK = false
@@ -520,8 +533,7 @@
 
 // poorest is the shard with the fewest machines for its teams' guarantees,
 // among those held in the zone if any is.
-func (c *Core) poorest(zone string) int {
-	have := c.shardCPUs()
+func (c *Core) poorest(zone string, have map[int]float64) int {
 	best, score := -1, 0.0
 	for _, i := range c.shardIDs() {
 		s := (have[i] + 0.001) / (c.guarantee(i) + 0.001)
@@ -577,7 +589,7 @@
 		from := b.rec.Shard
 		l.writing = true
 		l.renting[shard] = true
-		c.commit([]wire.Condition{c.leaderCond(), {Key: blockKey(id), Version: b.ver}}, []wire.Change{{Put: blockKey(id), Value: rec}}, func(r StateReply) {
+		c.commit(LaneUser, []wire.Condition{c.leaderCond(), {Key: blockKey(id), Version: b.ver}}, []wire.Change{{Put: blockKey(id), Value: rec}}, func(r StateReply) {
 			l.writing = false
 			delete(l.renting, shard)
 			c.log(1, "idle block moved", "block", id, "from", from, "to", shard, "status", r.Status)
@@ -717,7 +729,7 @@
 			continue
 		}
 		to := shard
-		c.writeBlocks(rest, false, func(b *wire.Block) { b.Shard = to }, func(ok bool) {
+		c.writeBlocks(rest, false, true, func(b *wire.Block) { b.Shard = to }, func(ok bool) {
 			if !ok { // tried again with what still stands in no block
 				c.retryAt["booked"] = c.now + tuning.RetryAfter
 			}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -296,7 +296,7 @@
 	if c.now < run.notYet {
 		return
 	}
-	if c.unsettle[shard] && run.held > 0 && (j.OneZone || j.Spread || j.Shape == wire.ShapeService) {
+	if c.unsettle[shard] && run.held > 0 && j.Tasks > 1 && (j.OneZone || j.Spread || j.Shape == wire.ShapeService) {
 		return // where its other tasks are is not known yet
 	}
 	size, team := jobSize(j), c.p.Teams[j.Team]
@@ -344,6 +344,15 @@
 		}
 		f.cs, f.cm = cs, cm
 		k := placement.Pick(cs, size, anchor)
+		if len(run.retry) > 0 && tracked(j) {
+			// Back to where it was: its image is there, and that start is written
+			// already. After an outage hundreds start again at once.
+			for i, m := range cm {
+				if m.name == onOf(j, run.retry[0]) {
+					k = i
+				}
+			}
+		}
 		if k < 0 {
 			if e.prio >= urgentRank && c.now-run.since > tuning.PreemptAfter {
 				var allowed []*machine
@@ -789,7 +798,7 @@
 		c.wantBusy = true
 		c.wantSent[i] = w
 		c.log(2, "asking the leader for machines", "shard", i, "needs", len(w.Needs))
-		c.commit([]wire.Condition{{Key: shardKey(i), Version: c.shards[i].ver}}, []wire.Change{{Put: wantKey(i), Value: w}}, func(r StateReply) {
+		c.commit(LaneLater, []wire.Condition{{Key: shardKey(i), Version: c.shards[i].ver}}, []wire.Change{{Put: wantKey(i), Value: w}}, func(r StateReply) {
 			c.wantBusy = false
 			c.retryAt["want"] = c.now + 300*time.Millisecond
 			c.changed()
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -193,7 +193,7 @@
 		known(func() { c.answer(v.Req, 422, wire.Problem{Error: "job description too large to keep"}) })
 		return
 	}
-	c.commit([]wire.Condition{{Key: jobKey(id)}, {Key: finalKey(id)}},
+	c.commit(LaneUser, []wire.Condition{{Key: jobKey(id)}, {Key: finalKey(id)}},
 		[]wire.Change{{Put: jobKey(id), Value: job}}, func(r StateReply) {
 			switch r.Status {
 			case 200:
@@ -253,7 +253,7 @@
 			c.answer(v.Req, 404, wire.Problem{Error: "no such job"})
 		default:
 			f := wire.Final{Status: wire.JobAborted, Done: countRanges(j.Done)}
-			c.commit([]wire.Condition{{Key: jobKey(v.ID), Version: ver}, {Key: finalKey(v.ID)}},
+			c.commit(LaneUser, []wire.Condition{{Key: jobKey(v.ID), Version: ver}, {Key: finalKey(v.ID)}},
 				[]wire.Change{{Delete: jobKey(v.ID)}, {Put: finalKey(v.ID), Value: f}}, func(r StateReply) {
 					switch r.Status {
 					case 200:
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -43,6 +43,7 @@
 	bookings map[string][]string
 	cloudUp  bool
 	capacity int
+	unborn   int // of the next machines rented, so many never come up
 
 	nodes   map[string]*ctrl
 	params  func(node string) Params
@@ -457,6 +458,10 @@
 	w.order = append(w.order, name)
 	m := &worker{info: wire.MachineInfo{Name: name, Type: "std", Zone: zone, Spot: spot}, session: 1, tasks: map[string]*running{}, runS: 4 * time.Second}
 	w.machines[name] = m
+	if w.unborn > 0 {
+		w.unborn--
+		return name
+	}
 	w.at(boot, func() { m.up = w.now; m.lastSent = w.now; w.report(m) })
 	return name
 }
@@ -838,6 +843,19 @@
 	}
 }
 
+// shardRec is a team's shard as the state has it.
+func (w *world) shardRec(team string) (r wire.Shard) {
+	for _, k := range sortedKeys(w.keys) {
+		if strings.HasPrefix(k, wire.PrefixShard) {
+			if r = (wire.Shard{}); wire.Unmarshal(w.keys[k].Value, &r) == nil && contains(r.Teams, team) {
+				return r
+			}
+		}
+	}
+	w.t.Fatalf("team %s has no shard", team)
+	return r
+}
+
 // holderOf names the holder of a machine's block as the state has it.
 func (w *world) holderOf(machine string) string {
 	for _, k := range sortedKeys(w.keys) {
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -22,6 +23,7 @@
 	http   *http.Client
 	calls  *rate.Limiter
 	writes *rate.Limiter
+	later  *rate.Limiter // what LaneLater may take of writes
 }
 
 // New returns a client of the service at addr.
@@ -30,29 +32,51 @@
 		base:   "http://" + addr,
 		http:   cborhttp.NewClient(tuning.StateTimeout, 32),
 		calls:  rate.NewLimiter(rate.Limit(rps*tuning.StateShare), max(1, int(rps*tuning.StateShare))),
-		writes: rate.NewLimiter(rate.Limit(writeRPS*tuning.StateShare), max(1, int(writeRPS*tuning.StateShare))),
+		writes: rate.NewLimiter(rate.Limit(writeRPS*tuning.WriteShare), max(1, int(writeRPS*tuning.WriteShare))),
+		later:  rate.NewLimiter(rate.Limit(writeRPS*tuning.LaterShare), max(1, int(writeRPS*tuning.LaterShare))),
 	}
 }
 
+var errOwnLimit = errors.New("own limit")
+
+// admit waits until the call is within our share of the service's limits. What
+// keeps entitlement alive never waits; what users wait for goes before progress,
+// which has a smaller share of its own.
+func (c *Client) admit(ctx context.Context, call *core.StateCall) error {
+	n := len(call.Txn.Then)
+	if call.Op == core.OpExtend || call.Op == core.OpWatch || call.Op == core.OpCommit && n > 0 && call.Lane == core.LaneFirst {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, tuning.LimitWait)
+	defer cancel()
+	if n > 0 && call.Lane == core.LaneLater {
+		if err := c.later.WaitN(ctx, min(n, c.later.Burst())); err != nil {
+			return errOwnLimit
+		}
+	}
+	if n > 0 {
+		if err := c.writes.WaitN(ctx, min(n, c.writes.Burst())); err != nil {
+			return errOwnLimit
+		}
+	}
+	if err := c.calls.Wait(ctx); err != nil {
+		return errOwnLimit
+	}
+	return nil
+}
+
 // Do performs one call. Status 0 means that no usable answer came.
 func (c *Client) Do(ctx context.Context, call core.StateCall) core.StateReply {
 	timeout := tuning.StateTimeout
 	if call.Op == core.OpWatch {
 		timeout += call.Hold
 	}
+	// Waiting for our own limits does not shorten the time the call itself has.
+	if err := c.admit(ctx, &call); err != nil {
+		return core.StateReply{Status: http.StatusTooManyRequests, Err: err.Error()}
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	// Renewals and watches keep entitlement alive and never queue behind the rest.
-	if call.Op != core.OpExtend && call.Op != core.OpWatch {
-		if err := c.calls.Wait(ctx); err != nil {
-			return core.StateReply{Status: http.StatusTooManyRequests, Err: "own call limit"}
-		}
-		if n := len(call.Txn.Then); n > 0 {
-			if err := c.writes.WaitN(ctx, min(n, c.writes.Burst())); err != nil {
-				return core.StateReply{Status: http.StatusTooManyRequests, Err: "own write limit"}
-			}
-		}
-	}
 	method, path := http.MethodGet, ""
 	var body any
 	var into any
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -32,12 +32,27 @@
 	LeaseMargin = 300 * time.Millisecond
 	// Tick (duration): the core's clock pulse; delays of deferred work stay below.
 	Tick = 50 * time.Millisecond
-	// LazyFlush (duration): completed tasks may wait this long to be written
-	// together; nothing is lost meanwhile since workers keep reporting them.
-	LazyFlush = 2 * time.Second
-	// StateShare (share): part of the state service's limits one controller
-	// allows itself, since a burst rarely comes from all at once.
+	// LazyFlush (duration): completed tasks of a job may wait this long to be
+	// written together; nothing is lost meanwhile since workers keep reporting them.
+	LazyFlush = 6 * time.Second
+	// LaterEvery (duration): between writes of progress and of marks on blocks.
+	LaterEvery = 200 * time.Millisecond
+	// TxnBytes (bytes): a transaction is closed at this size; the state service
+	// takes 64 KiB.
+	TxnBytes = 40 << 10
+	// StateShare (share): part of the state service's request limit that one
+	// controller allows itself, since a burst rarely comes from all at once.
 	StateShare = 0.5
+	// WriteShare (share): the same of the limit on changes. After a takeover one
+	// controller has nearly all the writes to make; at half, starts waited ten
+	// seconds while the service was half idle.
+	WriteShare = 0.9
+	// LaterShare (share): what progress and marks may take of the limit on
+	// changes; three controllers together then leave room for what users wait for.
+	LaterShare = 0.25
+	// LimitWait (duration): a call that would wait longer for our own limits is
+	// given up at once, and its user told so.
+	LimitWait = 1 * time.Second
 	// CloudShare (share): part of the cloud's limit; only the leader calls.
 	CloudShare = 0.8
 	// CloudTimeout (duration): a cloud call; some take seconds.
@@ -51,8 +66,14 @@
 	ListEvery = 3 * time.Second
 	// TypesEvery (duration): how often prices are read again.
 	TypesEvery = 60 * time.Second
-	// BlockSize (machines): few enough to move without hoarding.
+	// BlockSize (machines): least of a block; few enough to move without hoarding.
 	BlockSize = 2
+	// BlockSizeMax (machines): most of a block. Each block costs writes when it is
+	// formed, moved and dissolved.
+	BlockSizeMax = 8
+	// BlocksAtOnce (blocks): machines of one type, zone and kind that come together
+	// are split into about so many blocks.
+	BlocksAtOnce = 8
 	// RentMax (machines): most in one rental request, given by the cloud.
 	RentMax = 50
 	// DeleteMax (machines): most in one deletion.
@@ -82,6 +103,10 @@
 	// PreemptAfter (duration): urgent work that finds no room stops lesser work
 	// after this; often a task ends by itself sooner.
 	PreemptAfter = 1 * time.Second
+	// TrackTasks (tasks): jobs of at most so many have the machine of each start
+	// written down, so that after a takeover they wait for that one machine
+	// only. A start elsewhere costs such a job a write, so it is not for arrays.
+	TrackTasks = 4
 	// StartAhead (tasks): at least so many starts are written ahead, so that a
 	// freed slot is refilled in the very answer that reports it free.
 	StartAhead = 4
@@ -96,6 +121,9 @@
 	// ShardGrace (duration): at first start, how long the leader waits for all
 	// controllers before it shares out the shards.
 	ShardGrace = 3 * time.Second
+	// PastLives (lives): most that a shard's record names; more crashes than that
+	// within one settling, and it waits for the full time.
+	PastLives = 8
 	// HomeAfter (duration): a controller that is back gets its shard again once
 	// it has been up this long.
 	HomeAfter = 15 * time.Second
--- a/wire/records.go
+++ b/wire/records.go
@@ -41,6 +41,9 @@
 	// Started counts the tasks, from index 0, that may ever have been started.
 	// It is written before the start, so a task at or above it is nowhere.
 	Started int `cbor:"started"`
+	// On names, for a job of few tasks, the machine that each task's last start was
+	// written for, before it was made: the task may be there and nowhere else.
+	On []string `cbor:"on,omitempty"`
 	// Done holds half-open ranges [from, to) of completed tasks, in order.
 	Done [][2]int `cbor:"done,omitempty"`
 }
@@ -72,10 +75,17 @@
 	// Settled: the holder has accounted for every machine it inherited, so that
 	// no holder before it can still be answering a worker.
 	Settled bool `cbor:"settled,omitempty"`
-	// Prev and PrevBoot name the life it was taken from, if that one had
-	// settled: once it is dead, nobody else can be answering.
-	Prev     string `cbor:"prev,omitempty"`
-	PrevBoot uint64 `cbor:"prevboot,omitempty"`
+	// Past names every life that held the shard since all its machines were last
+	// accounted for, if Known: once all of them are dead, nobody else can be
+	// answering a worker.
+	Past  []Life `cbor:"past,omitempty"`
+	Known bool   `cbor:"known,omitempty"`
+}
+
+// Life is one life of a controller.
+type Life struct {
+	Node string `cbor:"node"`
+	Boot uint64 `cbor:"boot"`
 }
 
 // Block is a few machines of one type, zone and kind, leased to a shard.
@@ -91,9 +101,11 @@
 
 // BlockMachine is a machine of a block. Drop asks the leader to delete it;
 // nothing is started on it any more. Empty says that nothing is on it either,
-// so that a later holder need not account for it.
+// so that a later holder need not account for it. Fresh says that nothing has
+// ever been started on it; it is taken back in writing before the first start.
 type BlockMachine struct {
 	Name  string `cbor:"name"`
+	Fresh bool   `cbor:"fresh,omitempty"`
 	Drop  bool   `cbor:"drop,omitempty"`
 	Empty bool   `cbor:"empty,omitempty"`
 }
