--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -713,7 +713,7 @@
 			}
 		}
 		if left > 0 {
-			out = append(out, wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left})
+			out = addNeed(out, wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left})
 		}
 	}
 	for _, p := range c.queue() {
@@ -759,9 +759,7 @@
 				n.Dire = true
 			}
 		}
-		if len(out) < 24 {
-			out = append(out, n)
-		}
+		out = addNeed(out, n)
 	}
 	if _, was := c.dire[shard]; !starved {
 		delete(c.dire, shard)
@@ -771,6 +769,24 @@
 	return out
 }
 
+// addNeed joins needs of the same kind. Many jobs of one task each used to be as
+// many needs, and got a machine each, one after the other, where one rental or
+// a few of another shard's blocks would have held them all.
+func addNeed(out []wire.Need, n wire.Need) []wire.Need {
+	for i := range out {
+		like := out[i]
+		like.Tasks = n.Tasks
+		if sameNeeds([]wire.Need{like}, []wire.Need{n}) {
+			out[i].Tasks += n.Tasks
+			return out
+		}
+	}
+	if len(out) < tuning.NeedsMax {
+		out = append(out, n)
+	}
+	return out
+}
+
 // tellWants writes what each held shard lacks, for the leader to read.
 func (c *Core) tellWants() {
 	if c.wantBusy || !c.confirmed() || !c.every("want", 300*time.Millisecond) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -91,6 +91,9 @@
 	MoveEvery = 12 * time.Second
 	// IdleOffer (duration): an empty block is offered to other shards after this.
 	IdleOffer = 3 * time.Second
+	// NeedsMax (needs): kinds of machines a shard asks for at a time; those beyond
+	// come once the first are served.
+	NeedsMax = 24
 	// DireAfter (duration): work within a guarantee that has found no machine
 	// for this long makes borrowing shards give way; a rental is answered sooner.
 	DireAfter = 2 * time.Second
