Images of a shard's machines are written for successors

Cause: which machine has which image was only in the holder's memory, so after each takeover services waited for fetches of images other machines had.

--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,23 +14,24 @@
 // holder is what this controller knows as the holder of shards: the machines
 // of their blocks, and the tasks on them.
 type holder struct {
-	machines                map[string]*machine
-	held                    map[int]bool // shards this life holds and has taken up
-	pending                 map[int]bool // shards granted, the mirror not there yet
-	unsettle                map[int]bool // shards taken over, not all machines accounted for yet
-	dirty                   bool         // a placement pass is due
-	flushing, flushingLater bool
-	tryNo                   uint64
-	wantSent                map[int]wire.Want
-	wantBusy                bool
-	checking                bool
-	used                    map[string]bool // blocks with fresh machines that are up
-	entered                 map[int]Time    // when a held shard was taken up
-	prevDead                map[int]Time    // since when the life a shard was taken from is known to be dead
-	vacating                map[string]bool // blocks being emptied for another shard's guarantee
-	dire                    map[int]Time    // since when a shard's guaranteed work finds no room
-	urgent                  map[int]urgentSize
-	came                    map[int][]Time // arrivals of urgent jobs, by shard
+	machines                         map[string]*machine
+	held                             map[int]bool // shards this life holds and has taken up
+	pending                          map[int]bool // shards granted, the mirror not there yet
+	unsettle                         map[int]bool // shards taken over, not all machines accounted for yet
+	dirty                            bool         // a placement pass is due
+	flushing, flushingLater, telling bool
+	tryNo                            uint64
+	wantSent                         map[int]wire.Want
+	wantBusy                         bool
+	checking                         bool
+	learned                          map[int]bool    // shards whose machines have fetched images since that was written
+	used                             map[string]bool // blocks with fresh machines that are up
+	entered                          map[int]Time    // when a held shard was taken up
+	prevDead                         map[int]Time    // since when the life a shard was taken from is known to be dead
+	vacating                         map[string]bool // blocks being emptied for another shard's guarantee
+	dire                             map[int]Time    // since when a shard's guaranteed work finds no room
+	urgent                           map[int]urgentSize
+	came                             map[int][]Time // arrivals of urgent jobs, by shard
 
 	machineList []*machine            // by name; nil: to be made again
 	onTask      map[string][]*attempt // task -> its attempts on machines
@@ -123,7 +125,7 @@
 
 func newHolder() holder {
 	return holder{machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
-		used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
+		learned: map[int]bool{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -328,6 +330,9 @@
 				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty && !bm.Fresh,
 				attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, badJobs: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
+			for _, image := range c.cached[bm.Name] {
+				m.images[image] = true
+			}
 			c.machines[bm.Name] = m
 			c.machineList = nil
 		}
@@ -621,8 +626,9 @@
 		switch t.Status {
 		case wire.TaskRunning:
 			a.running = c.now
-			if e := c.jobs[a.job]; e != nil {
+			if e := c.jobs[a.job]; e != nil && !m.images[e.rec.Image] {
 				m.images[e.rec.Image] = true
+				c.learned[m.shard] = true
 			}
 			c.log(2, "task runs", "task", a.key.task, "machine", m.name, "after", (c.now - a.created).String())
 		case wire.TaskEnded:
@@ -835,6 +841,7 @@
 	}
 	c.flushJobs()
 	c.flushLater()
+	c.tellCaches()
 }
 
 // batch is one write of the holder: every part of it compares its shard.
@@ -1001,6 +1008,55 @@
 	return rec, change
 }
 
+// tellCaches writes which images the machines of a shard have, now and then:
+// with the holder's memory that was lost, and for minutes after a takeover
+// services waited for images that other machines had.
+func (c *Core) tellCaches() {
+	if c.telling || !c.confirmed() || !c.every("caches", tuning.CachesEvery/10) {
+		return
+	}
+	for _, i := range sortedInts(c.learned) {
+		if !c.mine(i) {
+			delete(c.learned, i)
+			continue
+		}
+		if !c.every("caches"+strconv.Itoa(i), tuning.CachesEvery) {
+			continue
+		}
+		rec := wire.Cache{Machines: map[string][]int{}}
+		index, room := map[string]int{}, c.p.ValueBytes-512
+		for _, m := range c.heldMachines() {
+			if m.shard != i || m.drop || len(m.images) == 0 {
+				continue
+			}
+			for _, image := range sortedKeys(m.images) {
+				k, known := index[image]
+				if !known {
+					k = len(rec.Images)
+					index[image] = k
+					rec.Images = append(rec.Images, image)
+					room -= len(image) + 3
+				}
+				rec.Machines[m.name] = append(rec.Machines[m.name], k)
+				room -= 3
+			}
+			if room -= len(m.name) + 6; room < 256 {
+				break // the rest is learned again from its tasks
+			}
+		}
+		delete(c.learned, i)
+		c.telling = true
+		c.commit(LaneLater, []wire.Condition{{Key: shardKey(i), Version: c.shards[i].ver}},
+			[]wire.Change{{Put: wire.PrefixCache + strconv.Itoa(i), Value: rec}}, func(r StateReply) {
+				c.telling = false
+				if r.Status != 200 {
+					c.learned[i] = true
+				}
+			})
+		return
+	}
+}
+
 // movedOn tells whether a tracked job has a task on another machine than written.
 func (c *Core) movedOn(e *jobEntry) bool {
 	if tracked(&e.rec) {
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -24,13 +24,14 @@
 
 	// Kept up with the records, so that a report or a poll costs the same
 	// however many machines there are; the tests count them afresh.
-	blockIn   map[string]string // machine -> its block
-	dropping  map[string]bool   // machines marked to be deleted
-	teamHome  map[string]int    // team -> its shard
-	shardList []int             // in order; nil: to be made again
-	blockList []string          // in order; nil: to be made again
-	jobList   []*jobEntry       // by acceptance; nil: to be made again
-	sizes     int               // counts changes of machine types
+	blockIn   map[string]string   // machine -> its block
+	dropping  map[string]bool     // machines marked to be deleted
+	teamHome  map[string]int      // team -> its shard
+	shardList []int               // in order; nil: to be made again
+	blockList []string            // in order; nil: to be made again
+	jobList   []*jobEntry         // by acceptance; nil: to be made again
+	cached    map[string][]string // machine -> images, as its holder last wrote
+	sizes     int                 // counts changes of machine types
 }
 
 type shardEntry struct {
@@ -56,7 +57,7 @@
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
 		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
 		settings: defaultSettings(), cordons: map[string]wire.Cordon{},
-		blockIn: map[string]string{}, dropping: map[string]bool{}, teamHome: map[string]int{}}
+		blockIn: map[string]string{}, dropping: map[string]bool{}, teamHome: map[string]int{}, cached: map[string][]string{}}
 }
 
 func shardKey(i int) string { return wire.PrefixShard + strconv.Itoa(i) }
@@ -117,6 +118,13 @@
 			}
 		}
 	}
+	if old != nil {
+		for _, bm := range old.rec.Machines {
+			if m.blockIn[bm.Name] == "" {
+				delete(m.cached, bm.Name)
+			}
+		}
+	}
 }
 
 // indexTeams finds each team's shard; the first one that names it counts.
@@ -219,6 +227,21 @@
 		} else if read(&r) {
 			c.wants[i] = r
 		}
+	case strings.HasPrefix(key, wire.PrefixCache):
+		var r wire.Cache
+		if read(&r) {
+			for name, list := range r.Machines {
+				var images []string
+				for _, i := range list {
+					if i >= 0 && i < len(r.Images) {
+						images = append(images, r.Images[i])
+					}
+				}
+				if c.blockIn[name] != "" {
+					c.cached[name] = images
+				}
+			}
+		}
 	case strings.HasPrefix(key, wire.PrefixBlock):
 		var r wire.Block
 		if read(&r) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -91,6 +91,9 @@
 	MoveEvery = 12 * time.Second
 	// IdleOffer (duration): an empty block is offered to other shards after this.
 	IdleOffer = 3 * time.Second
+	// CachesEvery (duration): between records of which images a shard's machines
+	// have; each is one change of several KB.
+	CachesEvery = 15 * time.Second
 	// NeedsMax (needs): kinds of machines a shard asks for at a time; those beyond
 	// come once the first are served.
 	NeedsMax = 24
--- a/wire/records.go
+++ b/wire/records.go
@@ -12,6 +12,7 @@
 	PrefixWant  = "live/want/"
 	PrefixType  = "live/type/"
 	PrefixJob   = "live/job/"
+	PrefixCache = "live/cache/"
 	PrefixFinal = "final/"
 )
 
@@ -110,6 +111,13 @@
 	Empty bool   `cbor:"empty,omitempty"`
 }
 
+// Cache tells which images a shard's machines have fetched. It is advice: a
+// successor that does not know lets tasks wait for fetches that are needless.
+type Cache struct {
+	Images   []string         `cbor:"images"`
+	Machines map[string][]int `cbor:"machines"` // indexes into Images
+}
+
 // Want is what a shard's holder asks of the leader. Seen is the newest
 // revision of the shard's blocks known when it was written, so that the
 // leader does not serve the same want twice.
