--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -917,7 +917,7 @@
 	if c.flushing || c.now < c.retryAt["flushJobs"] {
 		return
 	}
-	b := c.newBatch(c.p.TxnOps)
+	b := c.newBatch(c.p.TxnOps / 2) // short, so that acceptances get in between
 	finals := map[string]wire.Final{}
 	for _, urgent := range []bool{true, false} {
 		for _, e := range c.jobsByAge() {
@@ -938,7 +938,7 @@
 				continue
 			}
 			started := max(e.rec.Started, e.run.next)
-			if ahead := max(tuning.StartAhead, len(e.run.active)/2); e.rec.Started-e.run.next < ahead/2 && e.run.next > 0 {
+			if ahead := max(tuning.StartAhead, len(e.run.active)); e.rec.Started-e.run.next < ahead/2 && e.run.next > 0 {
 				started = max(started, min(e.rec.Tasks, e.run.next+ahead))
 			}
 			if started > e.rec.Started || c.movedOn(e) {
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -65,8 +66,23 @@
 	return nil
 }
 
-// Do performs one call. Status 0 means that no usable answer came.
+// Do performs one call. Status 0 means that no usable answer came. A write that
+// users wait for and that was refused for the limit, which controllers share
+// without asking each other, is tried again a few times.
 func (c *Client) Do(ctx context.Context, call core.StateCall) core.StateReply {
+	rep := c.do(ctx, call)
+	for i := 0; i < tuning.LimitRetries && rep.Status == http.StatusTooManyRequests && rep.Err != errOwnLimit.Error() && call.Lane == core.LaneUser && len(call.Txn.Then) > 0; i++ {
+		select {
+		case <-ctx.Done():
+			return rep
+		case <-time.After(tuning.LimitPause):
+		}
+		rep = c.do(ctx, call)
+	}
+	return rep
+}
+
+func (c *Client) do(ctx context.Context, call core.StateCall) core.StateReply {
 	timeout := tuning.StateTimeout
 	if call.Op == core.OpWatch {
 		timeout += call.Hold
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -34,7 +34,7 @@
 	Tick = 50 * time.Millisecond
 	// LazyFlush (duration): completed tasks of a job may wait this long to be
 	// written together; nothing is lost meanwhile since workers keep reporting them.
-	LazyFlush = 6 * time.Second
+	LazyFlush = 10 * time.Second
 	// LaterEvery (duration): between writes of progress and of marks on blocks.
 	LaterEvery = 200 * time.Millisecond
 	// TxnBytes (bytes): a transaction is closed at this size; the state service
@@ -50,6 +50,10 @@
 	// LaterShare (share): what progress and marks may take of the limit on
 	// changes; three controllers together then leave room for what users wait for.
 	LaterShare = 0.25
+	// LimitRetries (tries) and LimitPause (duration): a write that users wait for
+	// and the service refused for its limit is sent again so often, after so long.
+	LimitRetries = 3
+	LimitPause   = 120 * time.Millisecond
 	// LimitWait (duration): a call that would wait longer for our own limits is
 	// given up at once, and its user told so.
 	LimitWait = 1 * time.Second
@@ -114,8 +118,10 @@
 	// only. A start elsewhere costs such a job a write, so it is not for arrays.
 	TrackTasks = 4
 	// StartAhead (tasks): at least so many starts are written ahead, so that a
-	// freed slot is refilled in the very answer that reports it free.
-	StartAhead = 4
+	// freed slot is refilled in the very answer that reports it free, and one
+	// write serves many starts: at 4, starts were half of all writes. What is
+	// written and not started waits, after a takeover, until that is known.
+	StartAhead = 16
 	// BootGiveUp (multiple of ready_s): a machine that has not reported is
 	// replaced; most need 0.6 to 1.5 times.
 	BootGiveUp = 4
