--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -690,7 +690,9 @@
 		if m.shard != shard || m.drop || m.notice || m.over {
 			continue
 		}
-		if full, ok := c.sizeOf(m.typ); ok && !m.reported {
+		// What is on a machine not accounted for is not known: it may be empty, so
+		// only what finds no room even then is asked for.
+		if full, ok := c.sizeOf(m.typ); ok && (!m.reported || !m.accounted) {
 			ms, free[m] = append(ms, m), full
 		} else if c.usable(m) {
 			ms, free[m] = append(ms, m), c.free(m)
@@ -713,7 +715,7 @@
 			}
 		}
 		if left > 0 {
-			out = append(out, wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left})
+			out = addNeed(out, wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left})
 		}
 	}
 	for _, p := range c.queue() {
@@ -759,9 +761,7 @@
 				n.Dire = true
 			}
 		}
-		if len(out) < 24 {
-			out = append(out, n)
-		}
+		out = addNeed(out, n)
 	}
 	if _, was := c.dire[shard]; !starved {
 		delete(c.dire, shard)
@@ -771,13 +771,31 @@
 	return out
 }
 
+// addNeed joins needs of the same kind. Many jobs of one task each used to be as
+// many needs, and got a machine each, one after the other, where one rental or
+// a few of another shard's blocks would have held them all.
+func addNeed(out []wire.Need, n wire.Need) []wire.Need {
+	for i := range out {
+		like := out[i]
+		like.Tasks = n.Tasks
+		if sameNeeds([]wire.Need{like}, []wire.Need{n}) {
+			out[i].Tasks += n.Tasks
+			return out
+		}
+	}
+	if len(out) < tuning.NeedsMax {
+		out = append(out, n)
+	}
+	return out
+}
+
 // tellWants writes what each held shard lacks, for the leader to read.
 func (c *Core) tellWants() {
 	if c.wantBusy || !c.confirmed() || !c.every("want", 300*time.Millisecond) {
 		return
 	}
 	for _, i := range c.shardIDs() {
-		if !c.mine(i) || c.unsettle[i] {
+		if !c.mine(i) {
 			continue
 		}
 		w := wire.Want{Needs: c.needs(i)}
