--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -402,8 +402,11 @@
 	w.kill(l.Node)
 	w.run(15 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeBatch, 12))
-	w.pollAll()
 	w.run(30 * sec)
+	for _, n := range sortedKeys(w.nodes) {
+		w.poll(n, "job-000001")
+	}
+	w.run(sec)
 	if u := w.unfinished(); u != nil {
 		t.Errorf("not done: %v", u)
 	}
