--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -410,6 +410,9 @@
 	if u := w.unfinished(); u != nil {
 		t.Errorf("not done: %v", u)
 	}
+	if w.conflicts > 5 { // each costs as much of the write limit as one that works
+		t.Errorf("%d transactions failed", w.conflicts)
+	}
 }
 
 // The same day had two crashes of one controller in a row: that the lives before
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -27,15 +27,16 @@
 	seq   int
 
 	// state service
-	keys     map[string]wire.Item
-	rev      uint64
-	history  []wire.Event
-	grants   map[uint64]time.Duration
-	lastID   uint64
-	stateUp  bool
-	cutState map[string]bool // nodes alone without the state service
-	watches  []*watch
-	tooOld   bool // the next watch is answered 410
+	keys      map[string]wire.Item
+	rev       uint64
+	history   []wire.Event
+	grants    map[uint64]time.Duration
+	lastID    uint64
+	stateUp   bool
+	cutState  map[string]bool // nodes alone without the state service
+	watches   []*watch
+	conflicts int  // transactions whose conditions failed
+	tooOld    bool // the next watch is answered 410
 
 	types    []wire.MachineType
 	machines map[string]*worker
@@ -378,6 +379,7 @@
 			}
 		}
 		if failed != nil {
+			w.conflicts++
 			reply(StateReply{Status: 409, Txn: wire.TxnReply{Failed: failed, Revision: w.rev}})
 			return
 		}
