Workers new to a holder are sent there before their reports are passed on

Cause: after a takeover each worker that came to another controller had three reports passed on (made for workers cut from their holder), which cost two controllers' time.

--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -570,7 +570,7 @@
 				holder = to
 			}
 			if _, ours := c.relayed[req]; holder != "" && holder != c.p.Node && !ours {
-				if !c.relay(req, r, holder) {
+				if !c.relay(req, r, holder, s.ver) {
 					c.answer(req, 421, wire.Redirect{Holder: holder})
 				}
 				return
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -203,8 +203,10 @@
 // relay passes a report on to its holder, for a worker that may be cut off from
 // it: being sent there would cost it a time-out, and two of them a lease. After a
 // few it is sent home once; if it comes back, home cannot be reached from there
-// and the next try waits longer.
-func (c *Core) relay(req uint64, r *wire.Report, holder string) bool {
+// and the next try waits longer. A worker that has not seen the holder's token yet
+// is sent there first: after a takeover hundreds come at once, and to pass all
+// their reports on took two controllers' time instead of one's.
+func (c *Core) relay(req uint64, r *wire.Report, holder string, granted uint64) bool {
 	at, ok := c.heard[holder]
 	if !ok || c.now-at > 3*tuning.PeerEvery {
 		return false
@@ -213,6 +215,10 @@
 	if x == nil || c.now-x.last > c.p.Lease {
 		x = &relaying{home: -tuning.RelayFor}
 		c.relays[r.Machine] = x
+		if r.Token < granted {
+			x.last, x.home = c.now, c.now
+			return false
+		}
 	}
 	x.last = c.now
 	if x.n++; x.n > tuning.RelayReports && c.now-x.home > tuning.RelayFor {
