--- /dev/null
+++ b/internal/core/scale_test.go
@@ -0,0 +1,125 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// runningTasks counts the tasks that are on live machines.
+func (w *world) runningTasks() int {
+	n := 0
+	for _, name := range w.order {
+		m := w.machines[name]
+		for _, r := range m.tasks {
+			if w.alive(m) && r.status != wire.TaskEnded {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestLargeFleet plays 500 machines through a first start and what befalls them,
+// with a state service that takes 20 changes a second. The world checks the
+// rules; here stand progress by the fake clock, and what it may cost.
+func TestLargeFleet(t *testing.T) {
+	const machines, replicas = 500, 150
+	w := newWorld(t, 31, 3)
+	w.writeRPS, w.capacity = 20, machines+100
+	w.teams = map[string]Team{"red": {CPUs: 900, CPUsMax: 1500}, "blue": {CPUs: 600, CPUsMax: 1500}, "green": {CPUs: 300, CPUsMax: 800}}
+	for _, n := range sortedKeys(w.nodes) {
+		w.start(n)
+	}
+	for i := range machines {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.checkAborted()
+
+	// A first start: all machines leased within what the write limit allows.
+	w.run(15 * sec)
+	held := 0
+	for _, n := range sortedKeys(w.nodes) {
+		held += len(w.nodes[n].core.machines)
+	}
+	if held != machines || w.writes > 150 {
+		t.Fatalf("%d of %d machines held after 15 s and %d changes", held, machines, w.writes)
+	}
+
+	// Services first, arrays beside them.
+	for i := range replicas {
+		s := spec(fmt.Sprintf("job-%06d", i), []string{"red", "blue", "green"}[i%3], wire.ShapeService, 1)
+		s.Priority, s.DueS = ptr("urgent"), nil
+		w.submit(s)
+	}
+	for i := range 6 {
+		s := spec(fmt.Sprintf("job-%06d", 1000+i), []string{"red", "blue", "green"}[i%3], wire.ShapeBatch, 300)
+		s.EstimateS, s.DueS = ptr(200.0), ptr(3000.0)
+		w.submit(s)
+	}
+	for _, m := range w.machines {
+		m.runS = 200 * sec
+	}
+	w.run(60 * sec)
+	full := w.runningTasks()
+	if full < replicas+1000 {
+		t.Fatalf("%d tasks run after 60 s", full)
+	}
+
+	// Two of three controllers are lost: no task is, and what ends is written.
+	before := w.writes
+	w.kill("c0")
+	w.kill("c1")
+	w.run(20 * sec)
+	if n := w.runningTasks(); n < full-full/50 {
+		t.Errorf("%d of %d tasks run after two controllers were lost", n, full)
+	}
+	for _, team := range sortedKeys(w.teams) {
+		if r := w.shardRec(team); r.Holder != "c2" || !r.Settled {
+			t.Errorf("%s: held by %s, settled %v", team, r.Holder, r.Settled)
+		}
+	}
+	if n := w.writes - before; n > 200 {
+		t.Errorf("%d changes for the takeover of two shards", n)
+	}
+	w.start("c0")
+	w.start("c1")
+	w.run(30 * sec)
+
+	// All restart at once, well within a lease.
+	for _, n := range sortedKeys(w.nodes) {
+		w.kill(n)
+	}
+	w.run(5 * sec)
+	for _, n := range sortedKeys(w.nodes) {
+		w.start(n)
+	}
+	w.run(10 * sec)
+	if n := w.runningTasks(); n < full-full/50 {
+		t.Errorf("%d of %d tasks run after all controllers were restarted", n, full)
+	}
+
+	// A wave takes a tenth of the machines without notice: the replicas on them
+	// run again once the leases are over.
+	for i := 0; i < machines; i += 10 {
+		w.machines[w.order[i]].gone, w.machines[w.order[i]].tasks = true, nil
+	}
+	w.run(40 * sec)
+	up := map[string]bool{}
+	for _, n := range w.order {
+		for _, r := range w.machines[n].tasks {
+			if j := w.jobs[r.job]; *j.spec.Shape == wire.ShapeService && r.status != wire.TaskEnded {
+				up[r.job] = true
+			}
+		}
+	}
+	if len(up) != replicas {
+		t.Errorf("%d of %d replicas run after the wave", len(up), replicas)
+	}
+	for _, n := range sortedKeys(w.nodes) {
+		if got := len(w.nodes[n].core.relays); got > machines {
+			t.Errorf("%s remembers %d relayed machines", n, got)
+		}
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -35,7 +35,11 @@
 	stateUp   bool
 	cutState  map[string]bool // nodes alone without the state service
 	watches   []*watch
-	conflicts int  // transactions whose conditions failed
+	conflicts int     // transactions whose conditions failed
+	writeRPS  float64 // limit on changes; 0: none
+	tokens    float64
+	refilled  time.Duration
+	writes    int  // changes made
 	tooOld    bool // the next watch is answered 410
 
 	types    []wire.MachineType
@@ -383,6 +387,16 @@
 			reply(StateReply{Status: 409, Txn: wire.TxnReply{Failed: failed, Revision: w.rev}})
 			return
 		}
+		if n := float64(len(c.Txn.Then)); w.writeRPS > 0 && n > 0 {
+			w.tokens = min(w.writeRPS, w.tokens+w.writeRPS*(w.now-w.refilled).Seconds())
+			w.refilled = w.now
+			if w.tokens < n {
+				reply(StateReply{Status: 429, Err: "too many writes"})
+				return
+			}
+			w.tokens -= n
+		}
+		w.writes += len(c.Txn.Then)
 		for _, ch := range c.Txn.Then {
 			if _, ok := w.grants[ch.Lease]; ch.Lease != 0 && !ok {
 				reply(StateReply{Status: 400, Err: "no such lease"})
