--- a/internal/httpapi/bench_test.go
+++ b/internal/httpapi/bench_test.go
@@ -19,7 +19,7 @@
 // BenchmarkReport is one worker's report over loopback, without the core: what
 // the HTTP face costs. The client's share, a write and a read, is in it.
 func BenchmarkReport(b *testing.B) {
-	ask := func(_ context.Context, in func(id uint64) any, _ time.Duration) Reply {
+	ask := func(_ context.Context, _ Class, in func(id uint64) any, _ time.Duration) Reply {
 		r := in(1).(core.WorkerReport)
 		return Reply{Status: 200, Body: wire.ReportReply{Token: r.Report.Token, Commands: []wire.Command{}}}
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -27,8 +27,16 @@
 	RetryAfter int
 }
 
+// Class orders requests when the core cannot keep up.
+type Class int
+
+const (
+	Worker Class = iota // reports and probes: leases and traffic hang on them
+	User
+)
+
 // Ask puts a request to the core; the function makes the input for a request id.
-type Ask func(ctx context.Context, in func(id uint64) any, timeout time.Duration) Reply
+type Ask func(ctx context.Context, class Class, in func(id uint64) any, timeout time.Duration) Reply
 
 // Server serves the client address.
 type Server struct {
@@ -141,21 +149,21 @@
 	if why := body(c, &spec); why != "" {
 		return send(c, bad(why))
 	}
-	return sendUser(c, s.ask(c.Request().Context(), func(id uint64) any { return core.Submit{Req: id, Spec: spec} }, tuning.UserTimeout))
+	return sendUser(c, s.ask(c.Request().Context(), User, func(id uint64) any { return core.Submit{Req: id, Spec: spec} }, tuning.UserTimeout))
 }
 
 func (s *Server) poll(c echo.Context) error {
 	job := c.Param("id")
-	return sendUser(c, s.ask(c.Request().Context(), func(id uint64) any { return core.Poll{Req: id, ID: job} }, tuning.PollTimeout))
+	return sendUser(c, s.ask(c.Request().Context(), User, func(id uint64) any { return core.Poll{Req: id, ID: job} }, tuning.PollTimeout))
 }
 
 func (s *Server) abort(c echo.Context) error {
 	job := c.Param("id")
-	return sendUser(c, s.ask(c.Request().Context(), func(id uint64) any { return core.Abort{Req: id, ID: job} }, tuning.UserTimeout))
+	return sendUser(c, s.ask(c.Request().Context(), User, func(id uint64) any { return core.Abort{Req: id, ID: job} }, tuning.UserTimeout))
 }
 
 func (s *Server) ready(c echo.Context) error {
-	return send(c, s.ask(c.Request().Context(), func(id uint64) any { return core.Ready{Req: id} }, time.Second))
+	return send(c, s.ask(c.Request().Context(), Worker, func(id uint64) any { return core.Ready{Req: id} }, time.Second))
 }
 
 func (s *Server) report(c echo.Context) error {
@@ -167,12 +175,12 @@
 	if r.Machine == "" || r.Session == 0 {
 		return send(c, bad("host and tenure are needed"))
 	}
-	return send(c, s.ask(c.Request().Context(), func(id uint64) any { return core.WorkerReport{Req: id, Report: r} }, tuning.ReportTimeout))
+	return send(c, s.ask(c.Request().Context(), Worker, func(id uint64) any { return core.WorkerReport{Req: id, Report: r} }, tuning.ReportTimeout))
 }
 
 // put sends an administrator's request to the core.
 func (s *Server) put(c echo.Context, in func(id uint64) any) error {
-	return send(c, s.ask(c.Request().Context(), in, tuning.UserTimeout))
+	return send(c, s.ask(c.Request().Context(), User, in, tuning.UserTimeout))
 }
 
 func (s *Server) overview(c echo.Context) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,13 +44,15 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 type request struct {
+	ctx   context.Context // over once nobody waits for the answer any more
 	in    func(id uint64) any
 	reply chan httpapi.Reply
 }
 
 type node struct {
 	inbox   chan any
-	reqs    chan request
+	workers chan request // served first
+	users   chan request
 	log     *slog.Logger
 	state   *statestore.Client
 	cloud   *cloud.Client
@@ -66,7 +68,8 @@
 		debug.SetMemoryLimit(int64(mb * 0.6 * 1024 * 1024)) // the runtime's own share stays below the kill limit
 	}
 	n := &node{
-		inbox: make(chan any, tuning.InboxSize), reqs: make(chan request, tuning.InboxSize), log: log,
+		inbox: make(chan any, tuning.InboxSize), log: log,
+		workers: make(chan request, tuning.InboxSize), users: make(chan request, tuning.UserQueue),
 		state:   statestore.New(cfg.Services.State, cfg.Params.State.RPS, cfg.Params.State.WriteRPS),
 		cloud:   cloud.New(cfg.Services.Cloud, cfg.Params.Cloud.RPS),
 		waiting: map[uint64]chan httpapi.Reply{},
@@ -84,7 +87,7 @@
 		addrs[p.Node] = p.Addr
 	}
 	n.peers = peer.Dial(ctx, addrs, log)
-	n.metrics = metrics.New(func() float64 { return float64(len(n.inbox) + len(n.reqs)) })
+	n.metrics = metrics.New(func() float64 { return float64(len(n.inbox) + len(n.workers) + len(n.users)) })
 	srv := httpapi.New(n.ask, n.metrics, log)
 	fail := make(chan error, 2)
 	go func() { fail <- peer.Serve(netutil.LimitListener(pln, 4*len(addrs)+4), n.fromPeer, log) }()
@@ -100,23 +103,60 @@
 }
 
 // ask puts a request to the core and waits for its answer. A full queue sheds
-// the request at once.
-func (n *node) ask(ctx context.Context, in func(id uint64) any, timeout time.Duration) httpapi.Reply {
-	r := request{in: in, reply: make(chan httpapi.Reply, 1)}
+// the request at once; users' queue is the short one, so that they hear early
+// that they must come back.
+func (n *node) ask(ctx context.Context, class httpapi.Class, in func(id uint64) any, timeout time.Duration) httpapi.Reply {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r := request{ctx: ctx, in: in, reply: make(chan httpapi.Reply, 1)}
+	queue := n.users
+	if class == httpapi.Worker {
+		queue = n.workers
+	}
 	select {
-	case n.reqs <- r:
+	case queue <- r:
 	default:
 		return httpapi.Reply{Status: http.StatusServiceUnavailable, RetryAfter: tuning.RetryHint}
 	}
-	t := time.NewTimer(timeout)
-	defer t.Stop()
 	select {
 	case rep := <-r.reply:
 		return rep
-	case <-t.C:
-		return httpapi.Reply{Status: http.StatusServiceUnavailable, RetryAfter: tuning.RetryHint}
 	case <-ctx.Done():
-		return httpapi.Reply{Status: http.StatusServiceUnavailable}
+		return httpapi.Reply{Status: http.StatusServiceUnavailable, RetryAfter: tuning.RetryHint}
+	}
+}
+
+// next is the next input: answers of services, ticks and workers' reports before
+// users' requests. Requests that nobody waits for any more are passed over.
+func (n *node) next(ctx context.Context, tick <-chan time.Time) (any, bool) {
+	for {
+		var r request
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case in := <-n.inbox:
+			return in, true
+		case <-tick:
+			return core.Tick{}, true
+		case r = <-n.workers:
+		default:
+			select {
+			case <-ctx.Done():
+				return nil, false
+			case in := <-n.inbox:
+				return in, true
+			case <-tick:
+				return core.Tick{}, true
+			case r = <-n.workers:
+			case r = <-n.users:
+			}
+		}
+		if r.ctx.Err() != nil {
+			continue
+		}
+		n.nextReq++
+		n.waiting[n.nextReq] = r.reply
+		return r.in(n.nextReq), true
 	}
 }
 
@@ -142,18 +182,11 @@
 	}
 	step(core.Tick{})
 	for {
-		select {
-		case <-ctx.Done():
+		in, ok := n.next(ctx, tick.C)
+		if !ok {
 			return
-		case in := <-n.inbox:
-			step(in)
-		case r := <-n.reqs:
-			n.nextReq++
-			n.waiting[n.nextReq] = r.reply
-			step(r.in(n.nextReq))
-		case <-tick.C:
-			step(core.Tick{})
 		}
+		step(in)
 	}
 }
 
--- /dev/null
+++ b/internal/node/queue_test.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/core"
+	"github.com/barrowbridge/barrowbridge/internal/httpapi"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+)
+
+// A controller that cannot keep up serves workers first, tells users beyond a
+// short queue at once to come back, and does no work nobody waits for.
+func TestOverload(t *testing.T) {
+	n := &node{inbox: make(chan any, 1), workers: make(chan request, tuning.InboxSize), users: make(chan request, tuning.UserQueue),
+		waiting: map[uint64]chan httpapi.Reply{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	poll := func(id uint64) any { return core.Poll{Req: id} }
+	gone, leave := context.WithCancel(ctx)
+	left := make(chan httpapi.Reply)
+	go func() { left <- n.ask(gone, httpapi.User, poll, time.Minute) }()
+	for len(n.users) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	if r := <-left; r.Status != 503 {
+		t.Errorf("a user that left: %+v", r)
+	}
+	for range tuning.UserQueue - 1 {
+		go n.ask(ctx, httpapi.User, poll, time.Minute)
+	}
+	for len(n.users) < tuning.UserQueue {
+		time.Sleep(time.Millisecond)
+	}
+	if r := n.ask(ctx, httpapi.User, poll, time.Minute); r.Status != 503 || r.RetryAfter == 0 {
+		t.Errorf("a user too many: %+v", r)
+	}
+	go n.ask(ctx, httpapi.Worker, func(id uint64) any { return core.WorkerReport{Req: id} }, time.Minute)
+	for len(n.workers) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	if in, _ := n.next(ctx, nil); !isReport(in) {
+		t.Errorf("a report should go first, got %T", in)
+	}
+	for i := range tuning.UserQueue - 1 {
+		if in, ok := n.next(ctx, nil); !ok || isReport(in) {
+			t.Fatalf("request %d: %T", i, in)
+		}
+	}
+	if len(n.users) != 0 || len(n.waiting) != tuning.UserQueue {
+		t.Errorf("%d requests left, %d answers due: the one that left should have been passed over", len(n.users), len(n.waiting))
+	}
+}
+
+func isReport(in any) bool { _, ok := in.(core.WorkerReport); return ok }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,9 +157,13 @@
 	PollTimeout = 1800 * time.Millisecond
 	// ReportTimeout (duration): workers wait 4 s.
 	ReportTimeout = 3500 * time.Millisecond
-	// InboxSize (inputs): the bounded queue into the core; a full one sheds
-	// user requests with 503.
+	// InboxSize (inputs): the bounded queues into the core, of service answers and
+	// of workers' reports: more than the machines of a controller that serves all.
 	InboxSize = 2048
+	// UserQueue (requests): users' requests that wait while reports go first; more
+	// are told at once to come back. At half a millisecond each it is served
+	// well within the second after which they would.
+	UserQueue = 256
 	// PeerEvery (duration): between messages to the other controllers.
 	PeerEvery = 500 * time.Millisecond
 	// PeerTimeout (duration): to connect to a peer or write to it; shorter than
