Standing machines are shared out only once their types are known

Cause: at the first start blocks were formed before the machine types had been read, so each weighed nothing and all standing machines went to one shard; others had to ask for them block by block.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -446,7 +446,9 @@
 // adopt puts machines that stand in no block into one.
 func (c *Core) adopt() {
 	l := &c.leader
-	if l.writing || !l.firstList || len(c.shards) < len(c.p.Nodes) || len(l.strangers) == 0 || !c.every("adopt", 200*time.Millisecond) {
+	// Without the machine types all blocks weigh nothing, and all standing machines
+	// went to one shard.
+	if l.writing || !l.firstList || len(c.types) == 0 || len(c.shards) < len(c.p.Nodes) || len(l.strangers) == 0 || !c.every("adopt", 200*time.Millisecond) {
 		return
 	}
 	// Lists lag by up to twice the usual time.
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -47,6 +47,18 @@
 		t.Fatalf("%d of %d machines held after 15 s and %d changes", held, machines, w.writes)
 	}
 
+	for _, team := range sortedKeys(w.teams) {
+		n := 0
+		for _, m := range w.nodes[w.shardRec(team).Holder].core.machines {
+			if contains(w.nodes[w.shardRec(team).Holder].core.shards[m.shard].rec.Teams, team) {
+				n++
+			}
+		}
+		if want := machines * w.teams[team].CPUs / 1800; float64(n) < want*0.6 || float64(n) > want*1.4 {
+			t.Errorf("team %s has %d machines, its guarantee is worth %.0f", team, n, want)
+		}
+	}
+
 	// Services first, arrays beside them.
 	for i := range replicas {
 		s := spec(fmt.Sprintf("job-%06d", i), []string{"red", "blue", "green"}[i%3], wire.ShapeService, 1)
