One piece of code for writes of the holder, needs, block weights and the node's queue

A read of the whole change found the same code twice: closing and sending a write, a job's and a block's part of it, the shard's condition, a shard's newest block, the weight of a block, equal needs, a machine accounted for. The node's two nested selects are one; a write refused for the limit is told from our own by where it fails, not by its text; blocks that another write takes care of are not computed.

--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -336,13 +336,10 @@
 			c.machines[bm.Name] = m
 			c.machineList = nil
 		}
+		m.fresh = bm.Fresh
 		// A block may move between two shards of one holder: a machine left in
 		// its old shard would take that shard's tasks, and lose them from sight
 		// with the next change of hands.
-		m.fresh = bm.Fresh
-		if m.fresh && m.reported {
-			c.used[b.id] = true
-		}
 		m.shard, m.base, m.drop = b.rec.Shard, b.rec.Base, m.drop || bm.Drop || c.cordons[bm.Name].Drain
 	}
 }
@@ -354,7 +351,13 @@
 	for _, k := range sortedAttempts(m) {
 		c.attemptGone(m.attempts[k], why)
 	}
+	c.account(m)
+}
+
+// account takes note that what is on a machine is known from now on.
+func (c *Core) account(m *machine) {
 	m.accounted = true
+	c.dirty = true
 	c.settleOn(m)
 	c.settle()
 }
@@ -542,10 +545,7 @@
 		c.cordonSeen(m.name)
 	}
 	if !m.accounted && r.Token >= m.takenToken {
-		m.accounted = true
-		c.dirty = true
-		c.settleOn(m)
-		c.settle()
+		c.account(m)
 	}
 	if c.dirty { // a slot that this report frees is refilled in its answer
 		c.dirty = false
@@ -793,8 +793,7 @@
 		// proven by still holding the shard now, in the state itself.
 		c.checking = true
 		names := byShard[i]
-		s := c.shards[i]
-		c.state(StateCall{Op: OpCommit, Txn: wire.Txn{If: []wire.Condition{{Key: shardKey(i), Version: s.ver}}}}, func(r StateReply) {
+		c.state(StateCall{Op: OpCommit, Txn: wire.Txn{If: []wire.Condition{c.shardCond(i)}}}, func(r StateReply) {
 			c.checking = false
 			if r.Status == 409 {
 				c.refresh(shardKey(i))
@@ -864,7 +863,7 @@
 func (b *batch) add(shard int, cond *wire.Condition, changes ...wire.Change) {
 	if !b.shard[shard] {
 		b.shard[shard] = true
-		b.when = append(b.when, wire.Condition{Key: shardKey(shard), Version: b.c.shards[shard].ver})
+		b.when = append(b.when, b.c.shardCond(shard))
 	}
 	if cond != nil {
 		b.when = append(b.when, *cond)
@@ -872,8 +871,20 @@
 	b.then = append(b.then, changes...)
 }
 
-// addJob writes a job's starts and progress as they stand now.
-func (b *batch) addJob(e *jobEntry, started int) {
+// addJob adds changes of one job.
+func (b *batch) addJob(e *jobEntry, changes ...wire.Change) {
+	b.jobs = append(b.jobs, e)
+	e.run.writing = true
+	b.add(b.c.shardOf(e.rec.Team), &wire.Condition{Key: jobKey(e.rec.ID), Version: e.ver}, changes...)
+}
+
+// addBlock adds a block's new record.
+func (b *batch) addBlock(x *blockEntry, rec wire.Block) {
+	b.add(rec.Shard, &wire.Condition{Key: blockKey(x.id), Version: x.ver}, wire.Change{Put: blockKey(x.id), Value: rec})
+}
+
+// addProgress adds a job's starts and progress as they stand now.
+func (b *batch) addProgress(e *jobEntry, started int) {
 	rec := e.rec
 	rec.Started, rec.Done = started, e.run.done.clone()
 	if tracked(&rec) {
@@ -889,24 +900,30 @@
 	} else {
 		b.bytes += len(raw)
 	}
-	b.jobs = append(b.jobs, e)
-	e.run.writing = true
-	b.add(b.c.shardOf(rec.Team), &wire.Condition{Key: jobKey(rec.ID), Version: e.ver}, wire.Change{Put: jobKey(rec.ID), Value: rec})
+	b.addJob(e, wire.Change{Put: jobKey(rec.ID), Value: rec})
 }
 
-// send commits the batch; f hears whether it was written.
-func (b *batch) send(lane int, f func(ok bool)) {
+// send commits the batch, if there is anything in it. busy is set meanwhile; a
+// duty whose write failed pauses; written is called after one that did not.
+func (b *batch) send(lane int, busy *bool, duty string, written func()) {
+	if len(b.then) == 0 {
+		return
+	}
 	c := b.c
+	*busy = true
 	c.commit(lane, b.when, b.then, func(r StateReply) {
+		*busy = false
 		for _, e := range b.jobs {
 			if e.run != nil {
 				e.run.writing = false
 			}
 		}
-		if r.Status != 200 {
+		if r.Status == 200 {
+			written()
+		} else {
+			c.retryAt[duty] = c.now + tuning.RetryAfter/2
 			c.log(2, "not written", "changes", len(b.then), "status", r.Status, "err", r.Err, "failed", strings.Join(r.Txn.Failed, " "))
 		}
-		f(r.Status == 200)
 		c.dirty = true
 		c.hold()
 	})
@@ -931,10 +948,7 @@
 			if e.run.done.count() >= e.rec.Tasks {
 				f := wire.Final{Status: wire.JobDone, Done: e.rec.Tasks}
 				finals[id] = f
-				b.jobs = append(b.jobs, e)
-				e.run.writing = true
-				b.add(c.shardOf(e.rec.Team), &wire.Condition{Key: jobKey(id), Version: e.ver},
-					wire.Change{Delete: jobKey(id)}, wire.Change{Put: finalKey(id), Value: f})
+				b.addJob(e, wire.Change{Delete: jobKey(id)}, wire.Change{Put: finalKey(id), Value: f})
 				continue
 			}
 			started := max(e.rec.Started, e.run.next)
@@ -942,7 +956,7 @@
 				started = max(started, min(e.rec.Tasks, e.run.next+ahead))
 			}
 			if started > e.rec.Started || c.movedOn(e) {
-				b.addJob(e, started)
+				b.addProgress(e, started)
 			}
 		}
 	}
@@ -952,7 +966,7 @@
 			delete(c.used, id)
 		} else if !b.full() {
 			if rec, change := c.markBlock(x); change {
-				b.add(rec.Shard, &wire.Condition{Key: blockKey(id), Version: x.ver}, wire.Change{Put: blockKey(id), Value: rec})
+				b.addBlock(x, rec)
 			} else {
 				delete(c.used, id)
 			}
@@ -967,16 +981,7 @@
 		rec.Settled = true
 		b.add(i, nil, wire.Change{Put: shardKey(i), Value: rec})
 	}
-	if len(b.then) == 0 {
-		return
-	}
-	c.flushing = true
-	b.send(LaneUser, func(ok bool) {
-		c.flushing = false
-		if !ok {
-			c.retryAt["flushJobs"] = c.now + tuning.RetryAfter/2
-			return
-		}
+	b.send(LaneUser, &c.flushing, "flushJobs", func() {
 		for _, id := range sortedKeys(finals) {
 			c.keepFinal(id, finals[id])
 			c.log(1, "job done", "job", id)
@@ -1046,7 +1051,7 @@
 		}
 		delete(c.learned, i)
 		c.telling = true
-		c.commit(LaneLater, []wire.Condition{{Key: shardKey(i), Version: c.shards[i].ver}},
+		c.commit(LaneLater, []wire.Condition{c.shardCond(i)},
 			[]wire.Change{{Put: wire.PrefixCache + strconv.Itoa(i), Value: rec}}, func(r StateReply) {
 				c.telling = false
 				if r.Status != 200 {
@@ -1077,11 +1082,11 @@
 	b := c.newBatch(c.p.TxnOps / 2)
 	for _, id := range c.blockIDs() {
 		x := c.blocks[id]
-		if !c.mine(x.rec.Shard) || b.full() {
+		if !c.mine(x.rec.Shard) || c.used[id] || b.full() {
 			continue
 		}
-		if rec, change := c.markBlock(x); change && !c.used[id] {
-			b.add(rec.Shard, &wire.Condition{Key: blockKey(id), Version: x.ver}, wire.Change{Put: blockKey(id), Value: rec})
+		if rec, change := c.markBlock(x); change {
+			b.addBlock(x, rec)
 		}
 	}
 	for _, e := range c.jobsByAge() {
@@ -1093,16 +1098,7 @@
 			continue
 		}
 		e.run.wrote = c.now
-		b.addJob(e, max(e.rec.Started, e.run.next))
+		b.addProgress(e, max(e.rec.Started, e.run.next))
 	}
-	if len(b.then) == 0 {
-		return
-	}
-	c.flushingLater = true
-	b.send(LaneLater, func(ok bool) {
-		c.flushingLater = false
-		if !ok {
-			c.retryAt["flushLater"] = c.now + tuning.RetryAfter/2
-		}
-	})
+	b.send(LaneLater, &c.flushingLater, "flushLater", func() {})
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -482,8 +482,7 @@
 	have := c.shardCPUs()
 	c.writeBlocks(infos, first, false, func(b *wire.Block) {
 		b.Shard = c.poorest(b.Zone, have)
-		full, _ := c.sizeOf(b.Type)
-		have[b.Shard] += full.CPUs * float64(len(b.Machines))
+		have[b.Shard] += c.blockCPUs(b)
 	}, nil)
 }
 
@@ -583,13 +582,7 @@
 		if !ok || len(w.Needs) == 0 || l.renting[i] || c.shards[i] == nil {
 			continue
 		}
-		newest := uint64(0)
-		for _, b := range c.blocks {
-			if b.rec.Shard == i {
-				newest = max(newest, b.ver)
-			}
-		}
-		if w.Seen < newest {
+		if w.Seen < c.newestBlock(i) {
 			continue // asked before it knew of what it has
 		}
 		for _, n := range w.Needs {
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -339,6 +339,22 @@
 	return t
 }
 
+// shardCond holds as long as a shard has not changed hands, or otherwise.
+func (c *Core) shardCond(i int) wire.Condition {
+	return wire.Condition{Key: shardKey(i), Version: c.shards[i].ver}
+}
+
+// newestBlock is the latest revision of a shard's blocks.
+func (c *Core) newestBlock(shard int) uint64 {
+	newest := uint64(0)
+	for _, b := range c.blocks {
+		if b.rec.Shard == shard {
+			newest = max(newest, b.ver)
+		}
+	}
+	return newest
+}
+
 func jobKey(id string) string   { return wire.PrefixJob + id }
 func finalKey(id string) string { return wire.PrefixFinal + id }
 func blockKey(id string) string { return wire.PrefixBlock + id }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -157,11 +158,7 @@
 			byTeam[p.e.rec.Team] = append(byTeam[p.e.rec.Team], p)
 		}
 	}
-	have := map[int]float64{}
-	for _, m := range c.heldMachines() {
-		full, _ := c.sizeOf(m.typ)
-		have[m.shard] += full.CPUs
-	}
+	have := c.shardCPUs()
 	now := float64(c.wall.UnixMilli()) / 1000
 	for _, team := range sortedKeys(byTeam) {
 		t := c.p.Teams[team]
@@ -590,13 +587,17 @@
 func (c *Core) shardCPUs() map[int]float64 {
 	have := map[int]float64{}
 	for _, id := range c.blockIDs() {
-		b := c.blocks[id].rec
-		full, _ := c.sizeOf(b.Type)
-		have[b.Shard] += full.CPUs * float64(len(b.Machines))
+		b := &c.blocks[id].rec
+		have[b.Shard] += c.blockCPUs(b)
 	}
 	return have
 }
 
+func (c *Core) blockCPUs(b *wire.Block) float64 {
+	full, _ := c.sizeOf(b.Type)
+	return full.CPUs * float64(len(b.Machines))
+}
+
 // guarantee sums up the guarantees of a shard's teams.
 func (c *Core) guarantee(shard int) float64 {
 	g := 0.0
@@ -776,9 +777,7 @@
 // a few of another shard's blocks would have held them all.
 func addNeed(out []wire.Need, n wire.Need) []wire.Need {
 	for i := range out {
-		like := out[i]
-		like.Tasks = n.Tasks
-		if sameNeeds([]wire.Need{like}, []wire.Need{n}) {
+		if sameKind(out[i], n) {
 			out[i].Tasks += n.Tasks
 			return out
 		}
@@ -798,12 +797,7 @@
 		if !c.mine(i) {
 			continue
 		}
-		w := wire.Want{Needs: c.needs(i)}
-		for _, b := range c.blocks {
-			if b.rec.Shard == i {
-				w.Seen = max(w.Seen, b.ver)
-			}
-		}
+		w := wire.Want{Needs: c.needs(i), Seen: c.newestBlock(i)}
 		c.retire(i, len(w.Needs) > 0)
 		if len(w.Needs) == 0 {
 			c.moveOff(i)
@@ -816,7 +810,7 @@
 		c.wantBusy = true
 		c.wantSent[i] = w
 		c.log(2, "asking the leader for machines", "shard", i, "needs", len(w.Needs))
-		c.commit(LaneLater, []wire.Condition{{Key: shardKey(i), Version: c.shards[i].ver}}, []wire.Change{{Put: wantKey(i), Value: w}}, func(r StateReply) {
+		c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: wantKey(i), Value: w}}, func(r StateReply) {
 			c.wantBusy = false
 			c.retryAt["want"] = c.now + 300*time.Millisecond
 			c.changed()
@@ -916,20 +910,11 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// sameKind tells whether two needs differ by the number of tasks at most.
+func sameKind(x, y wire.Need) bool {
+	return x.Zone == y.Zone && x.Spot == y.Spot && needSize(x) == needSize(y) && x.Dire == y.Dire && x.Booting == y.Booting && slices.Equal(x.Types, y.Types)
+}
+
 func sameNeeds(a, b []wire.Need) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		x, y := a[i], b[i]
-		if x.Zone != y.Zone || x.Spot != y.Spot || x.CPUs != y.CPUs || x.GPUs != y.GPUs || x.MemGB != y.MemGB || x.Tasks != y.Tasks || x.Dire != y.Dire || x.Booting != y.Booting || len(x.Types) != len(y.Types) {
-			return false
-		}
-		for k := range x.Types {
-			if x.Types[k] != y.Types[k] {
-				return false
-			}
-		}
-	}
-	return true
+	return slices.EqualFunc(a, b, func(x, y wire.Need) bool { return x.Tasks == y.Tasks && sameKind(x, y) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,6 +130,10 @@
 // users' requests. Requests that nobody waits for any more are passed over.
 func (n *node) next(ctx context.Context, tick <-chan time.Time) (any, bool) {
 	for {
+		users := n.users
+		if len(n.inbox)+len(n.workers)+len(tick) > 0 {
+			users = nil // their turn comes when nothing else waits
+		}
 		var r request
 		select {
 		case <-ctx.Done():
@@ -139,17 +143,7 @@
 		case <-tick:
 			return core.Tick{}, true
 		case r = <-n.workers:
-		default:
-			select {
-			case <-ctx.Done():
-				return nil, false
-			case in := <-n.inbox:
-				return in, true
-			case <-tick:
-				return core.Tick{}, true
-			case r = <-n.workers:
-			case r = <-n.users:
-			}
+		case r = <-users:
 		}
 		if r.ctx.Err() != nil {
 			continue
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -70,27 +70,29 @@
 // users wait for and that was refused for the limit, which controllers share
 // without asking each other, is tried again a few times.
 func (c *Client) Do(ctx context.Context, call core.StateCall) core.StateReply {
-	rep := c.do(ctx, call)
-	for i := 0; i < tuning.LimitRetries && rep.Status == http.StatusTooManyRequests && rep.Err != errOwnLimit.Error() && call.Lane == core.LaneUser && len(call.Txn.Then) > 0; i++ {
+	awaited := call.Lane == core.LaneUser && len(call.Txn.Then) > 0
+	for tries := 0; ; tries++ {
+		if err := c.admit(ctx, &call); err != nil {
+			return core.StateReply{Status: http.StatusTooManyRequests, Err: err.Error()}
+		}
+		rep := c.do(ctx, call)
+		if rep.Status != http.StatusTooManyRequests || !awaited || tries == tuning.LimitRetries {
+			return rep
+		}
 		select {
 		case <-ctx.Done():
 			return rep
 		case <-time.After(tuning.LimitPause):
 		}
-		rep = c.do(ctx, call)
 	}
-	return rep
 }
 
+// do sends the call once; the wait for our own limits is not in its time.
 func (c *Client) do(ctx context.Context, call core.StateCall) core.StateReply {
 	timeout := tuning.StateTimeout
 	if call.Op == core.OpWatch {
 		timeout += call.Hold
 	}
-	// Waiting for our own limits does not shorten the time the call itself has.
-	if err := c.admit(ctx, &call); err != nil {
-		return core.StateReply{Status: http.StatusTooManyRequests, Err: err.Error()}
-	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	method, path := http.MethodGet, ""
