--- a/internal/tools/repeat/main.go
+++ b/internal/tools/repeat/main.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -49,7 +50,7 @@
 			if err := o.check(); err != nil {
 				return err
 			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt)
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			return o.play(ctx)
 		},
@@ -141,12 +142,12 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for slot := range o.jobs {
-		tree, err := worktree(filepath.Join(o.out, "trees"), slot)
+		tree, err := checkout(filepath.Join(o.out, "trees"), slot)
 		if err != nil {
 			return err
 		}
 		wg.Go(func() {
-			defer func() { _ = exec.Command("git", "worktree", "remove", "--force", tree).Run() }()
+			defer os.RemoveAll(tree)
 			for t := range todo {
 				runs := o.one(ctx, tree, t)
 				if ctx.Err() != nil {
@@ -168,13 +169,16 @@
 	return keep(o.out, past, o.fall)
 }
 
-// worktree checks the present sources out for one slot, so that the bench's
-// journal entries of these runs do not mix with the project's own.
-func worktree(dir string, slot int) (string, error) {
+// checkout clones the present sources for one slot. The bench keeps journal
+// entries beside the repository too and copies them into every worktree of it, so
+// only a clone keeps these runs' entries apart from each other and the project's.
+func checkout(dir string, slot int) (string, error) {
 	tree := filepath.Join(dir, fmt.Sprint(slot))
-	_ = exec.Command("git", "worktree", "remove", "--force", tree).Run() // of a run that was interrupted
-	if out, err := exec.Command("git", "worktree", "add", "--quiet", "--detach", "--force", tree, "HEAD").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("git worktree: %w: %s", err, out)
+	if err := os.RemoveAll(tree); err != nil { // of a run that was interrupted
+		return "", err
+	}
+	if out, err := exec.Command("git", "clone", "--quiet", "--shared", ".", tree).CombinedOutput(); err != nil {
+		return "", fmt.Errorf("git clone: %w: %s", err, out)
 	}
 	return tree, nil
 }
