--- /dev/null
+++ b/internal/checker/checker_test.go
@@ -0,0 +1,146 @@
+package checker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+const sec = time.Second
+
+func ptr[T any](v T) *T { return &v }
+
+func spec(id string, tasks int64) wire.JobSpec {
+	return wire.JobSpec{ID: &id, Class: ptr("any"), Team: ptr("red"), Shape: ptr(wire.ShapeBatch), Priority: ptr("normal"), Tasks: &tasks,
+		CPUs: ptr(1.0), GPUs: ptr(0.0), MemoryGB: ptr(1.0), OneZone: ptr(false), Spread: ptr(false), Spot: ptr(false)}
+}
+
+// broken plays a day on which all goes well up to second 10, then f, and tells
+// which rules were found broken.
+func broken(f func(c *Checker)) map[string]bool {
+	c := New(Params{Teams: map[string]Limit{"red": {CPUs: 3}}, Cancel: 40 * sec,
+		Lapsed: func(m string, now Time) bool { return m == "hung" && now > 30*sec }})
+	for _, m := range []Machine{{"a1", "std", "a", false}, {"a2", "std", "a", false}, {"b1", "std", "b", false}, {"spot", "std", "a", true}, {"big", "big", "a", false}, {"hung", "std", "a", false}} {
+		c.MachineUp(m)
+	}
+	s := spec("job-1", 2)
+	c.Submitting(s)
+	c.Submitted(sec, 0, "job-1", 201, wire.JobStatus{Status: wire.JobQueued})
+	c.TaskStarted(2*sec, "a1", "job-1/0", 1)
+	if f != nil {
+		f(c)
+	}
+	out := map[string]bool{}
+	for _, v := range c.Finish(200 * sec) {
+		out[v.Rule] = true
+	}
+	return out
+}
+
+// Each rule is broken on purpose, and nothing but that rule is named.
+func TestEachRuleIsFound(t *testing.T) {
+	st := func(s string) wire.JobStatus { return wire.JobStatus{Status: s} }
+	with := func(change func(*wire.JobSpec), machine string) func(*Checker) {
+		return func(c *Checker) {
+			s := spec("job-2", 2)
+			change(&s)
+			c.Submitting(s)
+			c.Submitted(3*sec, 2*sec, "job-2", 201, st(wire.JobQueued))
+			c.TaskStarted(4*sec, "b1", "job-2/0", 1)
+			c.TaskStarted(5*sec, machine, "job-2/1", 1)
+		}
+	}
+	cancelled := func(c *Checker) {
+		c.Aborting("job-1")
+		c.Aborted(12*sec, 11*sec, "job-1", 200, st(wire.JobAborted))
+	}
+	for name, x := range map[string]struct {
+		rule string
+		f    func(c *Checker)
+	}{
+		"two machines": {RanTwice, func(c *Checker) { c.TaskStarted(10*sec, "a2", "job-1/0", 2) }},
+		"over the limit": {Quota, func(c *Checker) {
+			s := spec("job-2", 1)
+			s.CPUs = ptr(2.5)
+			c.Submitting(s)
+			c.TaskStarted(10*sec, "a1", "job-2/0", 1)
+		}},
+		"type":     {WrongPlace, with(func(s *wire.JobSpec) { s.Types = []string{"std"} }, "big")},
+		"zone":     {WrongPlace, with(func(s *wire.JobSpec) { s.Zone = ptr("b") }, "a1")},
+		"spot":     {WrongPlace, with(func(*wire.JobSpec) {}, "spot")},
+		"one zone": {WrongPlace, with(func(s *wire.JobSpec) { s.OneZone = ptr(true) }, "a1")},
+		"spread":   {WrongPlace, with(func(s *wire.JobSpec) { s.Spread = ptr(true) }, "b1")},
+		"stays":    {RanCancelled, cancelled},
+		"starts": {RanCancelled, func(c *Checker) {
+			c.TaskLeft(3*sec, "a1", "job-1/0", wire.CauseDone)
+			cancelled(c)
+			c.TaskStarted(60*sec, "a1", "job-1/1", 1)
+			c.TaskLeft(60*sec, "a1", "job-1/1", wire.CauseHalted)
+		}},
+		"404":       {Forgotten, func(c *Checker) { c.Polled(10*sec, 9*sec, "job-1", 404, st("")) }},
+		"abort 404": {Forgotten, func(c *Checker) { c.Aborting("job-1"); c.Aborted(10*sec, 9*sec, "job-1", 404, st("")) }},
+		"again 422": {Forgotten, func(c *Checker) { c.Submitted(10*sec, 9*sec, "job-1", 422, st("")) }},
+		"no poll answered": {Forgotten, func(c *Checker) {
+			for i := range Time(40) {
+				c.Polled((10+3*i)*sec, (9+3*i)*sec, "job-1", 503, st(""))
+				for range 3 {
+					c.Polled((10+3*i)*sec, (9+3*i)*sec, "job-99", 404, st(""))
+				}
+			}
+		}},
+		"200 for nothing": {Invented, func(c *Checker) { c.Polled(10*sec, 9*sec, "job-99", 200, st(wire.JobQueued)) }},
+		"task of nothing": {Invented, func(c *Checker) { c.TaskStarted(10*sec, "a2", "job-99/0", 1) }},
+		"early": {NotDone, func(c *Checker) {
+			c.TaskLeft(8*sec, "a1", "job-1/0", wire.CauseDone)
+			c.Polled(10*sec, 9*sec, "job-1", 200, st(wire.JobDone))
+		}},
+		"aborted, then runs": {WentBack, func(c *Checker) {
+			cancelled(c)
+			c.TaskLeft(13*sec, "a1", "job-1/0", wire.CauseHalted)
+			c.Polled(15*sec, 14*sec, "job-1", 200, st(wire.JobRunning))
+		}},
+		"unasked abort": {WentBack, func(c *Checker) {
+			c.TaskLeft(9*sec, "a1", "job-1/0", wire.CauseHalted)
+			c.Polled(10*sec, 9*sec, "job-1", 200, st(wire.JobAborted))
+		}},
+	} {
+		if got := broken(x.f); !got[x.rule] || len(got) != 1 {
+			t.Errorf("%s: found %v, want %s alone", name, got, x.rule)
+		}
+	}
+	if got := New(Params{}).Finish(sec); len(got) != 1 || got[0].Rule != NothingRan {
+		t.Errorf("a world without tasks: %v", got)
+	}
+}
+
+// What the protocol allows is not taken for a broken rule.
+func TestAllowed(t *testing.T) {
+	st := func(s string) wire.JobStatus { return wire.JobStatus{Status: s} }
+	for name, f := range map[string]func(c *Checker){
+		"nothing": nil,
+		"late done": func(c *Checker) {
+			c.TaskLeft(8*sec, "a1", "job-1/0", wire.CauseDone)
+			c.Polled(10*sec, 9*sec, "job-1", 200, st(wire.JobRunning))
+		},
+		"a poll sent before the abort": func(c *Checker) {
+			c.Aborting("job-1")
+			c.Aborted(12*sec, 11*sec, "job-1", 200, st(wire.JobAborted))
+			c.TaskLeft(13*sec, "a1", "job-1/0", wire.CauseHalted)
+			c.Polled(13*sec, 11*sec, "job-1", 200, st(wire.JobRunning))
+		},
+		"its machine hangs past its lease": func(c *Checker) {
+			c.TaskStarted(20*sec, "hung", "job-1/1", 1)
+			c.TaskStarted(31*sec, "a2", "job-1/1", 2)
+		},
+		"an outage for all": func(c *Checker) {
+			for i := range Time(40) {
+				c.Polled((10+3*i)*sec, (9+3*i)*sec, "job-1", 0, st(""))
+			}
+		},
+	} {
+		if got := broken(f); len(got) != 0 {
+			t.Errorf("%s: found %v", name, got)
+		}
+	}
+}
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -11,13 +11,11 @@
 // largeWorld is a deployment of n machines, all found standing, with work for
 // about all of them, run until it is steady.
 func largeWorld(t testing.TB, n int) *world {
-	w := newWorld(t, 7, 3)
-	w.capacity = 2 * n
 	cpus := float64(4 * n)
-	w.teams = map[string]Team{"red": {CPUs: cpus / 3, CPUsMax: cpus}, "blue": {CPUs: cpus / 3, CPUsMax: cpus}, "green": {CPUs: cpus / 3, CPUsMax: cpus}}
-	for _, c := range sortedKeys(w.nodes) {
-		w.start(c)
-	}
+	w := newWorld(t, 7, 3, func(w *world) {
+		w.capacity = n / 2
+		w.teams = map[string]Team{"red": {CPUs: cpus / 3, CPUsMax: cpus}, "blue": {CPUs: cpus / 3, CPUsMax: cpus}, "green": {CPUs: cpus / 3, CPUsMax: cpus}}
+	})
 	for i := range n {
 		w.addMachine([]string{"n", "s"}[i%2], false, sec)
 	}
@@ -51,7 +49,7 @@
 		w := largeWorld(b, n)
 		c := w.busiest().core
 		now, wall := w.now-w.busiest().began, time.UnixMilli(1e12).Add(w.now)
-		var held []*worker
+		var held []*host
 		for _, name := range w.order {
 			if c.machines[name] != nil {
 				held = append(held, w.machines[name])
@@ -66,9 +64,9 @@
 		b.Run(fmt.Sprintf("report-%d", n), func(b *testing.B) {
 			for i := range b.N {
 				m := held[i%len(held)]
-				m.seq++
+				r, _ := m.Inspect(w.now)
 				req++
-				step(WorkerReport{req, wire.Report{Machine: m.info.Name, Type: "std", Zone: m.info.Zone, Session: m.session, Seq: m.seq, Token: m.token, Attempts: m.listing()}})
+				step(WorkerReport{req, r})
 			}
 		})
 		b.Run(fmt.Sprintf("tick-%d", n), func(b *testing.B) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -66,13 +66,13 @@
 			t.Errorf("%s: %d, want %d", what, got, code)
 		}
 	}
-	w.cloudUp = false
+	w.cloud.Trouble.Down = true
 	w.run(4 * sec)
 	code, _ := status("c0", sub(spec("job-000001", "red", wire.ShapeBatch, 2)))
 	want("types unknown", code, 503)
-	w.cloudUp = true
+	w.cloud.Trouble.Down = false
 	w.run(6 * sec)
-	w.jobs["job-000001"] = &userJob{spec: spec("job-000001", "red", wire.ShapeService, 2), done: map[string]bool{}}
+	w.upload(spec("job-000001", "red", wire.ShapeService, 2))
 	code, _ = status("c0", sub(w.jobs["job-000001"].spec))
 	want("new", code, 201)
 	broken := spec("job-000001", "red", "heap", 0)
@@ -98,8 +98,8 @@
 	want("never accepted", code, 404)
 	code, _ = status("c2", func(q uint64) any { return Abort{q, "job-000099"} })
 	want("abort of nothing", code, 404)
+	w.check.Aborting("job-000001")
 	code, st := status("c1", func(q uint64) any { return Abort{q, "job-000001"} })
-	w.jobs["job-000001"].aborted = w.now
 	if code != 200 || st != wire.JobAborted {
 		t.Errorf("abort: %d %s", code, st)
 	}
@@ -161,7 +161,7 @@
 	for _, n := range w.order {
 		if m := w.machines[n]; !m.gone {
 			held++
-			replicas += len(m.tasks)
+			replicas += len(m.tasks())
 		}
 	}
 	if replicas != 3 || held > 2 {
@@ -205,14 +205,14 @@
 	set(a, &wire.Cordon{})
 	w.submit(spec("job-000001", "red", wire.ShapeService, 3))
 	w.run(10 * sec)
-	if len(w.machines[a].tasks) != 0 || len(w.machines[b].tasks) != 3 {
-		t.Fatalf("cordoned machine has %d tasks, the other %d", len(w.machines[a].tasks), len(w.machines[b].tasks))
+	if len(w.machines[a].tasks()) != 0 || len(w.machines[b].tasks()) != 3 {
+		t.Fatalf("cordoned machine has %d tasks, the other %d", len(w.machines[a].tasks()), len(w.machines[b].tasks()))
 	}
 	set(a, nil)
 	set(b, &wire.Cordon{Drain: true})
 	w.run(15 * sec)
-	if !w.machines[b].gone || len(w.machines[a].tasks) != 3 {
-		t.Errorf("drained machine gone: %v; %d tasks on the other", w.machines[b].gone, len(w.machines[a].tasks))
+	if !w.machines[b].gone || len(w.machines[a].tasks()) != 3 {
+		t.Errorf("drained machine gone: %v; %d tasks on the other", w.machines[b].gone, len(w.machines[a].tasks()))
 	}
 }
 
@@ -225,20 +225,20 @@
 	w.submit(spec("job-000002", "blue", wire.ShapeBatch, 4))
 	w.pollAll()
 	w.run(60 * sec)
-	if w.jobs["job-000002"].final != wire.JobDone {
+	if w.check.Final("job-000002") != wire.JobDone {
 		t.Error("the small job waits behind the large one")
 	}
-	if n := len(w.jobs["job-000001"].done); n < 60 {
+	if n := w.check.DoneTasks("job-000001"); n < 60 {
 		t.Errorf("%d tasks of the large job done in a minute", n)
 	}
-	if it := w.keys[jobKey("job-000001")]; len(it.Value) > 2048 {
+	if it := w.key(jobKey("job-000001")); len(it.Value) > 2048 {
 		t.Errorf("its record has %d bytes", len(it.Value))
 	}
 	w.kill("c0")
 	w.at(4*sec, func() { w.start("c0") })
-	before := len(w.jobs["job-000001"].done)
+	before := w.check.DoneTasks("job-000001")
 	w.run(40 * sec)
-	if n := len(w.jobs["job-000001"].done); n <= before {
+	if n := w.check.DoneTasks("job-000001"); n <= before {
 		t.Error("the large job does not go on after a restart")
 	}
 }
@@ -254,7 +254,7 @@
 		t.Fatal(err)
 	}
 	c.put(wire.PrefixNode+"ghost", raw, 1) // seen once, removed unseen
-	w.tooOld = true
+	w.store.Trouble.TooOld = true
 	w.run(6 * sec)
 	if _, ok := c.nodes["ghost"]; ok {
 		t.Error("a key removed before the mirror was read again is still there")
@@ -313,9 +313,9 @@
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeService, 3))
 	w.run(20 * sec)
-	var hung *worker
+	var hung *host
 	for _, n := range w.order {
-		if m := w.machines[n]; len(m.tasks) > 0 && !m.gone {
+		if m := w.machines[n]; len(m.tasks()) > 0 && !m.gone {
 			hung = m
 			break
 		}
@@ -323,14 +323,14 @@
 	if hung == nil {
 		t.Fatal("nothing runs")
 	}
-	hung.hung = true
+	w.hang(hung)
 	w.run(8 * sec)
-	w.at(7*sec, func() { hung.hung = false })
+	w.at(7*sec, func() { w.resume(hung) })
 	w.run(40 * sec)
 	n := 0
 	for _, m := range w.machines {
 		if !m.gone {
-			n += len(m.tasks)
+			n += len(m.tasks())
 		}
 	}
 	if n != 3 {
@@ -343,22 +343,23 @@
 // ran elsewhere by then.
 func TestReportOfASessionThatIsOver(t *testing.T) {
 	w, _ := runningServices(t, 21)
-	var hung *worker
+	var hung *host
 	for _, n := range w.order {
-		if m := w.machines[n]; len(m.tasks) > 0 && !m.gone {
+		if m := w.machines[n]; len(m.tasks()) > 0 && !m.gone {
 			hung = m
 		}
 	}
-	name, list := hung.info.Name, hung.listing()
+	name := hung.info.Name
+	late, _ := hung.Inspect(w.now)
 	holder := w.nodes[w.holderOf(name)]
-	hung.hung, w.cloudUp = true, false // so that it is not deleted at once
+	hung.Fault.Hung, w.cloud.Trouble.Down = true, true // so that it is not deleted at once
 	w.run(12 * sec)
 	if m := holder.core.machines[name]; m == nil || !m.over {
 		t.Fatal("the machine's lease should be over, and the machine still held")
 	}
 	var got Answer
 	w.ask(holder.name, func(q uint64) any {
-		return WorkerReport{q, wire.Report{Machine: name, Type: "std", Zone: hung.info.Zone, Session: hung.session, Seq: hung.seq + 1, Token: hung.token, Attempts: list}}
+		return WorkerReport{q, late}
 	}, func(a Answer) { got = a })
 	if got.Status != 503 || len(holder.core.machines[name].attempts) > 0 {
 		t.Errorf("answered %d, %d tasks taken for running", got.Status, len(holder.core.machines[name].attempts))
@@ -371,7 +372,7 @@
 func TestTakeoverDoesNotWaitForUnusedMachines(t *testing.T) {
 	w := newWorld(t, 22, 3)
 	w.run(4 * sec)
-	w.unborn = 1
+	w.cloud.Trouble.Unborn = 1
 	w.submit(spec("job-000001", "red", wire.ShapeService, 8))
 	w.run(15 * sec)
 	w.kill(w.shardRec("red").Holder)
@@ -391,12 +392,12 @@
 	w.run(10 * sec)
 	w.ask("c0", func(q uint64) any { return AdminCordon{q, first, &wire.Cordon{Drain: true}} }, func(Answer) {})
 	w.run(10 * sec)
-	if !w.machines[first].gone || w.keys[blockKey(first)].Version == 0 {
+	if !w.machines[first].gone || w.key(blockKey(first)).Version == 0 {
 		t.Fatal("the first machine should be gone, its block not")
 	}
-	w.ghosts = map[string]bool{first: true}
+	w.cloud.Trouble.Ghosts = map[string]bool{first: true}
 	var l wire.Leader
-	if err := wire.Unmarshal(w.keys[wire.KeyLeader].Value, &l); err != nil {
+	if err := wire.Unmarshal(w.key(wire.KeyLeader).Value, &l); err != nil {
 		t.Fatal(err)
 	}
 	w.kill(l.Node)
@@ -410,8 +411,8 @@
 	if u := w.unfinished(); u != nil {
 		t.Errorf("not done: %v", u)
 	}
-	if w.conflicts > 5 { // each costs as much of the write limit as one that works
-		t.Errorf("%d transactions failed", w.conflicts)
+	if w.store.Conflicts > 5 { // each costs as much of the write limit as one that works
+		t.Errorf("%d transactions failed", w.store.Conflicts)
 	}
 }
 
@@ -424,8 +425,8 @@
 	w.submit(spec("job-000001", "red", wire.ShapeService, 8))
 	w.run(15 * sec)
 	for _, m := range w.machines {
-		if len(m.tasks) > 0 {
-			m.hung = true
+		if len(m.tasks()) > 0 {
+			w.hang(m)
 			break
 		}
 	}
@@ -454,22 +455,22 @@
 	}
 	w.run(20 * sec)
 	at := map[string]string{} // task -> machine
-	var hung *worker
+	var hung *host
 	for _, n := range w.order {
-		for _, r := range w.machines[n].tasks {
-			at[r.name] = n
+		for _, r := range w.machines[n].tasks() {
+			at[r.Task] = n
 			hung = w.machines[n]
 		}
 	}
 	if len(at) != 8 {
 		t.Fatalf("%d replicas run", len(at))
 	}
-	hung.hung = true
+	w.hang(hung)
 	for _, n := range sortedKeys(w.nodes) {
 		w.kill(n)
 	}
 	w.run(13 * sec) // every lease is over
-	writes := w.rev
+	writes := w.store.Written
 	for _, n := range sortedKeys(w.nodes) {
 		w.start(n)
 	}
@@ -477,14 +478,14 @@
 	for task, n := range at {
 		m := w.machines[n]
 		back := false
-		for _, r := range m.tasks {
-			back = back || r.name == task
+		for _, r := range m.tasks() {
+			back = back || r.Task == task
 		}
 		if m != hung && !back {
 			t.Errorf("%s does not run on %s again", task, n)
 		}
 	}
-	if n := w.rev - writes; n > 25 {
+	if n := w.store.Written - writes; n > 25 {
 		t.Errorf("%d writes to start again where all was", n)
 	}
 }
@@ -507,7 +508,7 @@
 	name := w.addMachine("n", false, sec)
 	w.run(10 * sec)
 	old := w.holderOf(name)
-	w.cutState[old] = true
+	w.cutFrom[old] = true
 	w.run(9 * sec)
 	next := w.holderOf(name)
 	if next == old || w.nodes[next].core.machines[name] == nil || !w.nodes[next].core.machines[name].accounted {
@@ -535,12 +536,12 @@
 	w.run(20 * sec)
 	sessions := map[string]uint64{}
 	for n, m := range w.machines {
-		sessions[n] = m.session
+		sessions[n] = w.session(m)
 	}
 	return w, func() {
 		t.Helper()
 		for n, m := range w.machines {
-			if m.session != sessions[n] {
+			if w.session(m) != sessions[n] {
 				t.Errorf("%s lost its session", n)
 			}
 		}
@@ -579,34 +580,30 @@
 // enough that a cancelled job's tasks are gone within cancel_s.
 func TestLoneOutageAndAbort(t *testing.T) {
 	w := newWorld(t, 6, 3)
-	w.checkAborted()
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeService, 3))
 	w.run(20 * sec)
 	var holder string
 	for _, n := range w.order {
-		if len(w.machines[n].tasks) > 0 {
+		if len(w.machines[n].tasks()) > 0 {
 			holder = w.holderOf(n)
 		}
 	}
-	w.cutState[holder] = true
+	w.cutFrom[holder] = true
 	w.run(200 * time.Millisecond)
 	for _, n := range sortedKeys(w.nodes) {
 		if n != holder {
-			w.ask(n, func(q uint64) any { return Abort{q, "job-000001"} }, func(a Answer) {
-				if a.Status == 200 {
-					w.jobs["job-000001"].aborted = w.now
-				}
-			})
+			w.check.Aborting("job-000001")
+			w.ask(n, func(q uint64) any { return Abort{q, "job-000001"} }, func(a Answer) { w.aborted("job-000001", a, w.now) })
 			break
 		}
 	}
 	w.run(60 * sec)
-	if w.jobs["job-000001"].aborted == 0 {
+	if w.check.Final("job-000001") != wire.JobAborted {
 		t.Fatal("abort not taken by a controller that reaches the state")
 	}
 	for n, m := range w.machines {
-		if len(m.tasks) > 0 && !m.gone {
+		if len(m.tasks()) > 0 && !m.gone {
 			t.Errorf("%s still has tasks", n)
 		}
 	}
@@ -647,21 +644,21 @@
 	for range 400 {
 		w.run(50 * time.Millisecond)
 		var j wire.Job
-		if it, ok := w.keys[jobKey("job-000001")]; ok {
+		if it, ok := w.store.Peek(jobKey("job-000001")); ok {
 			_ = wire.Unmarshal(it.Value, &j)
 		}
 		for _, m := range w.machines {
-			if len(m.tasks) > 0 && j.ID != "" && j.Started == 0 {
+			if len(m.tasks()) > 0 && j.ID != "" && j.Started == 0 {
 				t.Fatal("started before it was written")
 			}
-			if len(w.jobs["job-000001"].done) == 1 && len(m.tasks) == 0 && !m.gone && m.up > 0 && j.ID != "" {
-				if _, ok := w.keys[finalKey("job-000001")]; !ok {
+			if w.check.DoneTasks("job-000001") == 1 && len(m.tasks()) == 0 && !m.gone && m.up && j.ID != "" {
+				if _, ok := w.store.Peek(finalKey("job-000001")); !ok {
 					t.Fatal("cleared before its end was written")
 				}
 			}
 		}
 	}
-	if _, ok := w.keys[finalKey("job-000001")]; !ok {
+	if _, ok := w.store.Peek(finalKey("job-000001")); !ok {
 		t.Fatal("not done")
 	}
 }
@@ -701,7 +698,6 @@
 			for i := range 5 {
 				w.addMachine([]string{"n", "s"}[i%2], false, sec)
 			}
-			w.checkAborted()
 			w.pollAll()
 			w.run(5 * sec)
 			id := 0
@@ -716,17 +712,17 @@
 				case 1:
 					if len(w.order) > 0 {
 						m := w.machines[w.order[w.rng.IntN(len(w.order))]]
-						m.hung = true
-						w.at(time.Duration(1+w.rng.IntN(25))*sec, func() { m.hung = false })
+						w.hang(m)
+						w.at(time.Duration(1+w.rng.IntN(25))*sec, func() { w.resume(m) })
 					}
 				case 2:
-					if w.stateUp && w.rng.IntN(2) == 0 {
+					if w.stateUp() && w.rng.IntN(2) == 0 {
 						w.outage(time.Duration(1+w.rng.IntN(15)) * sec)
 					}
 				case 3:
 					n := fmt.Sprintf("c%d", w.rng.IntN(3))
-					w.cutState[n] = true
-					w.at(time.Duration(1+w.rng.IntN(30))*sec, func() { delete(w.cutState, n) })
+					w.cutFrom[n] = true
+					w.at(time.Duration(1+w.rng.IntN(30))*sec, func() { delete(w.cutFrom, n) })
 				case 4:
 					w.apart[[2]string{"n", "s"}] = true
 					w.at(time.Duration(1+w.rng.IntN(25))*sec, func() { w.apart = map[[2]string]bool{} })
@@ -735,8 +731,8 @@
 						w.abort(fmt.Sprintf("job-%06d", w.rng.IntN(id)))
 					}
 				case 6:
-					w.cloudUp = false
-					w.at(time.Duration(1+w.rng.IntN(15))*sec, func() { w.cloudUp = true })
+					w.cloud.Trouble.Down = true
+					w.at(time.Duration(1+w.rng.IntN(15))*sec, func() { w.cloud.Trouble.Down = false })
 				default:
 					shape := wire.ShapeBatch
 					if w.rng.IntN(4) == 0 {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -7,13 +7,13 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// runningTasks counts the tasks that are on live machines.
+// runningTasks counts the tasks that are on live machines, those that wait for
+// their image included.
 func (w *world) runningTasks() int {
 	n := 0
 	for _, name := range w.order {
-		m := w.machines[name]
-		for _, r := range m.tasks {
-			if w.alive(m) && r.status != wire.TaskEnded {
+		for _, r := range w.machines[name].tasks() {
+			if r.Status != wire.TaskEnded {
 				n++
 			}
 		}
@@ -26,16 +26,13 @@
 // rules; here stand progress by the fake clock, and what it may cost.
 func TestLargeFleet(t *testing.T) {
 	const machines, replicas = 500, 150
-	w := newWorld(t, 31, 3)
-	w.writeRPS, w.capacity = 20, machines+100
-	w.teams = map[string]Team{"red": {CPUs: 900, CPUsMax: 1500}, "blue": {CPUs: 600, CPUsMax: 1500}, "green": {CPUs: 300, CPUsMax: 800}}
-	for _, n := range sortedKeys(w.nodes) {
-		w.start(n)
-	}
+	w := newWorld(t, 31, 3, func(w *world) {
+		w.limits.WriteRPS, w.capacity, w.runS = 20, machines/4, 200*sec
+		w.teams = map[string]Team{"red": {CPUs: 900, CPUsMax: 1500}, "blue": {CPUs: 600, CPUsMax: 1500}, "green": {CPUs: 300, CPUsMax: 800}}
+	})
 	for i := range machines {
 		w.addMachine([]string{"n", "s"}[i%2], false, sec)
 	}
-	w.checkAborted()
 
 	// A first start: all machines leased within what the write limit allows.
 	w.run(15 * sec)
@@ -43,8 +40,8 @@
 	for _, n := range sortedKeys(w.nodes) {
 		held += len(w.nodes[n].core.machines)
 	}
-	if held != machines || w.writes > 150 {
-		t.Fatalf("%d of %d machines held after 15 s and %d changes", held, machines, w.writes)
+	if held != machines || w.store.Written > 150 {
+		t.Fatalf("%d of %d machines held after 15 s and %d changes", held, machines, w.store.Written)
 	}
 
 	for _, team := range sortedKeys(w.teams) {
@@ -70,9 +67,6 @@
 		s.EstimateS, s.DueS = ptr(200.0), ptr(3000.0)
 		w.submit(s)
 	}
-	for _, m := range w.machines {
-		m.runS = 200 * sec
-	}
 	w.run(60 * sec)
 	full := w.runningTasks()
 	if full < replicas+1000 {
@@ -80,7 +74,7 @@
 	}
 
 	// Two of three controllers are lost: no task is, and what ends is written.
-	before := w.writes
+	before := w.store.Written
 	w.kill("c0")
 	w.kill("c1")
 	w.run(20 * sec)
@@ -92,7 +86,7 @@
 			t.Errorf("%s: held by %s, settled %v", team, r.Holder, r.Settled)
 		}
 	}
-	if n := w.writes - before; n > 200 {
+	if n := w.store.Written - before; n > 200 {
 		t.Errorf("%d changes for the takeover of two shards", n)
 	}
 	w.start("c0")
@@ -115,14 +109,14 @@
 	// A wave takes a tenth of the machines without notice: the replicas on them
 	// run again once the leases are over.
 	for i := 0; i < machines; i += 10 {
-		w.machines[w.order[i]].gone, w.machines[w.order[i]].tasks = true, nil
+		w.vanish(w.order[i])
 	}
 	w.run(40 * sec)
 	up := map[string]bool{}
 	for _, n := range w.order {
-		for _, r := range w.machines[n].tasks {
-			if j := w.jobs[r.job]; *j.spec.Shape == wire.ShapeService && r.status != wire.TaskEnded {
-				up[r.job] = true
+		for _, r := range w.machines[n].tasks() {
+			if id, _, _ := wire.ParseTask(r.Task); *w.jobs[id].spec.Shape == wire.ShapeService && r.Status != wire.TaskEnded {
+				up[r.Task] = true
 			}
 		}
 	}
--- a/wire/state.go
+++ b/wire/state.go
@@ -15,6 +15,11 @@
 	Revision uint64 `cbor:"epoch"`
 }
 
+// Absent answers GET /store/{key} for a key that does not exist.
+type Absent struct {
+	Revision uint64 `cbor:"epoch"`
+}
+
 // Condition is one comparison of a transaction; version 0: the key is absent.
 type Condition struct {
 	Key     string `cbor:"path"`
