--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,198 @@
+// Package dev is the product's first command: a live cluster on one machine.
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/standin/site"
+)
+
+// Options are the command's flags.
+type Options struct {
+	Controllers int
+	Machines    int
+	Zones       int
+	For         time.Duration // 0: until interrupted
+	Addresses   string        // file for the addresses; "": none
+	Demo        bool
+	Dir         string // for logs and settings; "": a temporary one
+	LogLevel    string
+}
+
+// Check tells in one line which flag is out of its range.
+func (o Options) Check() error {
+	switch {
+	case o.Controllers < 1 || o.Controllers > 9:
+		return fmt.Errorf("--controllers: must be from 1 to 9, got %d", o.Controllers)
+	case o.Machines < 0 || o.Machines > 2000:
+		return fmt.Errorf("--machines: must be from 0 to 2000, got %d", o.Machines)
+	case o.Zones < 1 || o.Zones > 9:
+		return fmt.Errorf("--zones: must be from 1 to 9, got %d", o.Zones)
+	case o.For < 0:
+		return errors.New("--for: must not be negative")
+	case o.Demo && o.Controllers < 2:
+		return errors.New("--demo: takes the leading controller away and needs another, --controllers must be at least 2")
+	}
+	return nil
+}
+
+// Addresses is what --addresses writes.
+type Addresses struct {
+	Controllers []string `json:"controllers"`
+	State       string   `json:"state"`
+	Cloud       string   `json:"cloud"`
+	Faults      string   `json:"faults"`
+	Logs        string   `json:"logs"`
+}
+
+// readyWithin bounds the start.
+const readyWithin = 30 * time.Second
+
+// Run brings a cluster up and serves until the context ends.
+func Run(ctx context.Context, o Options, out io.Writer) error {
+	if err := o.Check(); err != nil {
+		return err
+	}
+	dir, err := workDir(&o)
+	if err != nil {
+		return err
+	}
+	if o.Dir == "" {
+		defer os.RemoveAll(dir)
+	}
+	spec := site.Default()
+	spec.Controllers, spec.Machines, spec.Dir, spec.LogLevel = o.Controllers, o.Machines, dir, o.LogLevel
+	spec.Zones = nil
+	for i := range o.Zones {
+		spec.Zones = append(spec.Zones, string(rune('a'+i)))
+	}
+	scale(&spec)
+	if spec.Program, err = os.Executable(); err != nil {
+		return err
+	}
+	begun := time.Now()
+	s := site.New(spec, slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelError})), nil)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.Stop()
+	if err := s.Start(ctx); err != nil {
+		return err
+	}
+	faults, stop, err := s.ServeFaults()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	wait, done := context.WithTimeout(ctx, readyWithin)
+	defer done()
+	if err := s.WaitReady(wait); err != nil {
+		return interrupted(ctx, err)
+	}
+	a := Addresses{Controllers: s.Public(), Faults: faults, Logs: dir}
+	a.State, a.Cloud = s.Services()
+	if err := writeAddresses(o.Addresses, a); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "ready after %.1f s: %d controllers, %d machines in %d zones\n", time.Since(begun).Seconds(), o.Controllers, o.Machines, o.Zones)
+	if o.Demo {
+		return Demo(ctx, s, out)
+	}
+	hints(out, a, o)
+	if o.For > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(o.For):
+		}
+	} else {
+		<-ctx.Done()
+	}
+	fmt.Fprintln(out, "ending all that was started")
+	return nil
+}
+
+func interrupted(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil // told to end before it was up
+	}
+	return err
+}
+
+func workDir(o *Options) (string, error) {
+	if o.Dir == "" {
+		return os.MkdirTemp("", "barrowbridge-dev-")
+	}
+	abs, err := filepath.Abs(o.Dir)
+	if err != nil {
+		return "", err
+	}
+	return abs, os.MkdirAll(abs, 0o755)
+}
+
+// scale fits limits and teams to the number of machines: the platform of a
+// larger fleet takes more, and its teams have more.
+func scale(s *site.Spec) {
+	k := max(1, float64(s.Machines)/8)
+	for n, t := range s.Teams {
+		s.Teams[n] = site.Team{CPUs: t.CPUs * k, CPUsMax: t.CPUsMax * k}
+	}
+	s.Rentable = max(s.Rentable, s.Machines/4)
+	if s.Machines > 50 {
+		s.State.WriteRPS = 100
+	}
+}
+
+// writeAddresses writes the file whole or not at all.
+func writeAddresses(path string, a Addresses) error {
+	if path == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(a, "", "  ")
+	if err != nil {
+		return err
+	}
+	tmp := path + ".new"
+	if err := os.WriteFile(tmp, append(b, '\n'), 0o644); err != nil {
+		return fmt.Errorf("--addresses: %w", err)
+	}
+	return os.Rename(tmp, path)
+}
+
+// self is how this program is called again.
+func self() string {
+	path, err := os.Executable()
+	if err != nil || strings.Contains(path, "go-build") {
+		return "go run ./cmd/barrowbridge"
+	}
+	return path
+}
+
+func hints(out io.Writer, a Addresses, o Options) {
+	servers := strings.Join(a.Controllers, ",")
+	fmt.Fprintf(out, `
+controllers  %[1]s
+state        %[2]s
+cloud        %[3]s
+faults       http://%[4]s/kinds
+logs         %[5]s
+
+Try, in another terminal:
+  %[6]s admin overview --server %[1]s
+  %[6]s job submit examples/array.json --server %[1]s
+  %[6]s job wait job-000001 --server %[1]s
+  curl -d '{"kind":"controller_kill","target":"leader","for_s":20}' -H 'Content-Type: application/json' http://%[4]s/faults
+`, servers, a.State, a.Cloud, a.Faults, a.Logs, self())
+	if o.For > 0 {
+		fmt.Fprintf(out, "\nEnds after %v, or with Ctrl-C.\n", o.For)
+	} else {
+		fmt.Fprint(out, "\nCtrl-C ends all of it.\n")
+	}
+}
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,394 @@
+// Package site runs an emulated deployment on loopback: state service, cloud
+// and workers behind HTTP, controllers as processes of their own, and a network
+// between them that can be cut. Every fault it can stage is lifted again.
+package site
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/checker"
+	"github.com/barrowbridge/barrowbridge/internal/standin/cloud"
+	"github.com/barrowbridge/barrowbridge/internal/standin/link"
+	"github.com/barrowbridge/barrowbridge/internal/standin/state"
+	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Names of parties beside controllers and machines.
+const (
+	PartyState = "state"
+	PartyCloud = "cloud"
+	PartyUsers = "users"
+)
+
+// clockEvery is the pulse that lets time pass where nobody calls.
+const clockEvery = 5 * time.Millisecond
+
+// Team is a team's guarantee and limit, in cpus and gpus.
+type Team struct{ CPUs, CPUsMax, GPUs, GPUsMax float64 }
+
+// Spec describes a deployment.
+type Spec struct {
+	Controllers int
+	Zones       []string
+	Machines    int // the operator's own, spread over the zones
+	Type        wire.MachineType
+	Rentable    int // most rented machines of each kind and zone
+	Teams       map[string]Team
+	Report      time.Duration
+	Lease       time.Duration
+	Cancel      time.Duration
+	State       state.Limits
+	Cloud       cloud.Params
+	Seed        uint64
+	Program     string // of the controllers
+	Dir         string // for settings files
+	LogLevel    string
+}
+
+// Default is a small deployment that starts, rents and fails over in seconds.
+func Default() Spec {
+	return Spec{Controllers: 3, Zones: []string{"a", "b"}, Machines: 8, Rentable: 8,
+		Type:   wire.MachineType{Name: "std", CPUs: 4, MemoryGB: 16, CacheGB: 40, FetchGBps: 1, Price: 0.2, SpotPrice: 0.06, BootS: 3},
+		Teams:  map[string]Team{"red": {CPUs: 12, CPUsMax: 24}, "blue": {CPUs: 12, CPUsMax: 24}, "green": {CPUs: 8, CPUsMax: 24}},
+		Report: 1500 * time.Millisecond, Lease: 8 * time.Second, Cancel: 30 * time.Second,
+		State: state.Limits{RPS: 200, WriteRPS: 40, ValueBytes: 16 << 10, TxnOps: 16},
+		Cloud: cloud.Params{RPS: 8, ListLag: 2 * time.Second, Notice: 8 * time.Second}, Seed: 1}
+}
+
+// Kinds of Event.
+const (
+	MachineUp   = "machine_up"
+	MachineGone = "machine_gone"
+	TaskOrdered = "task_ordered"
+	TaskStarted = "task_started"
+	TaskLeft    = "task_left"
+)
+
+// Event is what a worker saw. Cause is that of a task that left, "" if its lease
+// or its machine ended.
+type Event struct {
+	At      time.Duration
+	Kind    string
+	Machine string
+	Task    string
+	Attempt uint64
+	Cause   string
+}
+
+type machine struct {
+	*worker.Worker
+	up, gone bool
+	hangs    int
+	wake     time.Duration
+	post     poster
+	close    func()
+	resumed  chan struct{} // closed when the machine hangs no more
+}
+
+// Site is a running deployment.
+type Site struct {
+	Spec  Spec
+	Net   *link.Net
+	log   *slog.Logger
+	begun time.Time
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	store    *state.Store
+	cloud    *cloud.Cloud
+	work     *worker.Work
+	check    *checker.Checker
+	machines map[string]*machine
+	calls    map[uint64]chan state.Answer
+	callID   uint64
+	slow     map[string]time.Duration // party -> its answers come so much later
+	mute     map[string]bool          // "state" or "cloud" of a client: executes without answering
+	late     map[string]time.Duration // "state" or "cloud" of a client: executes so much later
+	observe  func(Event)
+	faults   faults
+
+	controllers map[string]*Controller
+	names       []string
+	ctx         context.Context
+	starter     *starter
+
+	stateAddr, cloudAddr string
+}
+
+// New prepares a deployment; Start brings it up. observe, if not nil, is called
+// with every event, in order and under the site's lock.
+func New(spec Spec, log *slog.Logger, observe func(Event)) *Site {
+	rng := rand.New(rand.NewPCG(spec.Seed, 2))
+	spec.Type.Zones = spec.Zones
+	spec.Cloud.Types, spec.Cloud.Otherwise = []wire.MachineType{spec.Type}, spec.Rentable
+	s := &Site{Spec: spec, Net: link.New(), log: log, begun: time.Now(), rng: rng,
+		store: state.New(spec.State, rng), cloud: cloud.New(spec.Cloud, rng), work: worker.NewWork(),
+		machines: map[string]*machine{}, calls: map[uint64]chan state.Answer{}, slow: map[string]time.Duration{},
+		mute: map[string]bool{}, late: map[string]time.Duration{}, observe: observe, controllers: map[string]*Controller{}}
+	s.store.Trouble.Refused = map[string]bool{}
+	s.cloud.Trouble.Hidden, s.cloud.Trouble.Ghosts = map[string]bool{}, map[string]bool{}
+	s.work.Find = s.findJob
+	limits := map[string]checker.Limit{}
+	for n, t := range spec.Teams {
+		limits[n] = checker.Limit{CPUs: t.CPUsMax, GPUs: t.GPUsMax}
+	}
+	s.check = checker.New(checker.Params{Teams: limits, Cancel: spec.Cancel, Lapsed: func(m string, now time.Duration) bool {
+		x := s.machines[m]
+		return x == nil || x.gone || !x.Leased(now)
+	}})
+	for i := range spec.Controllers {
+		s.names = append(s.names, fmt.Sprintf("c%d", i))
+	}
+	return s
+}
+
+// Now is steady time since the site began.
+func (s *Site) Now() time.Duration { return time.Since(s.begun) }
+
+// Names lists the controllers.
+func (s *Site) Names() []string { return s.names }
+
+// ZoneOf is a controller's zone.
+func (s *Site) ZoneOf(controller string) string {
+	for i, n := range s.names {
+		if n == controller {
+			return s.Spec.Zones[i%len(s.Spec.Zones)]
+		}
+	}
+	return ""
+}
+
+// Check gives the checker under the site's lock.
+func (s *Site) Check(f func(now time.Duration, c *checker.Checker)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.Now(), s.check)
+}
+
+// Upload makes a job known to workers and checker, as its user does.
+func (s *Site) Upload(spec wire.JobSpec, job worker.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work.Upload(*spec.ID, job)
+	s.check.Submitting(spec)
+}
+
+// findJob takes a job that nobody uploaded, for instance one submitted on the
+// command line, from its record in the state service. Its tasks take half to one
+// and a half times their estimate.
+func (s *Site) findJob(id string) (worker.Job, bool) {
+	it, ok := s.store.Peek(wire.PrefixJob + id)
+	var r wire.Job
+	if !ok || wire.Unmarshal(it.Value, &r) != nil {
+		return worker.Job{}, false
+	}
+	s.check.Submitting(SpecOf(r))
+	return worker.FromRecord(r, func(i int) time.Duration {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(wire.TaskName(id, i)))
+		return time.Duration((0.5 + float64(h.Sum32()%1000)/1000) * r.EstimateS * float64(time.Second))
+	}), true
+}
+
+// SpecOf is a job's description as its user gave it.
+func SpecOf(r wire.Job) wire.JobSpec {
+	tasks := int64(r.Tasks)
+	s := wire.JobSpec{ID: &r.ID, Class: &r.Class, Team: &r.Team, Shape: &r.Shape, Priority: &r.Priority, Tasks: &tasks,
+		CPUs: &r.CPUs, GPUs: &r.GPUs, MemoryGB: &r.MemoryGB, Types: r.Types, OneZone: &r.OneZone, Spread: &r.Spread, Spot: &r.Spot,
+		Image: &r.Image, ImageGB: &r.ImageGB, EstimateS: &r.EstimateS, CheckpointEvery: &r.CheckpointEvery, SaveS: &r.SaveS}
+	if r.Zone != "" {
+		s.Zone = &r.Zone
+	}
+	if r.DueS > 0 {
+		s.DueS = &r.DueS
+	}
+	return s
+}
+
+// clock lets time pass until the context ends.
+func (s *Site) clock(ctx context.Context) {
+	t := time.NewTicker(clockEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		s.mu.Lock()
+		now := s.Now()
+		s.answer(s.store.Advance(now))
+		s.cloudEvents(now, s.cloud.Advance(now))
+		for _, name := range s.machineNames() {
+			if m := s.machines[name]; m.up && !m.gone && now >= m.wake {
+				s.drive(now, name, m, m.Advance(now))
+			}
+		}
+		s.check.Tick(now)
+		s.mu.Unlock()
+	}
+}
+
+func (s *Site) machineNames() []string {
+	out := make([]string, 0, len(s.machines))
+	for n := range s.machines {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// cloudEvents brings machines up, warns them and takes them away.
+func (s *Site) cloudEvents(now time.Duration, list []cloud.Event) {
+	for _, e := range list {
+		switch e.Kind {
+		case cloud.Up:
+			s.machineUp(now, e.Machine)
+		case cloud.Noticed:
+			if m := s.machines[e.Machine]; m != nil {
+				m.Notice(now + e.Notice)
+				s.drive(now, e.Machine, m, m.Advance(now))
+			}
+		case cloud.Gone:
+			s.machineGone(now, e.Machine)
+		}
+	}
+}
+
+func (s *Site) machineUp(now time.Duration, name string) {
+	h := s.cloud.Host(name)
+	m := &machine{up: true, post: newPoster(s, name)}
+	addr, stop, err := s.listenWorker(name)
+	if err != nil {
+		s.log.Error("a worker cannot listen", "machine", name, "err", err.Error())
+		return
+	}
+	m.close = stop
+	s.cloud.SetAddr(name, addr)
+	first := 0
+	for i, n := range s.names { // workers try a node of their own zone first
+		if s.ZoneOf(n) == h.Zone {
+			first = i
+			break
+		}
+	}
+	m.Worker = worker.New(now, h.MachineInfo, worker.Params{Report: s.Spec.Report, Lease: s.Spec.Lease, Nodes: s.names, First: first,
+		Type: s.Spec.Type, Speed: 0.95 + 0.1*s.rng.Float64()}, s.work, s.rng)
+	s.machines[name] = m
+	s.check.MachineUp(checker.Machine{Name: name, Type: h.Type, Zone: h.Zone, Spot: h.Spot})
+	s.tell(Event{At: now, Kind: MachineUp, Machine: name})
+	s.drive(now, name, m, m.Advance(now))
+}
+
+func (s *Site) machineGone(now time.Duration, name string) {
+	m := s.machines[name]
+	if m == nil || m.gone {
+		return
+	}
+	s.effects(now, name, m, m.Vanish())
+	m.gone = true
+	m.close()
+	s.tell(Event{At: now, Kind: MachineGone, Machine: name})
+}
+
+func (s *Site) tell(e Event) {
+	if s.observe != nil {
+		s.observe(e)
+	}
+}
+
+// drive carries out a worker's effects and notes when it is to be woken.
+func (s *Site) drive(now time.Duration, name string, m *machine, list []any) {
+	s.effects(now, name, m, list)
+	m.wake = now + time.Hour
+	if at, ok := m.Next(); ok {
+		m.wake = max(at, now+time.Millisecond)
+	}
+}
+
+func (s *Site) effects(now time.Duration, name string, m *machine, list []any) {
+	for _, e := range list {
+		switch v := e.(type) {
+		case worker.Send:
+			m.post.send(v)
+		case worker.Ordered:
+			s.tell(Event{At: now, Kind: TaskOrdered, Machine: name, Task: v.Task, Attempt: v.Attempt})
+		case worker.Started:
+			s.check.TaskStarted(now, name, v.Task, v.Attempt)
+			s.tell(Event{At: now, Kind: TaskStarted, Machine: name, Task: v.Task, Attempt: v.Attempt})
+		case worker.Left:
+			s.check.TaskLeft(now, name, v.Task, v.Cause)
+			s.tell(Event{At: now, Kind: TaskLeft, Machine: name, Task: v.Task, Attempt: v.Attempt, Cause: v.Cause})
+		}
+	}
+}
+
+// Machines lists the machines that are up, by name, and what runs on each.
+func (s *Site) Machines() map[string][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string][]string{}
+	for n, m := range s.machines {
+		if !m.gone {
+			out[n] = m.Running()
+		}
+	}
+	return out
+}
+
+// Running lists the machines that tasks of a job are on now, in order.
+func (s *Site) Running(job string) (out []string) {
+	for m, tasks := range s.Machines() {
+		for _, t := range tasks {
+			if id, _, _ := wire.ParseTask(t); id == job {
+				out = append(out, m)
+			}
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Leader names the leading controller as the state service has it, "" if none.
+func (s *Site) Leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.store.Peek(wire.KeyLeader)
+	var l wire.Leader
+	if !ok || wire.Unmarshal(it.Value, &l) != nil {
+		return ""
+	}
+	return l.Node
+}
+
+// HolderOf names the controller that holds a team, "" if none does.
+func (s *Site) HolderOf(team string) (holder string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Scan(wire.PrefixShard, func(it wire.Item) {
+		var r wire.Shard
+		if wire.Unmarshal(it.Value, &r) == nil {
+			for _, t := range r.Teams {
+				if t == team {
+					holder = r.Holder
+				}
+			}
+		}
+	})
+	return holder
+}
+
+// Cost is what the cloud has charged so far.
+func (s *Site) Cost() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cloud.Cost(s.Now())
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -41,6 +41,11 @@
 		Report wire.Report
 		Close  bool
 	}
+	// Ordered tells that a start command was taken; the image may be missing yet.
+	Ordered struct {
+		Task    string
+		Attempt uint64
+	}
 	// Started tells that a task is on the machine from now: it has its image.
 	Started struct {
 		Task    string
@@ -580,6 +585,7 @@
 		return
 	}
 	a.job, a.index = job, index
+	w.out = append(w.out, Ordered{k.task, k.try})
 	if w.images[job.Image] == nil {
 		w.images[job.Image] = &image{gb: job.ImageGB, left: job.ImageGB, used: now}
 	}
