Trail: what was decided and learned after a failure, with causes, beyond a death

Found with the emulated state service: the protocol counts a value's bytes in JSON form, the core counted them as encoded, half as long. A job with scattered progress near the limit was refused for ever. Test first, then mended.

--- /dev/null
+++ b/cmd/barrowbridge/trail.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os/signal"
+	"sort"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// askWait bounds the question to one controller, which may be dead.
+const askWait = 3 * time.Second
+
+// followEvery is how often --follow asks.
+const followEvery = time.Second
+
+// trailLine is one event with the controller that believed it.
+type trailLine struct {
+	By string `json:"by"`
+	wire.TrailEvent
+}
+
+// trailQuery is what the flags select.
+type trailQuery struct {
+	node, machine, job string
+	follow             bool
+}
+
+func (q trailQuery) path(after uint64) string {
+	v := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	for k, s := range map[string]string{"node": q.node, "machine": q.machine, "job": q.job} {
+		if s != "" {
+			v.Set(k, s)
+		}
+	}
+	return "/admin/v1/trail?" + v.Encode()
+}
+
+func (c *client) trailCommand() *cobra.Command {
+	var q trailQuery
+	cmd := &cobra.Command{
+		Use: "trail", Short: "Print what the controllers decided and learned, and what led to it", Args: cobra.NoArgs,
+		Long: "Print what the controllers decided and learned, and what led to it.\n\n" +
+			"All controllers named with --server are asked and their trails are put in order of\n" +
+			"their times of day. --node reads what one controller, which may be dead, left in the\n" +
+			"state service.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			return c.trail(ctx, q)
+		},
+	}
+	f := cmd.Flags()
+	f.BoolVar(&q.follow, "follow", false, "go on printing what comes")
+	f.StringVar(&q.job, "job", "", "only events of this job")
+	f.StringVar(&q.machine, "machine", "", "only events of this machine")
+	f.StringVar(&q.node, "node", "", "read this controller's stored trail")
+	return cmd
+}
+
+// trail asks every server, from where the last answer ended.
+func (c *client) trail(ctx context.Context, q trailQuery) error {
+	after, lives := map[string]uint64{}, map[string]uint64{}
+	for {
+		var lines []trailLine
+		heard, more, last := 0, false, error(nil)
+		for _, s := range c.servers {
+			one := &client{servers: []string{s}, timeout: min(askWait, c.timeout)}
+			var t wire.Trail
+			if last = one.call(http.MethodGet, q.path(after[s]), nil, &t); last != nil {
+				if code := exitCode(last); code == exitRefused || code == exitUnknown {
+					return last
+				}
+				continue
+			}
+			heard++
+			if lives[s] != 0 && lives[s] != t.Boot { // restarted: its numbers begin again
+				after[s], lives[s], more = 0, t.Boot, true
+				continue
+			}
+			lives[s], more = t.Boot, more || t.Next > after[s] && len(t.Events) > 0 && !t.Stored
+			after[s] = t.Next
+			for _, e := range t.Events {
+				lines = append(lines, trailLine{t.Node, e})
+			}
+			if t.Stored {
+				break
+			}
+		}
+		if heard == 0 {
+			return &exitError{exitUnavailable, fmt.Sprint("no controller answered: ", last)}
+		}
+		if err := c.printTrail(lines); err != nil {
+			return err
+		}
+		if more {
+			continue
+		}
+		if !q.follow {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(followEvery):
+		}
+	}
+}
+
+// printTrail prints one JSON object, or one line, an event.
+func (c *client) printTrail(lines []trailLine) error {
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].WallMS < lines[j].WallMS })
+	for _, l := range lines {
+		s := showEvent(l)
+		if c.json {
+			b, err := json.Marshal(l)
+			if err != nil {
+				return err
+			}
+			s = string(b)
+		}
+		if _, err := fmt.Fprintln(c.out, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func showEvent(l trailLine) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s #%d", time.UnixMilli(l.WallMS).Format("15:04:05.000"), l.By, l.Seq)
+	if l.Cause != 0 {
+		fmt.Fprintf(&b, " (after #%d)", l.Cause)
+	}
+	fmt.Fprintf(&b, " %s", l.Kind)
+	for _, f := range []struct{ name, v string }{{"machine", l.Machine}, {"task", l.Task}, {"job", l.Job}, {"block", l.Block}, {"controller", l.TrailEvent.Node}} {
+		if f.v != "" {
+			fmt.Fprintf(&b, " %s %s", f.name, f.v)
+		}
+	}
+	if l.Shard != nil {
+		fmt.Fprintf(&b, " shard %d", *l.Shard)
+	}
+	if l.Token != 0 {
+		fmt.Fprintf(&b, " token %d", l.Token)
+	}
+	if l.Count != 0 {
+		fmt.Fprintf(&b, " (%d)", l.Count)
+	}
+	if l.Why != "" {
+		fmt.Fprintf(&b, ": %s", l.Why)
+	}
+	return b.String()
+}
+
+func (c *client) machineCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "machine NAME", Short: "Print a machine as its holder believes it to be now", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var best *wire.Believed
+			var last error
+			for _, s := range c.servers { // the holder knows most, whoever it is
+				one := &client{servers: []string{s}, timeout: min(askWait, c.timeout)}
+				var m wire.Believed
+				if err := one.call(http.MethodGet, "/admin/v1/machines/"+url.PathEscape(args[0]), nil, &m); err != nil {
+					last = err
+				} else if best == nil || m.Held {
+					best = &m
+				}
+			}
+			if best == nil {
+				return last
+			}
+			return c.print(best, showMachine(best))
+		},
+	}
+}
+
+func showMachine(m *wire.Believed) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s, %s in %s, block %s, shard %d, holder %s, token %d", m.Machine, m.State, m.Type, m.Zone, m.Block, m.Shard, m.Holder, m.Token)
+	if m.Spot {
+		b.WriteString(", spot")
+	}
+	if m.Cordoned {
+		b.WriteString(", cordoned")
+	}
+	if !m.Held {
+		fmt.Fprintf(&b, "\n%s does not hold it; ask %s", m.Node, m.Holder)
+		return b.String()
+	}
+	fmt.Fprintf(&b, "\nsession %d, %g cpus free", m.Session, m.FreeCPUs)
+	if m.ReportedS != nil {
+		fmt.Fprintf(&b, ", reported %.1f s ago, its lease is surely over in %.1f s", *m.ReportedS, *m.LeaseLeftS)
+	}
+	if m.Inherited {
+		fmt.Fprintf(&b, ", inherited, accounted for: %v", m.Accounted)
+	}
+	if m.Errors > 0 {
+		fmt.Fprintf(&b, ", %d failures in a row", m.Errors)
+	}
+	for _, t := range m.Attempts {
+		fmt.Fprintf(&b, "\n  %s try %d: %s for %.0f s", t.Task, t.Attempt, t.Status, t.ForS)
+	}
+	for _, e := range m.Trail {
+		fmt.Fprintf(&b, "\n  %s", showEvent(trailLine{m.Node, e}))
+	}
+	return b.String()
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -181,6 +182,9 @@
 	retryAt      map[string]Time
 	jitter       *rand.Rand // seeded by the node's name: spreads retries, repeats in tests
 
+	trail                *trail.Trail
+	trailRead, trailBusy bool // the record of earlier lives has been read; a call for it is under way
+
 	mirror
 	holder
 	users
@@ -197,6 +201,7 @@
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(p.Node))
 	c.jitter = rand.New(rand.NewPCG(seed.Sum64(), 0))
+	c.trail = trail.New(trail.Limits{Events: tuning.TrailEvents, Bytes: min(tuning.TrailBytes, p.ValueBytes/2), Every: tuning.TrailEvery})
 	c.mirror = newMirror()
 	c.holder = newHolder()
 	c.users = newUsers()
@@ -231,6 +236,10 @@
 		c.onAdminCordon(v)
 	case AdminWhy:
 		c.onAdminWhy(v)
+	case AdminTrail:
+		c.onAdminTrail(v)
+	case AdminMachine:
+		c.onAdminMachine(v)
 	case StateDone:
 		r := &v.Reply
 		c.knows(max(r.Txn.Revision, r.Events.Revision, r.List.Revision, r.Item.Version))
@@ -300,10 +309,16 @@
 	}
 	if ok := c.confirmed(); ok != c.wasConfirmed {
 		c.wasConfirmed = ok
+		kind := trail.Unconfirmed
+		if ok {
+			kind = trail.Confirmed
+		}
+		c.note(wire.TrailEvent{Kind: kind})
 		c.log(1, "entitlement confirmed", "now", ok, "renewed_ago", (c.now - c.renewOK).String(), "watched_ago", (c.now - c.watchOK).String())
 	}
 	c.lead()
 	c.hold()
+	c.keepTrail()
 }
 
 // keepPresence holds a grant, and this node's key on it.
@@ -440,6 +455,7 @@
 		c.enterShards()
 		if !c.loaded {
 			c.loaded = true
+			c.note(wire.TrailEvent{Kind: trail.Began, Count: len(c.jobs)})
 			c.log(1, "state read", "jobs", len(c.jobs), "blocks", len(c.blocks), "revision", c.rev)
 			c.retake()
 		}
@@ -480,6 +496,9 @@
 	}
 	from := e.rec.Holder
 	c.commit(LaneFirst, []wire.Condition{{Key: key, Version: e.ver}}, []wire.Change{{Put: key, Value: rec}}, func(r StateReply) {
+		if r.Status == 200 {
+			c.noteShard(trail.ShardTaken, i, wire.TrailEvent{Node: from, Token: r.Txn.Revision, Why: "for " + node})
+		}
 		c.log(1, "shard taken", "shard", i, "holder", node, "from", from, "status", r.Status)
 		c.changed()
 	})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -243,6 +243,25 @@
 	}
 }
 
+// Found with the emulated state service, which counts a value's bytes as the
+// protocol does, in JSON form: records near the limit were counted as encoded, half
+// as long, and a job whose progress was scattered could be written no more.
+func TestScatteredProgressStaysWithinTheLimit(t *testing.T) {
+	w := newWorld(t, 18, 1, func(w *world) { w.limits.ValueBytes = 4096 })
+	w.run(4 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeBatch, 3000))
+	w.run(8 * sec)
+	e := w.nodes["c0"].core.jobs["job-000001"]
+	before := w.key(jobKey("job-000001")).Version
+	for i := 1000; i < 2000; i += 2 {
+		e.run.done = e.run.done.add(i)
+	}
+	w.run(15 * sec) // the world ends the test when a write is refused as malformed
+	if w.key(jobKey("job-000001")).Version == before {
+		t.Error("the job's progress was not written")
+	}
+}
+
 // A watch that is too old is answered 410: the keys are read again, and what
 // vanished meanwhile leaves the mirror.
 func TestWatchTooOld(t *testing.T) {
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -1,12 +1,14 @@
 package core
 
 import (
+	"fmt"
 	"sort"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -59,6 +61,7 @@
 	lastOK                 Time // when our last 200 left
 	moving                 bool // its replicas are being moved off
 	over                   bool // its lease is surely over; confirmed by the state
+	silent                 bool // its reports stay away
 	notice                 bool
 	noticeAt               Time
 	attempts               map[attemptKey]*attempt
@@ -141,7 +144,8 @@
 		e.run = &jobRun{since: c.now, active: map[int]*attempt{}, next: e.rec.Started, done: ranges(e.rec.Done).clone()}
 		if e.rec.Started > 0 {
 			e.run.held = e.rec.Started
-			c.settleJob(e, i)
+			c.settleJob(e, i, true)
+			c.noteHeld(e, i)
 		}
 	}
 	if e.prio >= urgentRank {
@@ -159,7 +163,8 @@
 		// Someone wrote further starts before we took over: a late write of the
 		// earlier holder. Those may have been started.
 		e.run.held, e.run.next = e.rec.Started, e.rec.Started
-		c.settleJob(e, i)
+		c.settleJob(e, i, c.unsettle[i])
+		c.noteHeld(e, i)
 	}
 	for _, r := range e.rec.Done {
 		for k := r[0]; k < r[1]; k++ {
@@ -268,6 +273,7 @@
 				c.holdBlock(b, !b.rec.Idle)
 			}
 		}
+		c.noteShard(trail.ShardHeld, i, wire.TrailEvent{Token: c.shards[i].ver})
 		c.log(1, "holding shard", "shard", i, "token", c.shards[i].ver, "teams", len(c.shards[i].rec.Teams))
 		for _, id := range sortedKeys(c.jobs) {
 			if e := c.jobs[id]; c.shardOf(e.rec.Team) == i {
@@ -292,6 +298,7 @@
 		}
 	}
 	c.dirty = true
+	c.noteShard(trail.ShardLost, i, wire.TrailEvent{Node: c.shards[i].rec.Holder, Token: c.shards[i].ver})
 	c.log(1, "shard lost", "shard", i, "to", c.shards[i].rec.Holder)
 }
 
@@ -315,6 +322,7 @@
 		if m := c.machines[bm.Name]; m != nil && m.block == id && !now[bm.Name] {
 			// The leader takes a name out only once the cloud has deleted it, or
 			// the block moved, which only an empty one does.
+			c.noteMachine(trail.MachineGone, m, wire.TrailEvent{Count: len(m.attempts), Why: "left its block"})
 			c.machineGone(m, "deleted")
 			c.dropMachine(m)
 			delete(c.vacating, id)
@@ -351,11 +359,14 @@
 	for _, k := range sortedAttempts(m) {
 		c.attemptGone(m.attempts[k], why)
 	}
-	c.account(m)
+	c.account(m, why)
 }
 
 // account takes note that what is on a machine is known from now on.
-func (c *Core) account(m *machine) {
+func (c *Core) account(m *machine, why string) {
+	if m.inherited && !m.accounted {
+		c.noteMachine(trail.Accounted, m, wire.TrailEvent{Count: len(m.attempts), Why: why})
+	}
 	m.accounted = true
 	c.dirty = true
 	c.settleOn(m)
@@ -386,6 +397,7 @@
 		return
 	}
 	c.endActive(e, a)
+	c.noteTask(trail.TaskLost, a, why)
 	c.log(2, "task to be started again", "task", a.key.task, "try", a.key.try, "machine", a.m.name, "why", why)
 }
 
@@ -431,10 +443,11 @@
 		}
 		delete(c.unsettle, i)
 		c.dirty = true
+		c.noteShard(trail.Settled, i, wire.TrailEvent{Why: fmt.Sprintf("after %.1f s", (c.now - c.entered[i]).Seconds())})
 		c.log(1, "all inherited machines accounted for", "shard", i, "after", (c.now - c.entered[i]).String())
 		for _, e := range c.jobsByAge() {
 			if e.run != nil && c.shardOf(e.rec.Team) == i {
-				c.settleJob(e, i)
+				c.settleJob(e, i, true)
 			}
 		}
 	}
@@ -448,7 +461,7 @@
 	}
 	for _, e := range c.jobsByAge() {
 		if e.run != nil && e.run.held > 0 && contains(e.rec.On, m.name) {
-			c.settleJob(e, m.shard)
+			c.settleJob(e, m.shard, true)
 		}
 	}
 }
@@ -479,7 +492,9 @@
 	return m != nil && m.shard == shard && m.inherited && !m.accounted
 }
 
-func (c *Core) settleJob(e *jobEntry, shard int) {
+// settleJob lets the tasks go again that may have been started and are nowhere. They
+// were lost if an earlier holder had them; those we wrote ahead ourselves were not.
+func (c *Core) settleJob(e *jobEntry, shard int, lost bool) {
 	if e.run.held == 0 || c.unsettle[shard] && !tracked(&e.rec) {
 		return
 	}
@@ -497,6 +512,9 @@
 			continue
 		}
 		e.run.retry = append(e.run.retry, k)
+		if lost {
+			c.noteShard(trail.TaskLost, shard, wire.TrailEvent{Task: wire.TaskName(e.rec.ID, k), Machine: onOf(&e.rec, k), Why: "on no machine after a change of hands"})
+		}
 		c.dirty = true
 	}
 	if !open {
@@ -525,6 +543,10 @@
 		c.answer(v.Req, 503, unavailable("report out of date"))
 		return
 	}
+	if m.silent {
+		m.silent = false
+		c.noteMachine(trail.MachineBack, m, wire.TrailEvent{Count: len(r.Attempts), Why: fmt.Sprintf("silent for %.1f s", (c.now - m.lastReport).Seconds())})
+	}
 	m.session, m.seq, m.lastReport, m.over = r.Session, r.Seq, c.now, false
 	if !m.reported {
 		m.reported = true
@@ -538,6 +560,7 @@
 	if r.NoticeS != nil && !m.notice {
 		m.notice, m.noticeAt = true, c.now+seconds(*r.NoticeS)
 		c.dirty = true
+		c.noteMachine(trail.MachineNotice, m, wire.TrailEvent{Count: len(m.attempts), Why: fmt.Sprintf("in %.1f s", *r.NoticeS)})
 		c.log(1, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
 	}
 	c.takeStock(m, r)
@@ -545,7 +568,7 @@
 		c.cordonSeen(m.name)
 	}
 	if !m.accounted && r.Token >= m.takenToken {
-		c.account(m)
+		c.account(m, "report")
 	}
 	if c.dirty { // a slot that this report frees is refilled in its answer
 		c.dirty = false
@@ -630,6 +653,7 @@
 				m.images[e.rec.Image] = true
 				c.learned[m.shard] = true
 			}
+			c.noteBack(trail.TaskRuns, a)
 			c.log(2, "task runs", "task", a.key.task, "machine", m.name, "after", (c.now - a.created).String())
 		case wire.TaskEnded:
 			m.sum.ok = false
@@ -679,10 +703,14 @@
 	}
 	if e.run.active[a.idx] == a {
 		c.endActive(e, a)
+		if a.cause == wire.CauseHalted {
+			c.noteTask(trail.TaskLost, a, "stopped")
+		}
 	}
 	if a.cause == wire.CauseHalted {
 		return
 	}
+	c.noteTask(trail.TaskFailed, a, a.cause)
 	c.log(1, "task ended", "task", a.key.task, "machine", a.m.name, "cause", a.cause, "was", was)
 	e.run.fails++
 	pause := min(tuning.ErrorBackoff<<min(e.run.fails-1, 10), tuning.ErrorBackoffMax)
@@ -694,6 +722,7 @@
 		a.m.badJobs[a.job] = true
 		if len(a.m.badJobs) >= 2 || e.run.done.count() > 0 && a.m.errs >= tuning.SickErrors {
 			if a.m.errs >= tuning.SickErrors {
+				c.noteMachine(trail.MachineFaulty, a.m, wire.TrailEvent{Count: a.m.errs, Why: "tasks failed there in a row"})
 				c.log(1, "machine looks faulty, returning it", "machine", a.m.name, "errors", a.m.errs)
 				a.m.drop = true
 			}
@@ -732,6 +761,7 @@
 			}
 		case a.status == "" && !m.fresh && e.rec.Started > a.idx && (!tracked(&e.rec) || onOf(&e.rec, a.idx) == m.name):
 			a.sent = true
+			c.noteBack(trail.TaskAgain, a)
 			cmds = append(cmds, wire.Command{Verb: wire.VerbRun, Task: k.task, Attempt: k.try})
 		}
 	}
@@ -762,6 +792,7 @@
 	if c.checking || !c.every("watchMachines", 200*time.Millisecond) {
 		return
 	}
+	c.suspect()
 	byShard := map[int][]*machine{}
 	for _, m := range c.heldMachines() {
 		if m.over || !c.mine(m.shard) {
@@ -810,6 +841,7 @@
 						// tasks that run elsewhere by now back to the machine.
 						m.session, m.seq = m.session+1, 0
 					}
+					c.noteMachine(trail.LeaseOver, m, wire.TrailEvent{Count: len(m.attempts)})
 					c.log(1, "machine silent, its lease is over", "machine", m.name, "tasks", len(m.attempts))
 					c.machineGone(m, "lease over")
 				}
@@ -894,12 +926,13 @@
 			rec.On[k] = a.m.name
 		}
 	}
-	if raw, err := wire.Marshal(rec); err == nil && len(raw) > b.c.p.ValueBytes-64 {
+	raw, err := wire.Marshal(rec)
+	for err == nil && len(rec.Done) > 0 && !wire.FitsIn(raw, b.c.p.ValueBytes) {
 		// Too scattered to keep: what is left out would only run again.
-		rec.Done = rec.Done[:len(rec.Done)/2]
-	} else {
-		b.bytes += len(raw)
+		rec.Done = rec.Done[:len(rec.Done)*3/4]
+		raw, err = wire.Marshal(rec)
 	}
+	b.bytes += len(raw)
 	b.addJob(e, wire.Change{Put: jobKey(rec.ID), Value: rec})
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -54,6 +55,7 @@
 	l := &c.leader
 	if !c.leading() {
 		if l.since != 0 {
+			c.note(wire.TrailEvent{Kind: trail.NoLongerLeading, Node: c.chief.Node})
 			c.log(1, "no longer leading")
 			l.reset()
 		}
@@ -71,6 +73,7 @@
 	if l.since == 0 {
 		l.reset()
 		l.since = c.now
+		c.note(wire.TrailEvent{Kind: trail.Leading, Token: c.ver[wire.KeyLeader]})
 		c.log(1, "leading", "revision", c.ver[wire.KeyLeader])
 	}
 	for n := range c.nodes {
@@ -220,6 +223,7 @@
 	l := &c.leader
 	l.backoff = min(max(2*l.backoff, tuning.RetryAfter), tuning.CloudBackoffMax)
 	l.cloudAt = c.now + time.Duration(float64(l.backoff)*(1-tuning.Jitter*c.jitter.Float64()))
+	c.note(wire.TrailEvent{Kind: trail.CloudFailed, Why: fmt.Sprintf("%s: status %d %s", what, r.Status, r.Err)})
 	c.log(1, "cloud call failed", "call", what, "status", r.Status, "err", r.Err, "pause", l.backoff.String())
 }
 
@@ -609,6 +613,9 @@
 		c.commit(LaneUser, []wire.Condition{c.leaderCond(), {Key: blockKey(id), Version: b.ver}}, []wire.Change{{Put: blockKey(id), Value: rec}}, func(r StateReply) {
 			l.writing = false
 			delete(l.renting, shard)
+			if r.Status == 200 {
+				c.noteShard(trail.BlockMoved, shard, wire.TrailEvent{Block: id, Why: fmt.Sprintf("idle in shard %d", from)})
+			}
 			c.log(1, "idle block moved", "block", id, "from", from, "to", shard, "status", r.Status)
 			c.changed()
 		})
@@ -669,6 +676,7 @@
 		l.bookings++
 		req := wire.RentRequest{Request: fmt.Sprintf("%s-%d-%d", c.p.Node, c.boot, l.bookings), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: count}
 		l.renting[shard] = true
+		c.noteShard(trail.Rented, shard, wire.TrailEvent{Count: count, Why: fmt.Sprintf("%d tasks of %g cpus find no machine", n.Tasks, n.CPUs)})
 		c.log(1, "renting", "shard", shard, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", count, "booking", req.Request)
 		c.book(shard, key, req, 0)
 		return true
@@ -704,6 +712,7 @@
 		case r.Status == 503 && r.Err == "no capacity":
 			l.pause[key] = c.now + tuning.NoCapacityPause
 			delete(l.renting, shard)
+			c.noteShard(trail.RentRefused, shard, wire.TrailEvent{Why: "no capacity for " + req.Type + " in " + req.Zone})
 			c.log(1, "no capacity", "type", req.Type, "zone", req.Zone, "spot", req.Spot)
 			c.lead()
 		case r.Status == 400:
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -281,6 +282,7 @@
 		c.dirty = true
 	case strings.HasPrefix(key, wire.PrefixNode):
 		delete(c.nodes, key[len(wire.PrefixNode):])
+		c.note(wire.TrailEvent{Kind: trail.NodeGone, Node: key[len(wire.PrefixNode):]})
 		c.log(1, "controller gone", "node", key[len(wire.PrefixNode):])
 	case strings.HasPrefix(key, wire.PrefixType):
 		delete(c.types, key[len(wire.PrefixType):])
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -174,6 +175,7 @@
 		if s := c.shards[h.Shard]; s != nil && c.held[h.Shard] && h.Token > s.ver {
 			c.leaveShard(h.Shard)
 			c.yielded[h.Shard] = m.From
+			c.noteShard(trail.ShardYielded, h.Shard, wire.TrailEvent{Node: m.From, Token: h.Token})
 			c.log(1, "shard yielded to a later token", "shard", h.Shard, "to", m.From, "token", h.Token)
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -532,6 +533,7 @@
 	}
 	for _, a := range best {
 		c.stopAttempt(a)
+		c.noteTask(trail.TaskStopped, a, "for "+e.rec.ID+", which is urgent")
 		c.log(1, "stopping a task for urgent work", "task", a.key.task, "machine", a.m.name, "for", e.rec.ID)
 	}
 }
@@ -646,6 +648,7 @@
 	}
 	c.vacating[best] = true
 	c.dirty = true
+	c.noteShard(trail.BlockEmptied, shard, wire.TrailEvent{Block: best, Why: "another team's guarantee"})
 	c.log(1, "emptying a block for another team's guarantee", "block", best, "shard", shard, "lost", loss.String())
 	for _, bm := range c.blocks[best].rec.Machines {
 		m := c.machines[bm.Name]
@@ -653,6 +656,7 @@
 			a := m.attempts[k]
 			if a.sent && a.status != wire.TaskEnded {
 				c.stopAttempt(a)
+				c.noteTask(trail.TaskStopped, a, "its block is emptied")
 			}
 		}
 	}
@@ -903,6 +907,7 @@
 		}
 		if why != "" {
 			m.drop = true
+			c.noteMachine(trail.MachineReturned, m, wire.TrailEvent{Why: why})
 			c.log(1, "giving a machine back", "machine", m.name, "why", why)
 		}
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -189,7 +189,7 @@
 		return
 	}
 	job.AcceptedMS = c.wall.UnixMilli()
-	if raw, err := wire.Marshal(job); err != nil || len(raw)+1024 > c.p.ValueBytes {
+	if raw, err := wire.Marshal(job); err != nil || !wire.FitsIn(raw, c.p.ValueBytes-1024) { // room for its progress
 		known(func() { c.answer(v.Req, 422, wire.Problem{Error: "job description too large to keep"}) })
 		return
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -16,6 +16,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/core"
 	"github.com/barrowbridge/barrowbridge/internal/metrics"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -70,6 +71,8 @@
 	a.GET("/settings", s.settings)
 	a.PUT("/settings", s.changeSettings)
 	a.GET("/jobs/:id/why", s.why)
+	a.GET("/trail", s.trail)
+	a.GET("/machines/:name", s.machine)
 	a.PUT("/machines/:name/cordon", s.cordon)
 	a.DELETE("/machines/:name/cordon", s.uncordon)
 	e.GET("/metrics", echo.WrapHandler(m.Handler()))
@@ -204,6 +207,32 @@
 	return s.put(c, func(id uint64) any { return core.AdminWhy{Req: id, ID: job} })
 }
 
+// trail answers with events after a number: ?after=N&most=M&node=NAME&machine=NAME&job=ID.
+func (s *Server) trail(c echo.Context) error {
+	q := trail.Query{Machine: c.QueryParam("machine"), Job: c.QueryParam("job"), Most: tuning.TrailAnswer}
+	if v := c.QueryParam("after"); v != "" {
+		n, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			return send(c, bad("after: must be a number"))
+		}
+		q.After = n
+	}
+	if v := c.QueryParam("most"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 1 || n > tuning.TrailAnswer {
+			return send(c, bad("most: must be from 1 to "+strconv.Itoa(tuning.TrailAnswer)))
+		}
+		q.Most = n
+	}
+	node := c.QueryParam("node")
+	return s.put(c, func(id uint64) any { return core.AdminTrail{Req: id, Node: node, Query: q} })
+}
+
+func (s *Server) machine(c echo.Context) error {
+	name := c.Param("name")
+	return s.put(c, func(id uint64) any { return core.AdminMachine{Req: id, Machine: name} })
+}
+
 func (s *Server) cordon(c echo.Context) error {
 	var v wire.Cordon
 	if why := body(c, &v); why != "" {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -185,6 +185,22 @@
 	RelayFor = 20 * time.Second
 	// PeerJobs (jobs): counts in one message, for display.
 	PeerJobs = 300
+	// TrailEvents (events): of the trail kept in memory, some 250 bytes each: an hour
+	// of troubles of 500 machines, within a hundredth of the memory limit.
+	TrailEvents = 4096
+	// TrailBytes (bytes): what of the trail is stored; read by nobody but
+	// operators, so it need not be more than the last few failures.
+	TrailBytes = 6 << 10
+	// TrailEvery (duration): between writes of it: under a hundredth of the limit
+	// on changes, even if something lasting happens all the time.
+	TrailEvery = 10 * time.Second
+	// TrailAnswer (events): most in one answer; a body has 64 KiB.
+	TrailAnswer = 200
+	// TrailOfMachine (events): in the answer about one machine.
+	TrailOfMachine = 40
+	// SuspectReports (report intervals): a machine that has not reported for so long
+	// is suspected. Intervals spread by a quarter, one report may be lost.
+	SuspectReports = 2.5
 	// FinalCache (jobs): final states kept in memory.
 	FinalCache = 20000
 )
--- /dev/null
+++ b/wire/trail.go
@@ -0,0 +1,77 @@
+package wire
+
+// PrefixTrail is where each controller keeps what is lasting of its trail; it
+// lies outside LivePrefix, so that nobody watches it.
+const PrefixTrail = "trail/"
+
+// TrailEvent is one decision, or one thing learned, that matters after a
+// failure. Which fields are set goes by Kind.
+type TrailEvent struct {
+	Seq     uint64 `cbor:"seq" json:"seq"`                             // in this controller's life, from 1
+	Cause   uint64 `cbor:"cause,omitempty" json:"cause,omitempty"`     // Seq of the event that led to it; 0: none known
+	AtMS    int64  `cbor:"at" json:"at_ms"`                            // steady milliseconds since the controller's start
+	WallMS  int64  `cbor:"wall" json:"wall_ms"`                        // its time of day, in milliseconds since 1970
+	Kind    string `cbor:"kind" json:"kind"`                           // see package trail
+	Machine string `cbor:"machine,omitempty" json:"machine,omitempty"` //
+	Job     string `cbor:"job,omitempty" json:"job,omitempty"`         //
+	Task    string `cbor:"task,omitempty" json:"task,omitempty"`       //
+	Block   string `cbor:"block,omitempty" json:"block,omitempty"`     //
+	Node    string `cbor:"node,omitempty" json:"node,omitempty"`       // another controller it is about
+	Shard   *int   `cbor:"shard,omitempty" json:"shard,omitempty"`     //
+	Token   uint64 `cbor:"token,omitempty" json:"token,omitempty"`     //
+	Count   int    `cbor:"n,omitempty" json:"count,omitempty"`         // machines or tasks
+	Why     string `cbor:"why,omitempty" json:"why,omitempty"`         //
+	Boot    uint64 `cbor:"boot,omitempty" json:"boot,omitempty"`       // life it belongs to, in a stored record
+}
+
+// Trail answers GET /admin/v1/trail. Next is the number to ask after next time;
+// Missed tells that events after the number asked for are no longer kept.
+type Trail struct {
+	Node   string       `cbor:"node" json:"node"`
+	Boot   uint64       `cbor:"boot" json:"boot"`
+	Next   uint64       `cbor:"next" json:"next"`
+	Missed bool         `cbor:"missed,omitempty" json:"missed,omitempty"`
+	Stored bool         `cbor:"stored,omitempty" json:"stored,omitempty"` // read from the state service, for another controller
+	Events []TrailEvent `cbor:"events" json:"events"`
+}
+
+// TrailRecord is what a controller keeps of its trail in the state service.
+type TrailRecord struct {
+	Boot   uint64       `cbor:"boot"`
+	Events []TrailEvent `cbor:"events"`
+}
+
+// Believed is a machine as one controller believes it to be now. Times are in
+// seconds; those that mean nothing yet are null.
+type Believed struct {
+	Machine    string         `cbor:"machine" json:"machine"`
+	Node       string         `cbor:"node" json:"node"`     // who believes it
+	Holder     string         `cbor:"holder" json:"holder"` // who holds its block
+	Held       bool           `cbor:"held" json:"held"`     // by Node: the rest is known only then
+	Block      string         `cbor:"block" json:"block"`
+	Shard      int            `cbor:"shard" json:"shard"`
+	Token      uint64         `cbor:"token" json:"token"`
+	Type       string         `cbor:"type" json:"type"`
+	Zone       string         `cbor:"zone" json:"zone"`
+	Spot       bool           `cbor:"spot" json:"spot"`
+	State      string         `cbor:"state" json:"state"`
+	Cordoned   bool           `cbor:"cordoned" json:"cordoned"`
+	Session    uint64         `cbor:"session" json:"session"`
+	Inherited  bool           `cbor:"inherited" json:"inherited"`
+	Accounted  bool           `cbor:"accounted" json:"accounted"`
+	ReportedS  *float64       `cbor:"reported_s" json:"reported_s"`     // since its last report
+	LeaseLeftS *float64       `cbor:"lease_left_s" json:"lease_left_s"` // until its lease is surely over; negative: it is
+	FreeCPUs   float64        `cbor:"free_cpus" json:"free_cpus"`
+	Errors     int            `cbor:"errors" json:"errors"` // failures in a row
+	Images     []string       `cbor:"images" json:"images"`
+	Attempts   []BelievedTask `cbor:"attempts" json:"attempts"`
+	Trail      []TrailEvent   `cbor:"trail" json:"trail"`
+}
+
+// BelievedTask is an attempt that is, or may be, on a machine.
+type BelievedTask struct {
+	Task    string  `cbor:"task" json:"task"`
+	Attempt uint64  `cbor:"attempt" json:"attempt"`
+	Status  string  `cbor:"status" json:"status"` // "reserved" or "sent" until reported
+	ForS    float64 `cbor:"for_s" json:"for_s"`   // since it was placed
+}
