--- /dev/null
+++ b/internal/standin/site/site_test.go
@@ -0,0 +1,200 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/cborhttp"
+	"github.com/barrowbridge/barrowbridge/internal/checker"
+	"github.com/barrowbridge/barrowbridge/internal/config"
+	"github.com/barrowbridge/barrowbridge/internal/node"
+	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// TestMain lets the test binary be a controller, as the site starts it.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 3 && os.Args[1] == "--config" {
+		cfg, err := config.Load(os.Args[2])
+		if err == nil {
+			err = node.Run(context.Background(), cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// start brings a small site up whose leases are short.
+func start(t *testing.T, observe func(Event)) *Site {
+	t.Helper()
+	spec := Default()
+	spec.Program, spec.Dir, spec.LogLevel = os.Args[0], t.TempDir(), "info"
+	spec.Machines, spec.Report, spec.Lease = 4, 500*time.Millisecond, 3*time.Second
+	s := New(spec, quiet(), observe)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(func() { s.Stop(); cancel() })
+	if err := s.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 20 s: %s", what)
+		}
+	}
+}
+
+// Every kind of fault is staged and lifted, all overlapping; afterwards nothing is
+// wrong any more: all controllers run, and a task that is put into the state as a
+// user's job runs on a machine.
+func TestEveryFaultIsLifted(t *testing.T) {
+	s := start(t, nil)
+	until(t, "machines are up", func() bool { return len(s.Machines()) == 4 })
+	var ids []uint64
+	for _, k := range Kinds {
+		f := Fault{Kind: k.Name, Value: max(k.Min, min(k.Max, 0.5))}
+		switch k.Target {
+		case "controllers":
+			f.Target = "c1"
+		case "machines":
+			f.Target = "n-000001"
+		case "parties":
+			f.Target, f.Peer, f.Mode, f.Value = "c0", "c2", "hold", 0
+		}
+		if k.Name == "machine_die" || k.Name == "spot_taken" {
+			f.Target = "n-000003"
+		}
+		if k.Name == "spot_taken" { // the machine is gone already: nothing to hit
+			if _, err := s.Stage(f); err == nil {
+				t.Error("a machine that is gone is hit")
+			}
+			continue
+		}
+		a, err := s.Stage(f)
+		if err != nil {
+			t.Fatalf("%s: %v", k.Name, err)
+		}
+		ids = append(ids, a.ID)
+	}
+	if s.Controller("c1").Alive() {
+		t.Error("a controller that was killed runs")
+	}
+	for i := len(ids) - 1; i >= 0; i-- {
+		if !s.Lift(ids[i]) || s.Lift(ids[i]) {
+			t.Errorf("fault %d is not lifted once", ids[i])
+		}
+	}
+	if len(s.Faults()) != 0 || len(s.slow)+len(s.late)+len(s.mute) != 0 || s.store.Trouble.Down || s.cloud.Trouble.Down {
+		t.Errorf("something stays wrong: %+v %+v", s.store.Trouble, s.cloud.Trouble)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := s.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if s.Controller("c1").Lives() != 2 {
+		t.Errorf("c1 has had %d lives, want 2", s.Controller("c1").Lives())
+	}
+	if len(s.Machines()) != 3 {
+		t.Errorf("%d machines, want 3", len(s.Machines()))
+	}
+}
+
+// A machine that hangs past its lease goes on with nothing, and what it had runs
+// elsewhere, started there once; the checker sees no rule broken.
+func TestHungMachineGoesOn(t *testing.T) {
+	var mu sync.Mutex
+	starts := map[string]int{}
+	s := start(t, func(e Event) {
+		mu.Lock()
+		defer mu.Unlock()
+		if e.Kind == TaskStarted {
+			starts[e.Task]++
+		}
+	})
+	id, team, shape, prio, image := "job-000001", "red", wire.ShapeService, "urgent", "img"
+	tasks, one, zero, no := int64(2), 1.0, 0.0, false
+	spec := wire.JobSpec{ID: &id, Class: &image, Team: &team, Shape: &shape, Priority: &prio, Tasks: &tasks, CPUs: &one, GPUs: &zero, MemoryGB: &one,
+		OneZone: &no, Spread: &no, Spot: &no, Image: &image, ImageGB: &zero, EstimateS: &zero, CheckpointEvery: &zero, SaveS: &zero}
+	rec, err := spec.Validate()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Upload(spec, worker.FromRecord(rec, nil))
+	submit(t, s, spec)
+	until(t, "both replicas run", func() bool { return len(s.Running(id)) == 2 })
+	victim := s.Running(id)[0]
+	if _, err := s.Stage(Fault{Kind: "machine_hang", Target: victim, ForS: 5}); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the replicas run elsewhere", func() bool {
+		r := s.Running(id)
+		return len(r) >= 2 && !strings.Contains(strings.Join(r, " "), victim)
+	})
+	until(t, "the machine goes on", func() bool { return len(s.Faults()) == 0 })
+	time.Sleep(time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	for task, n := range starts {
+		if n > 2 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+	s.Check(func(now time.Duration, c *checker.Checker) {
+		for _, v := range c.Finish(now) {
+			t.Error(v)
+		}
+	})
+}
+
+// What is wrong with a fault is said in one line that begins with its field.
+func TestFaultChecks(t *testing.T) {
+	for want, f := range map[string]Fault{
+		"kind: ":                     {Kind: "state_dwon"},
+		"target: machine_hang needs": {Kind: "machine_hang"},
+		"target: state_down has":     {Kind: "state_down", Target: "c0"},
+		"value: seconds":             {Kind: "state_slow", Value: -1},
+		"value: state_down has":      {Kind: "state_down", Value: 1},
+		"for_s: ":                    {Kind: "state_down", ForS: -1},
+		"mode: ":                     {Kind: "link", Target: "c0", Peer: "c1", Mode: "bend"},
+		"peer: ":                     {Kind: "link", Target: "c0", Mode: "hold"},
+		"mode, peer":                 {Kind: "state_down", Mode: "hold"},
+	} {
+		if err := f.Check(); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%+v: %v, want %q", f, err, want)
+		}
+	}
+}
+
+// submit sends a job to a controller until it is taken.
+func submit(t *testing.T, s *Site, spec wire.JobSpec) {
+	t.Helper()
+	until(t, "the job is accepted", func() bool { return post(s, spec) == 201 || post(s, spec) == 200 })
+}
+
+func post(s *Site, spec wire.JobSpec) int {
+	asked := s.Now()
+	status, raw, err := cborhttp.RoundTrip(context.Background(), http.DefaultClient, http.MethodPost, "http://"+s.Public()[0]+"/v1/jobs", spec)
+	if err != nil {
+		return 0
+	}
+	var st wire.JobStatus
+	_ = wire.Unmarshal(raw, &st)
+	s.Check(func(now time.Duration, c *checker.Checker) { c.Submitted(now, asked, *spec.ID, status, st) })
+	return status
+}
--- /dev/null
+++ b/wire/fuzz_test.go
@@ -0,0 +1,50 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+)
+
+// messages are all that a stranger's bytes are decoded into.
+func messages() []any {
+	return []any{&JobSpec{}, &Report{}, &ReportReply{}, &Redirect{}, &Orders{}, &JobStatus{}, &Problem{}, &Item{}, &ItemList{}, &TxnReply{},
+		&LeaseReply{}, &LeaseRequest{}, &Events{}, &MachineTypes{}, &RentRequest{}, &MachineNames{}, &MachineList{}, &SettingsPatch{}, &Cordon{},
+		&Job{}, &Final{}, &Node{}, &Leader{}, &Shard{}, &Block{}, &Cache{}, &Want{}, &Trail{}, &TrailRecord{}, &Believed{}}
+}
+
+// What can be read can be written and read again to the same; what cannot be
+// read is an error, never a panic; a valid job has sane numbers.
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages() {
+		b, err := Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Add([]byte{0xa1, 0x65, 'h', 'o', 's', 't', 's', 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0xa1, 0x64, 'c', 'p', 'u', 's', 0xf9, 0x7e, 0x00})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, m := range messages() {
+			if Unmarshal(b, m) != nil {
+				continue
+			}
+			again, err := Marshal(m)
+			if err != nil {
+				t.Fatalf("%T was read and cannot be written: %v", m, err)
+			}
+			back := reflect.New(reflect.TypeOf(m).Elem()).Interface()
+			if err := Unmarshal(again, back); err != nil {
+				t.Fatalf("%T was written and cannot be read: %v", m, err)
+			}
+			if s, ok := m.(*JobSpec); ok {
+				if j, err := s.Validate(); err == nil && !(j.CPUs >= 0 && j.Tasks >= 1 && j.Tasks <= MaxTasks && ValidJobID(j.ID)) {
+					t.Fatalf("validated as %+v", j)
+				}
+			}
+		}
+		if n, err := JSONSize(b); err == nil && FitsIn(b, n-1) && len(b)*jsonGrowth > n-1 {
+			t.Fatalf("%d bytes in JSON form fit in %d", n, n-1)
+		}
+	})
+}
