--- /dev/null
+++ b/internal/recovery/recovery_test.go
@@ -0,0 +1,99 @@
+package recovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const sec = time.Second
+
+var params = Params{Report: 2 * sec, Lease: 10 * sec, Grant: 3 * sec, Renew: sec}
+
+// A machine that hangs: every step is found, with the last of those concerned, and
+// the least time goes by what its worker's lease had left.
+func TestMachine(t *testing.T) {
+	inc := Incident{Kind: "machine_hang", At: 100 * sec, Until: 130 * sec, Silent: true,
+		Machines: []Machine{{Name: "a", LeaseLeft: 9 * sec, Reported: sec, Tasks: []string{"job-1/0", "job-1/1"}}}}
+	trail := func(at Time, kind, machine string) Observation {
+		return Observation{At: at, From: FromTrail, Kind: kind, Machine: machine, Shard: 0, By: "c0"}
+	}
+	work := func(at Time, kind, machine, task, cause string) Observation {
+		return Observation{At: at, From: FromWorker, Kind: kind, Machine: machine, Task: task, Cause: cause, Shard: -1}
+	}
+	seen := []Observation{
+		trail(99*sec, "machine_silent", "a"), // before: another silence
+		trail(101*sec, "machine_silent", "b"),
+		trail(104*sec, "machine_silent", "a"),
+		trail(111*sec, "lease_over", "a"),
+		work(112*sec, Ordered, "b", "job-1/0", ""),
+		work(113*sec, Started, "b", "job-1/0", ""),
+		work(114*sec, Ordered, "b", "job-1/1", ""),
+		work(116*sec, Started, "b", "job-1/1", ""),
+		work(113*sec, Started, "b", "job-2/0", ""),                             // another job's
+		{At: 115 * sec, From: FromUser, Kind: ToldUp, Job: "job-1", Shard: -1}, // too early to be true of both
+		{At: 117 * sec, From: FromUser, Kind: ToldUp, Job: "job-1", Shard: -1},
+		work(130*sec, Left, "a", "job-1/0", ""), // it goes on, and gives up what it had
+	}
+	want := []Step{{Noticed, 4000, 500, 1}, {LeaseOver, 11000, 9000, 1}, {StartedAgain, 14000, 9000, 2}, {ImageThere, 16000, 9000, 2},
+		{Running, 16000, 9000, 2}, {UserTold, 17000, 9000, 1}}
+	if diff := cmp.Diff(want, Analyze(params, inc, seen)); diff != "" {
+		t.Error(diff)
+	}
+	if lost, back := Lost(params, inc, seen[:7]); lost != 2 || back != 1 {
+		t.Errorf("%d lost, %d back, want 2 and 1", lost, back)
+	}
+}
+
+// A controller that dies: its shards are followed to their settling, others' not.
+func TestController(t *testing.T) {
+	inc := Incident{Kind: "controller_kill", At: 10 * sec, Controllers: []string{"c1"}, Dead: true}
+	at := func(t Time, kind, node string, shard int) Observation {
+		return Observation{At: t, From: FromTrail, Kind: kind, Node: node, Shard: shard, By: "c0"}
+	}
+	seen := []Observation{at(11*sec, "node_gone", "c2", -1), at(13*sec, "node_gone", "c1", -1), at(14*sec, "shard_taken", "c1", 1),
+		at(14*sec, "shard_taken", "c2", 2), at(15*sec, "shard_held", "", 1), at(15*sec, "shard_held", "", 2), at(17*sec, "settled", "", 1), at(19*sec, "settled", "", 2)}
+	want := []Step{{Noticed, 3000, 2000, 1}, {TakenOver, 4000, 2000, 1}, {TokenRaised, 5000, 2000, 1}, {AccountedFor, 7000, 2000, 1}}
+	if diff := cmp.Diff(want, Analyze(params, inc, seen)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Whatever is seen, in whatever order it comes: steps come in order, none lies before
+// the fault, and shuffling the observations changes nothing.
+func TestAnyOrder(t *testing.T) {
+	kinds := []string{"machine_silent", "lease_over", "node_gone", "shard_taken", "shard_held", "settled", "unconfirmed", "confirmed"}
+	rapid.Check(t, func(t *rapid.T) {
+		var seen []Observation
+		for i := range rapid.IntRange(0, 30).Draw(t, "n") {
+			o := Observation{At: Time(i)*sec + Time(rapid.IntRange(0, 900).Draw(t, "ms"))*time.Millisecond, From: FromTrail, Shard: rapid.IntRange(-1, 2).Draw(t, "shard"),
+				Machine: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "machine"), Node: rapid.SampledFrom([]string{"", "c0", "c1"}).Draw(t, "node"), By: "c0"}
+			if rapid.Bool().Draw(t, "worker") {
+				o.From, o.Kind, o.Task = FromWorker, rapid.SampledFrom([]string{Ordered, Started, Left}).Draw(t, "kind"), rapid.SampledFrom([]string{"job-1/0", "job-1/1"}).Draw(t, "task")
+			} else {
+				o.Kind = rapid.SampledFrom(kinds).Draw(t, "kind")
+			}
+			seen = append(seen, o)
+		}
+		inc := Incident{At: 5 * sec, Silent: true, Dead: true, Machines: []Machine{{Name: "a", LeaseLeft: 8 * sec, Tasks: []string{"job-1/0"}}}, Controllers: []string{"c1"}}
+		steps := Analyze(params, inc, seen)
+		last := -1
+		for _, s := range steps {
+			at := -1
+			for i, name := range Order {
+				if name == s.Step {
+					at = i
+				}
+			}
+			if at <= last || s.AfterMS < 0 || s.LeastMS < 0 || s.Count < 1 {
+				t.Fatalf("steps %+v", steps)
+			}
+			last = at
+		}
+		if diff := cmp.Diff(steps, Analyze(params, inc, rapid.Permutation(seen).Draw(t, "order"))); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rehearse/result.go
@@ -0,0 +1,145 @@
+package rehearse
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/recovery"
+)
+
+// Results of a scenario.
+const (
+	Passed      = "passed"
+	Failed      = "failed"
+	Interrupted = "interrupted" // not seen to its end
+)
+
+// Result is what came of one scenario.
+type Result struct {
+	Scenario   string        `json:"scenario"`
+	Seed       uint64        `json:"seed"`
+	Result     string        `json:"result"`
+	Why        string        `json:"why,omitempty"`
+	TookS      float64       `json:"took_s"`
+	Rules      Rules         `json:"rules"`
+	Faults     []FaultResult `json:"faults"`
+	Objectives []Objective   `json:"objectives"`
+	Waits      []Wait        `json:"waits"`
+	Timeline   *Timeline     `json:"timeline,omitempty"`
+}
+
+// Rules tells which of the protocol's rules were broken, each with what was seen.
+type Rules struct {
+	Broken []Broken `json:"broken"`
+	Starts int      `json:"starts"` // task starts that were watched
+}
+
+// Broken is one rule that was broken.
+type Broken struct {
+	Rule string  `json:"rule"`
+	AtS  float64 `json:"at_s"`
+	What string  `json:"what"`
+}
+
+// FaultResult is one fault and the steps of the recovery from it.
+type FaultResult struct {
+	Kind     string          `json:"kind"`
+	Hits     []string        `json:"hits"`
+	AtS      float64         `json:"at_s"`
+	LiftedS  float64         `json:"lifted_s,omitempty"`
+	Lost     int             `json:"lost"` // tasks that it took
+	Back     int             `json:"back"` // of them that ran again
+	Steps    []recovery.Step `json:"steps"`
+	WallTime time.Time       `json:"wall_time"`
+}
+
+// Objective is one expectation and what was seen of it.
+type Objective struct {
+	What string  `json:"what"`
+	Want float64 `json:"want"`
+	Got  float64 `json:"got"`
+	Unit string  `json:"unit"`
+	Met  bool    `json:"met"`
+}
+
+// Wait is how long one job's user waited. Seconds; -1: not seen.
+type Wait struct {
+	Job       string  `json:"job"`
+	Class     string  `json:"class"`
+	AcceptedS float64 `json:"accepted_s"`
+	RunningS  float64 `json:"running_s"`
+	DoneS     float64 `json:"done_s"`
+}
+
+// Timeline is what the report draws. Times are seconds since the start.
+type Timeline struct {
+	EndS     float64           `json:"end_s"`
+	Tasks    []Span            `json:"tasks"`    // Who: the machine
+	Machines []Span            `json:"machines"` // up until gone
+	Shards   []Span            `json:"shards"`   // Who: the controller that holds it
+	Leaders  []Span            `json:"leaders"`
+	Up       map[string][]Seen `json:"up"` // job -> how many of its tasks run
+}
+
+// Span is something that lasted.
+type Span struct {
+	Who   string  `json:"who"`
+	What  string  `json:"what"`
+	FromS float64 `json:"from_s"`
+	ToS   float64 `json:"to_s"`
+	End   string  `json:"end,omitempty"` // how it ended
+}
+
+// Seen is a count from a time on.
+type Seen struct {
+	AtS float64 `json:"at_s"`
+	N   int     `json:"n"`
+}
+
+// Table prints a result for people.
+func (r *Result) Table() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s (seed %d): %s after %.1f s", r.Scenario, r.Seed, r.Result, r.TookS)
+	if r.Why != "" {
+		fmt.Fprintf(&b, ": %s", r.Why)
+	}
+	b.WriteString("\n")
+	for i, f := range r.Faults {
+		fmt.Fprintf(&b, "  fault %d at %.1f s: %s, hits %s", i+1, f.AtS, f.Kind, short(f.Hits))
+		if f.Lost > 0 {
+			fmt.Fprintf(&b, "; %d tasks lost, %d back", f.Lost, f.Back)
+		}
+		b.WriteString("\n")
+		for _, s := range f.Steps {
+			fmt.Fprintf(&b, "    %-14s %7.2f s   least %6.2f s   (%d)\n", s.Step, float64(s.AfterMS)/1000, float64(s.LeastMS)/1000, s.Count)
+		}
+	}
+	for _, o := range r.Objectives {
+		word := "met   "
+		if !o.Met {
+			word = "MISSED"
+		}
+		got := "not seen"
+		if o.Got >= 0 {
+			got = fmt.Sprintf("%.3g %s", o.Got, o.Unit)
+		}
+		fmt.Fprintf(&b, "  %s %s: %s (wanted %.3g)\n", word, o.What, got, o.Want)
+	}
+	fmt.Fprintf(&b, "  rules: %d broken in %d task starts\n", len(r.Rules.Broken), r.Rules.Starts)
+	for _, v := range r.Rules.Broken {
+		fmt.Fprintf(&b, "    %s at %.1f s: %s\n", v.Rule, v.AtS, v.What)
+	}
+	return b.String()
+}
+
+// short lists the first few names.
+func short(names []string) string {
+	switch {
+	case len(names) == 0:
+		return "everybody"
+	case len(names) > 4:
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:3], " "), len(names)-3)
+	}
+	return strings.Join(names, " ")
+}
--- /dev/null
+++ b/internal/rehearse/run.go
@@ -0,0 +1,362 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/cborhttp"
+	"github.com/barrowbridge/barrowbridge/internal/checker"
+	"github.com/barrowbridge/barrowbridge/internal/load"
+	"github.com/barrowbridge/barrowbridge/internal/recovery"
+	"github.com/barrowbridge/barrowbridge/internal/standin/site"
+	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+const (
+	pulse      = 40 * time.Millisecond  // of the director
+	trailEvery = 150 * time.Millisecond // a killed controller's last events are missed for no longer
+	pollEvery  = 400 * time.Millisecond // of users
+	upWithin   = 20 * time.Second       // the deployment must be ready
+	stallMost  = 2 * time.Second        // a process that stood still longer proves nothing
+)
+
+// rehearsal is one run of a scenario.
+type rehearsal struct {
+	sc    *Scenario
+	seed  uint64
+	rng   *rand.Rand
+	site  *site.Site
+	users *load.Client
+	http  *http.Client
+	note  func(Entry)
+
+	mu     sync.Mutex
+	zero   time.Duration // the site's time at which the scenario's begins
+	seen   []recovery.Observation
+	jobs   map[string]*job
+	staged []*staged
+	line   Timeline
+	open   map[string]int // what goes on: index of its span
+	after  map[string]uint64
+	boots  map[string]uint64
+	wg     sync.WaitGroup
+}
+
+// job is a submitted job, as its user knows it.
+type job struct {
+	spec              wire.JobSpec
+	plan              Job
+	begun             time.Duration // first attempt to submit
+	accepted, running time.Duration // 0: not yet
+	done              time.Duration
+	refused           error
+	up, watched       time.Duration // time with all replicas, of the time since they first ran
+	last              int
+}
+
+type staged struct {
+	id  uint64
+	inc recovery.Incident
+	f   FaultResult
+}
+
+// play runs a scenario once. note records what must survive an interruption.
+func play(ctx context.Context, sc *Scenario, seed uint64, dir, program string, note func(Entry)) *Result {
+	began := time.Now()
+	r := &rehearsal{sc: sc, seed: seed, rng: rand.New(rand.NewPCG(seed, 11)), note: note, jobs: map[string]*job{},
+		open: map[string]int{}, after: map[string]uint64{}, boots: map[string]uint64{}, http: cborhttp.NewClient(500*time.Millisecond, 4),
+		line: Timeline{Up: map[string][]Seen{}}}
+	res := &Result{Scenario: sc.Name, Seed: seed, Result: Failed, Faults: []FaultResult{}, Objectives: []Objective{}, Waits: []Wait{}, Rules: Rules{Broken: []Broken{}}}
+	defer func() { res.TookS = time.Since(began).Seconds() }()
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		res.Why = err.Error()
+		return res
+	}
+	r.site = site.New(r.spec(dir, program), slog.New(slog.DiscardHandler), r.event)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer r.site.Stop()
+	up, done := context.WithTimeout(ctx, upWithin)
+	defer done()
+	err := r.site.Start(ctx)
+	if err == nil {
+		err = r.site.WaitReady(up)
+	}
+	if err == nil {
+		r.users = load.NewClient(r.site.Public(), load.SiteUsers{Site: r.site})
+		r.direct(ctx)
+		r.clear(ctx)
+	}
+	interrupted := ctx.Err() != nil
+	cancel()
+	r.wg.Wait()
+	r.fill(res)
+	switch {
+	case err != nil:
+		res.Why = err.Error()
+	case interrupted:
+		res.Result, res.Why = Interrupted, "ended before it was over"
+	case r.site.Stalled() > stallMost:
+		res.Result, res.Why = Interrupted, fmt.Sprintf("this machine or process stood still for %.1f s", r.site.Stalled().Seconds())
+	case len(res.Rules.Broken) > 0:
+		res.Why = "a rule was broken"
+	default:
+		res.Result = Passed
+		for _, o := range res.Objectives {
+			if !o.Met {
+				res.Result, res.Why = Failed, "an objective was missed"
+			}
+		}
+	}
+	return res
+}
+
+// spec turns the scenario's fleet into a deployment.
+func (r *rehearsal) spec(dir, program string) site.Spec {
+	f := r.sc.Fleet
+	s := site.Default()
+	s.Controllers, s.Machines, s.Rentable, s.Seed = f.Controllers, f.Machines, f.Rentable, r.seed
+	s.Program, s.Dir, s.LogLevel = program, dir, "info"
+	s.Zones = nil
+	for i := range f.Zones {
+		s.Zones = append(s.Zones, string(rune('a'+i)))
+	}
+	s.Type.CPUs, s.Type.MemoryGB, s.Type.BootS, s.Type.FetchGBps = f.CPUs, f.MemoryGB, f.BootS, f.FetchGBps
+	s.Report, s.Lease, s.Cancel = seconds(f.ReportS), seconds(f.LeaseS), seconds(f.CancelS)
+	s.State.RPS, s.State.WriteRPS = f.StateRPS, f.WriteRPS
+	s.Cloud.ListLag, s.Cloud.Notice = seconds(f.ListLagS), seconds(f.NoticeS)
+	s.Teams = map[string]site.Team{}
+	for _, t := range r.sc.Teams {
+		s.Teams[t.Name] = site.Team{CPUs: t.CPUs, CPUsMax: t.CPUsMax}
+	}
+	record := func(what string) func(string, int, string) {
+		return func(_ string, pid int, settings string) { r.process(what, pid, settings) }
+	}
+	s.Spawned, s.Ended = record("process"), record("ended")
+	return s
+}
+
+// process records a process's start or end. After its end its identity can be read no
+// more, so that of its start is remembered.
+func (r *rehearsal) process(what string, pid int, settings string) {
+	key := fmt.Sprint(pid, " ", settings)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if what == "process" {
+		if p, err := Identify(pid, settings); err == nil {
+			known.Store(key, p)
+			r.note(Entry{What: what, Scenario: r.sc.Name, Seed: r.seed, Process: &p})
+		}
+		return
+	}
+	if p, ok := known.LoadAndDelete(key); ok {
+		p := p.(Process)
+		r.note(Entry{What: what, Scenario: r.sc.Name, Seed: r.seed, Process: &p})
+	}
+}
+
+// known holds the identities of the processes that run.
+var known sync.Map
+
+// direct carries the scenario out.
+func (r *rehearsal) direct(ctx context.Context) {
+	r.zero = r.site.Now()
+	d := NewDirector(r.sc)
+	t := time.NewTicker(pulse)
+	defer t.Stop()
+	last, trails := r.now(), time.Duration(-trailEvery)
+	for {
+		now := r.now()
+		if now-trails >= trailEvery {
+			trails = now
+			r.readTrails(ctx)
+		}
+		r.watch(now, now-last)
+		last = now
+		actions, over := d.Step(now, facts{r})
+		for _, a := range actions {
+			if a.Stage > 0 {
+				r.stage(a.Stage)
+			} else {
+				r.submit(ctx, a)
+			}
+		}
+		if over {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (r *rehearsal) now() time.Duration { return r.site.Now() - r.zero }
+
+// submit has a user submit a job and poll it.
+func (r *rehearsal) submit(ctx context.Context, a Action) {
+	plan := r.sc.Jobs[a.Job]
+	spec := plan.spec(a.Submit)
+	rec, err := spec.Validate()
+	if err != nil {
+		r.mu.Lock()
+		r.jobs[a.Submit] = &job{spec: spec, plan: plan, refused: err}
+		r.mu.Unlock()
+		return
+	}
+	spread := r.rng.Float64()
+	r.site.Upload(spec, worker.FromRecord(rec, func(i int) time.Duration {
+		k := (spread + float64(i)*0.618034)
+		return seconds(plan.RunS * (2.0/3 + 2.0/3*(k-float64(int(k)))))
+	}))
+	j := &job{spec: spec, plan: plan, begun: r.now()}
+	r.mu.Lock()
+	r.jobs[a.Submit] = j
+	r.mu.Unlock()
+	r.wg.Go(func() {
+		_, err := r.users.Submit(ctx, spec)
+		r.mu.Lock()
+		if j.refused = err; err == nil {
+			j.accepted = r.now()
+		}
+		r.mu.Unlock()
+		for err == nil && ctx.Err() == nil && !r.poll(ctx, a.Submit, j) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(pollEvery):
+			}
+		}
+	})
+}
+
+// poll asks once and tells whether the job is over.
+func (r *rehearsal) poll(ctx context.Context, id string, j *job) bool {
+	status, st := r.users.Poll(ctx, id)
+	if status != http.StatusOK {
+		return false
+	}
+	over := st.Status == wire.JobDone || st.Status == wire.JobAborted
+	kind := recovery.ToldDown
+	if over || st.Running != nil && *st.Running >= int(*j.spec.Tasks) {
+		kind = recovery.ToldUp
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, recovery.Observation{At: r.now(), From: recovery.FromUser, Kind: kind, Job: id, Shard: -1})
+	if st.Status == wire.JobDone && j.done == 0 {
+		j.done = r.now()
+	}
+	return over
+}
+
+// spec is a job as its user describes it.
+func (j Job) spec(id string) wire.JobSpec {
+	tasks, no, gpus, save, due := int64(j.Tasks), false, 0.0, 0.0, j.RunS*20
+	est := j.RunS
+	s := wire.JobSpec{ID: &id, Class: &j.Class, Team: &j.Team, Shape: &j.Shape, Priority: &j.Priority, Tasks: &tasks, CPUs: &j.CPUs, GPUs: &gpus,
+		MemoryGB: &j.MemoryGB, OneZone: &no, Spread: &j.Spread, Spot: &j.Spot, Image: &j.Class, ImageGB: &j.ImageGB, EstimateS: &est,
+		CheckpointEvery: &j.SaveS, SaveS: &save, DueS: &due}
+	if j.Shape == wire.ShapeService {
+		est, s.DueS = 0, nil
+	}
+	return s
+}
+
+// kindsSilent are faults whose machines say nothing any more.
+func silent(f Fault) bool {
+	switch f.Kind {
+	case "machine_hang", "machine_die":
+		return true
+	case "spot_taken":
+		return f.Value == 0
+	case "link":
+		return f.Peer == "all" && !f.OneWay && f.Mode != "delay"
+	}
+	return false
+}
+
+// dead are faults whose controllers cannot act any more.
+func dead(kind string) bool {
+	return kind == "controller_kill" || kind == "controller_pause" || kind == "state_refuses" || kind == "state_mute"
+}
+
+// stage makes a fault happen and remembers whom it hit, as they were.
+func (r *rehearsal) stage(n int) {
+	f := r.sc.Faults[n-1]
+	var hit []string
+	if f.Target != "" {
+		hit, _ = r.site.Resolve(f.Kind, f.Target)
+	}
+	states := r.site.States(hit)
+	at := r.now()
+	a, err := r.site.Stage(f.staged())
+	s := &staged{id: a.ID, f: FaultResult{Kind: f.Kind, Hits: a.Hits, AtS: at.Seconds(), Steps: []recovery.Step{}, WallTime: time.Now().UTC()}}
+	if err != nil {
+		s.f.Kind += " (not staged: " + err.Error() + ")"
+	}
+	s.inc = recovery.Incident{Kind: f.Kind, At: at, Silent: silent(f), Dead: dead(f.Kind)}
+	for _, m := range states {
+		s.inc.Machines = append(s.inc.Machines, recovery.Machine{Name: m.Name, LeaseLeft: m.LeaseLeft, Reported: m.Reported, Tasks: m.Tasks})
+	}
+	for _, h := range a.Hits {
+		if r.site.Controller(h) != nil {
+			s.inc.Controllers = append(s.inc.Controllers, h)
+		}
+	}
+	s.inc.Services = f.Target == ""
+	r.mu.Lock()
+	r.staged = append(r.staged, s)
+	r.mu.Unlock()
+	r.note(Entry{What: "fault", Scenario: r.sc.Name, Seed: r.seed, Detail: f.Kind + " " + short(a.Hits)})
+}
+
+// clear cancels what still runs, as its users would, and waits until it is gone.
+func (r *rehearsal) clear(ctx context.Context) {
+	r.site.LiftAll()
+	if ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, seconds(r.sc.Fleet.CancelS)+10*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for id, j := range r.jobs {
+		if j.plan.Shape == wire.ShapeService && j.accepted > 0 {
+			wg.Go(func() { _, _ = r.users.Abort(ctx, id) })
+		}
+	}
+	wg.Wait()
+	for end := time.Now().Add(seconds(r.sc.Fleet.CancelS)); ctx.Err() == nil && time.Now().Before(end); time.Sleep(pulse) {
+		gone := true
+		for id, j := range r.jobs {
+			gone = gone && (j.plan.Shape != wire.ShapeService || len(r.site.Running(id)) == 0)
+		}
+		if gone {
+			break
+		}
+	}
+	r.site.Check(func(now time.Duration, c *checker.Checker) { c.Finish(now) })
+}
+
+// Program is this program, which the emulated controllers run.
+func Program() (string, error) {
+	p, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	return filepath.EvalSymlinks(p)
+}
+
+// params are the times by which recoveries are bounded.
+func (r *rehearsal) params() recovery.Params {
+	return recovery.Params{Report: seconds(r.sc.Fleet.ReportS), Lease: seconds(r.sc.Fleet.LeaseS), Grant: tuning.GrantTTL, Renew: tuning.ExtendEvery}
+}
--- a/internal/standin/site/controllers.go
+++ b/internal/standin/site/controllers.go
@@ -249,9 +249,15 @@
 	}
 	ended := make(chan struct{})
 	c.proc, c.ended = cmd.Process, ended
+	if f := c.site.Spec.Spawned; f != nil {
+		f(c.Name, cmd.Process.Pid, path)
+	}
 	c.lives++
 	go func() {
 		_ = cmd.Wait()
+		if f := c.site.Spec.Ended; f != nil {
+			f(c.Name, cmd.Process.Pid, path)
+		}
 		_ = log.Close()
 		close(ended)
 		time.AfterFunc(restartAfter, func() { c.revive(ended) })
--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -189,7 +190,7 @@
 		return nil, fmt.Errorf("target: %q names no %s", target, strings.TrimSuffix(want, "s"))
 	}
 	sort.Strings(out)
-	return out, nil
+	return slices.Compact(out), nil
 }
 
 // Stage makes something go wrong.
@@ -214,7 +215,7 @@
 	case "link":
 		a.rule = s.Net.Add(link.Rule{From: among(a.Hits), To: among(peers), Mode: link.Mode(f.Mode), OneWay: f.OneWay, Delay: seconds(f.Value)})
 	case "peers_refuse":
-		a.rule = s.Net.Add(link.Rule{From: among(a.Hits), To: func(p string) bool { return s.controllers[p] != nil && !has(a.Hits, p) }, Mode: link.Refuse})
+		a.rule = s.Net.Add(link.Rule{From: among(a.Hits), To: func(p string) bool { return s.controllers[p] != nil && !slices.Contains(a.Hits, p) }, Mode: link.Refuse})
 	}
 	s.mu.Lock()
 	if s.faults.active == nil {
@@ -238,15 +239,8 @@
 
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 
-func among(names []string) func(string) bool { return func(p string) bool { return has(names, p) } }
-
-func has(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
+func among(names []string) func(string) bool {
+	return func(p string) bool { return slices.Contains(names, p) }
 }
 
 // once does what a fault does a single time.
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -51,6 +51,9 @@
 	Program     string // of the controllers
 	Dir         string // for settings files
 	LogLevel    string
+
+	// Spawned and Ended, if not nil, are told of each controller's process.
+	Spawned, Ended func(name string, pid int, settings string)
 }
 
 // Default is a small deployment that starts, rents and fails over in seconds.
@@ -121,6 +124,7 @@
 	starter     *starter
 
 	stateAddr, cloudAddr string
+	stalled              time.Duration // longest time that this whole process stood still
 }
 
 // New prepares a deployment; Start brings it up. observe, if not nil, is called
@@ -217,6 +221,7 @@
 func (s *Site) clock(ctx context.Context) {
 	t := time.NewTicker(clockEvery)
 	defer t.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,6 +230,11 @@
 		}
 		s.mu.Lock()
 		now := s.Now()
+		// A machine that slept shows in its time of day, a process that was stopped in
+		// its steady time.
+		this := time.Now()
+		s.stalled = max(s.stalled, this.Sub(last), this.Round(0).Sub(last.Round(0)))
+		last = this
 		s.answer(s.store.Advance(now))
 		s.cloudEvents(now, s.cloud.Advance(now))
 		for _, name := range s.machineNames() {
@@ -386,6 +396,42 @@
 	return holder
 }
 
+// Stalled is the longest time for which this process stood still, be it that the
+// machine slept: what is seen then says nothing of the cluster.
+func (s *Site) Stalled() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stalled
+}
+
+// State is a machine at a moment.
+type State struct {
+	Name      string
+	LeaseLeft time.Duration // until its worker gives its tasks up
+	Reported  time.Duration // since it sent its last report
+	Tasks     []string      // on it
+}
+
+// States tells of machines as they are now; names of others are passed over.
+func (s *Site) States(names []string) (out []State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range names {
+		if m := s.machines[n]; m != nil && !m.gone {
+			x := State{Name: n, Tasks: m.Running()}
+			x.LeaseLeft, x.Reported = m.Lease(s.Now())
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Begun is the time of day at which the site's time began.
+func (s *Site) Begun() time.Time { return s.begun }
+
+// Direct is where a controller's process itself listens, whatever is cut.
+func (s *Site) Direct(controller string) string { return s.addrOf(controller) }
+
 // Cost is what the cloud has charged so far.
 func (s *Site) Cost() float64 {
 	s.mu.Lock()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -625,6 +625,12 @@
 // it names runs on, even if the machine hangs.
 func (w *Worker) Leased(now Time) bool { return now-w.leased <= w.p.Lease }
 
+// Lease tells how long the worker's lease still runs, and how long ago it sent its
+// last report.
+func (w *Worker) Lease(now Time) (left, reported time.Duration) {
+	return w.leased + w.p.Lease - now, now - w.lastSend
+}
+
 // Running lists the tasks that are on the machine.
 func (w *Worker) Running() (out []string) {
 	for _, a := range w.sorted() {
