Reports passed on to a silent holder are given back after 0.8 s

A report passed on is now given back after 0.8 s, with a scripted test that failed before. Also: emulated controllers listen on a loopback address of their own, since another deployment took a port between choice and use.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -304,6 +304,7 @@
 	c.keepPresence()
 	c.keepMirror()
 	c.tellPeers()
+	c.giveUpRelays()
 	if !c.loaded {
 		return
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -520,6 +520,38 @@
 	kept()
 }
 
+// Found by the rehearsal of a rolling restart: a worker whose holder had just died
+// reported to another controller, which passed the report on to the dead one and let
+// the worker wait for 3.5 s. With the pauses around it that was a whole lease.
+func TestAReportToADeadHolderIsAnsweredSoon(t *testing.T) {
+	w, _ := runningServices(t, 19)
+	var m *host
+	for _, n := range w.order {
+		if len(w.machines[n].tasks()) > 0 {
+			m = w.machines[n]
+		}
+	}
+	holder := w.holderOf(m.info.Name)
+	r, _ := m.Inspect(w.now)
+	r.Seq += 100
+	w.kill(holder)
+	for _, n := range sortedKeys(w.nodes) {
+		if n == holder {
+			continue
+		}
+		answered := false
+		w.ask(n, func(q uint64) any { return WorkerReport{q, r} }, func(a Answer) {
+			if answered = true; a.Status != 503 && a.Status != 421 {
+				t.Errorf("%s answers %d for a dead holder", n, a.Status)
+			}
+		})
+		w.run(1100 * time.Millisecond)
+		if !answered {
+			t.Errorf("%s lets the worker wait", n)
+		}
+	}
+}
+
 // Found in the same incident: a controller cut off from the state service kept
 // its workers for 25 s from the one that had been granted its shard.
 func TestYieldsToLaterToken(t *testing.T) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/trail"
@@ -128,11 +129,6 @@
 	for _, i := range sortedInts(c.held) {
 		holds = append(holds, HeldShard{i, c.shards[i].ver})
 	}
-	for id, x := range c.passed {
-		if c.now-x.at > tuning.ReportTimeout {
-			delete(c.passed, id)
-		}
-	}
 	for name, x := range c.relays {
 		if c.now-x.last > 2*tuning.RelayFor {
 			delete(c.relays, name)
@@ -145,6 +141,24 @@
 	}
 }
 
+// giveUpRelays answers reports that were passed on to a holder that keeps silent: it
+// may have just died, and each second the worker waits is one of its lease. A late
+// answer of the holder is dropped then, as one that the worker did not wait for.
+func (c *Core) giveUpRelays() {
+	var late []uint64
+	for id, x := range c.passed {
+		if c.now-x.at > tuning.RelayWait {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		x := c.passed[id]
+		delete(c.passed, id)
+		c.answer(x.req, 503, unavailable("holder does not answer"))
+	}
+}
+
 func (c *Core) onPeer(m PeerMessage) {
 	if _, known := c.p.Nodes[m.From]; !known || m.From == c.p.Node || m.UpMS < 0 {
 		c.log(1, "message from no controller of this deployment", "from", m.From)
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -126,14 +126,7 @@
 // Analyze derives the steps of one incident. Steps that did not come, or that this
 // fault does not need, are left out.
 func Analyze(p Params, inc Incident, seen []Observation) []Step {
-	obs := make([]Observation, 0, len(seen))
-	for _, o := range seen {
-		if o.At >= inc.At {
-			obs = append(obs, o)
-		}
-	}
-	sort.SliceStable(obs, func(a, b int) bool { return obs[a].At < obs[b].At })
-	x := analysis{p: p, inc: inc, obs: obs}
+	x := since(p, inc, seen)
 	x.notice()
 	x.leases()
 	x.shards()
@@ -143,6 +136,18 @@
 	return x.steps
 }
 
+// since prepares what was seen from the fault on, in order.
+func since(p Params, inc Incident, seen []Observation) *analysis {
+	obs := make([]Observation, 0, len(seen))
+	for _, o := range seen {
+		if o.At >= inc.At {
+			obs = append(obs, o)
+		}
+	}
+	sort.SliceStable(obs, func(a, b int) bool { return obs[a].At < obs[b].At })
+	return &analysis{p: p, inc: inc, obs: obs}
+}
+
 type analysis struct {
 	p     Params
 	inc   Incident
@@ -348,12 +353,12 @@
 
 // Lost counts the tasks that an incident took, and those of them that ran again.
 func Lost(p Params, inc Incident, seen []Observation) (lost, back int) {
-	for _, s := range Analyze(p, inc, seen) {
+	x := since(p, inc, seen)
+	x.tasks()
+	for _, s := range x.steps {
 		if s.Step == Running {
 			back = s.Count
 		}
 	}
-	x := analysis{p: p, inc: inc, obs: seen}
-	x.tasks()
 	return len(x.lost), back
 }
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -42,7 +42,8 @@
 	if diff := cmp.Diff(want, Analyze(params, inc, seen)); diff != "" {
 		t.Error(diff)
 	}
-	if lost, back := Lost(params, inc, seen[:7]); lost != 2 || back != 1 {
+	before := Observation{At: 99 * sec, From: FromWorker, Kind: Left, Machine: "a", Task: "job-3/0", Shard: -1} // not this fault's
+	if lost, back := Lost(params, inc, append([]Observation{before}, seen[:7]...)); lost != 2 || back != 1 {
 		t.Errorf("%d lost, %d back, want 2 and 1", lost, back)
 	}
 }
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -41,6 +41,7 @@
 
 	mu     sync.Mutex
 	zero   time.Duration // the site's time at which the scenario's begins
+	over   time.Duration // when it ended; 0: not yet
 	seen   []recovery.Observation
 	jobs   map[string]*job
 	staged []*staged
@@ -94,6 +95,7 @@
 	if err == nil {
 		r.users = load.NewClient(r.site.Public(), load.SiteUsers{Site: r.site})
 		r.direct(ctx)
+		r.close()
 		r.clear(ctx)
 	}
 	interrupted := ctx.Err() != nil
@@ -201,6 +203,13 @@
 	}
 }
 
+// close ends what counts: what comes while work is cleared away is no recovery.
+func (r *rehearsal) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = r.now()
+}
+
 func (r *rehearsal) now() time.Duration { return r.site.Now() - r.zero }
 
 // submit has a user submit a job and poll it.
--- a/internal/rehearse/watch.go
+++ b/internal/rehearse/watch.go
@@ -37,7 +37,7 @@
 		}
 		r.end(e.Machine+" "+e.Task, &r.line.Tasks, s, cause)
 	}
-	if strings.HasPrefix(e.Kind, "task_") {
+	if strings.HasPrefix(e.Kind, "task_") && r.over == 0 {
 		r.seen = append(r.seen, recovery.Observation{At: at, From: recovery.FromWorker, Kind: e.Kind, Machine: e.Machine, Task: e.Task, Cause: e.Cause, Shard: -1})
 	}
 }
--- a/internal/standin/site/controllers.go
+++ b/internal/standin/site/controllers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -48,6 +49,19 @@
 	slowStop chan struct{}
 }
 
+// ownHost is a loopback address that most likely nobody else on this machine uses. A
+// process is told a port that was free a moment before; on an address shared by all,
+// another deployment took it in between, and was taken for the process.
+func ownHost() string {
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	ln, err := listenOn(host)
+	if err != nil {
+		return "127.0.0.1" // a system with one loopback address only
+	}
+	_ = ln.Close()
+	return host
+}
+
 // starter starts processes on one thread that lives as long as this process, so
 // that they end with it, even if it is killed: the kernel ties them to the thread.
 type starter struct{ jobs chan func() }
@@ -172,11 +186,11 @@
 
 // settings writes the controller's settings file for ports that are free now.
 func (c *Controller) settings() (path string, err error) {
-	a, err := listen()
+	a, err := listenOn(c.site.host)
 	if err != nil {
 		return "", err
 	}
-	b, err := listen()
+	b, err := listenOn(c.site.host)
 	if err != nil {
 		return "", errors.Join(err, a.Close())
 	}
@@ -395,6 +409,7 @@
 	if err != nil {
 		return false
 	}
+	req.Close = true // a kept connection would lead to an earlier life of the process
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return false
--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -132,7 +132,7 @@
 
 // Resolve turns a target into names: a name itself, several with commas, "all"
 // controllers, "leader", "holder:TEAM", "zone:Z" (its machines and controllers),
-// "machines:Z" (of a zone, all if Z is empty), "machine-of:JOB".
+// "machines:Z" (of a zone, all if Z is empty), "spot" machines, "machine-of:JOB".
 func (s *Site) Resolve(kind, target string) ([]string, error) {
 	var out []string
 	for _, t := range strings.Split(target, ",") {
@@ -148,6 +148,14 @@
 			out = append(out, s.HolderOf(arg))
 		case "machine-of":
 			out = append(out, s.Running(arg)...)
+		case "spot":
+			s.mu.Lock()
+			for _, n := range s.machineNames() {
+				if !s.machines[n].gone && s.cloud.Host(n).Spot {
+					out = append(out, n)
+				}
+			}
+			s.mu.Unlock()
 		case "zone", "machines":
 			s.mu.Lock()
 			for _, n := range s.machineNames() {
--- a/internal/standin/site/serve.go
+++ b/internal/standin/site/serve.go
@@ -23,7 +23,9 @@
 )
 
 // listen opens a free loopback port.
-func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+func listen() (net.Listener, error) { return listenOn("127.0.0.1") }
+
+func listenOn(host string) (net.Listener, error) { return net.Listen("tcp", host+":0") }
 
 // serve runs handlers on a listener until the site ends.
 func (s *Site) serve(ln net.Listener, e *echo.Echo) *http.Server {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -123,6 +123,7 @@
 	ctx         context.Context
 	starter     *starter
 
+	host                 string // where the controllers' processes listen
 	stateAddr, cloudAddr string
 	stalled              time.Duration // longest time that this whole process stood still
 }
@@ -135,7 +136,7 @@
 	spec.Cloud.Types, spec.Cloud.Otherwise = []wire.MachineType{spec.Type}, spec.Rentable
 	s := &Site{Spec: spec, Net: link.New(), log: log, begun: time.Now(), rng: rng,
 		store: state.New(spec.State, rng), cloud: cloud.New(spec.Cloud, rng), work: worker.NewWork(),
-		machines: map[string]*machine{}, calls: map[uint64]chan state.Answer{}, slow: map[string]time.Duration{},
+		host: ownHost(), machines: map[string]*machine{}, calls: map[uint64]chan state.Answer{}, slow: map[string]time.Duration{},
 		mute: map[string]bool{}, late: map[string]time.Duration{}, observe: observe, controllers: map[string]*Controller{}}
 	s.store.Trouble.Refused = map[string]bool{}
 	s.cloud.Trouble.Hidden, s.cloud.Trouble.Ghosts = map[string]bool{}, map[string]bool{}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -183,6 +183,9 @@
 	// RelayFor (duration): a worker that came back from its holder is passed on
 	// for so long before the next try, which costs it half a lease.
 	RelayFor = 20 * time.Second
+	// RelayWait (duration): a report passed on that is not answered for so long is given
+	// back to its worker; holders answer in milliseconds, a busy one in tenths.
+	RelayWait = 800 * time.Millisecond
 	// PeerJobs (jobs): counts in one message, for display.
 	PeerJobs = 300
 	// TrailEvents (events): of the trail kept in memory, some 250 bytes each: an hour
