--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -77,6 +77,7 @@
 	EndS     float64           `json:"end_s"`
 	Tasks    []Span            `json:"tasks"`    // Who: the machine
 	Machines []Span            `json:"machines"` // up until gone
+	Lives    []Span            `json:"lives"`    // of the controllers' processes
 	Shards   []Span            `json:"shards"`   // Who: the controller that holds it
 	Leaders  []Span            `json:"leaders"`
 	Up       map[string][]Seen `json:"up"` // job -> how many of its tasks run
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -141,7 +142,7 @@
 		s.Teams[t.Name] = site.Team{CPUs: t.CPUs, CPUsMax: t.CPUsMax}
 	}
 	record := func(what string) func(string, int, string) {
-		return func(_ string, pid int, settings string) { r.process(what, pid, settings) }
+		return func(name string, pid int, settings string) { r.process(what, name, pid, settings) }
 	}
 	s.Spawned, s.Ended = record("process"), record("ended")
 	return s
@@ -149,17 +150,31 @@
 
 // process records a process's start or end. After its end its identity can be read no
 // more, so that of its start is remembered.
-func (r *rehearsal) process(what string, pid int, settings string) {
+func (r *rehearsal) process(what, name string, pid int, settings string) {
 	key := fmt.Sprint(pid, " ", settings)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	at := 0.0
+	if r.zero > 0 {
+		at = r.now().Seconds()
+	}
 	if what == "process" {
+		r.begin("life "+name, &r.line.Lives, Span{Who: name, What: "process", FromS: at})
 		if p, err := Identify(pid, settings); err == nil {
 			known.Store(key, p)
 			r.note(Entry{What: what, Scenario: r.sc.Name, Seed: r.seed, Process: &p})
 		}
 		return
 	}
+	r.end("life "+name, &r.line.Lives, at, "ended")
+	for k, i := range r.open { // what it held it holds no more
+		switch {
+		case strings.HasPrefix(k, "shard ") && r.line.Shards[i].Who == name:
+			r.end(k, &r.line.Shards, at, "ended")
+		case k == "leader" && r.line.Leaders[i].Who == name:
+			r.end(k, &r.line.Leaders, at, "ended")
+		}
+	}
 	if p, ok := known.LoadAndDelete(key); ok {
 		p := p.(Process)
 		r.note(Entry{What: what, Scenario: r.sc.Name, Seed: r.seed, Process: &p})
--- a/internal/rehearse/watch.go
+++ b/internal/rehearse/watch.go
@@ -104,10 +104,8 @@
 		r.end(key, &r.line.Shards, at.Seconds(), "")
 		r.begin(key, &r.line.Shards, Span{Who: node, What: key, FromS: at.Seconds()})
 	case trail.NodeGone:
-		for _, k := range []string{"leader"} {
-			if i, ok := r.open[k]; ok && r.line.Leaders[i].Who == e.Node {
-				r.end(k, &r.line.Leaders, at.Seconds(), "gone")
-			}
+		if i, ok := r.open["leader"]; ok && r.line.Leaders[i].Who == e.Node {
+			r.end("leader", &r.line.Leaders, at.Seconds(), "gone")
 		}
 	}
 }
@@ -348,7 +346,7 @@
 		res.Waits = append(res.Waits, Wait{Job: id, Class: j.plan.Class, AcceptedS: r.measure("accepted", j), RunningS: r.measure("running", j), DoneS: r.measure("done", j)})
 	}
 	r.line.EndS = r.now().Seconds()
-	for _, spans := range []*[]Span{&r.line.Tasks, &r.line.Machines, &r.line.Shards, &r.line.Leaders} {
+	for _, spans := range []*[]Span{&r.line.Lives, &r.line.Tasks, &r.line.Machines, &r.line.Shards, &r.line.Leaders} {
 		for i := range *spans {
 			if (*spans)[i].ToS < 0 {
 				(*spans)[i].ToS = r.line.EndS
