--- a/cmd/barrowbridge/main.go
+++ b/cmd/barrowbridge/main.go
@@ -46,7 +46,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "", "settings file; serve as a controller")
-	cmd.AddCommand(devCommand(), rehearseCommand(), jobCommand(), adminCommand(), &cobra.Command{
+	cmd.AddCommand(devCommand(), rehearseCommand(), loadCommand(), jobCommand(), adminCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "barrowbridge", version) },
 	}, &cobra.Command{
--- a/internal/rehearse/plan.go
+++ b/internal/rehearse/plan.go
@@ -210,6 +210,14 @@
 	return r
 }
 
+// Store keeps a result that came about in another way, for Compare.
+func Store(dir string, r *Result) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	return writeResult(dir, strings.ReplaceAll(fmt.Sprintf("%s-%d", r.Scenario, r.Seed), " ", "-"), r)
+}
+
 const resultEnd = ".result.json"
 
 // writeResult writes a result whole or not at all.
