--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -733,10 +735,18 @@
 	}
 }
 
-// schedules is how many seeded days TestRandomSchedules plays.
-const schedules = 30
+// schedules is how many seeded days TestRandomSchedules plays; the variable
+// BARROWBRIDGE_SCHEDULES asks for more.
+var schedules = func() uint64 {
+	n, err := strconv.ParseUint(os.Getenv("BARROWBRIDGE_SCHEDULES"), 10, 64)
+	if err != nil {
+		return 30
+	}
+	return n
+}()
 
-// Random days: crashes, hangs, outages, cuts and aborts at seeded moments. The
+// Random days: crashes, hangs, outages, cuts, controllers that stand still, answers
+// that are lost, writes that come late, and aborts, at seeded moments. The
 // world checks the rules; at the end everything accepted is done.
 func TestRandomSchedules(t *testing.T) {
 	seeds := []uint64{182, 243, 507, 578} // a block moved between two shards of one holder
@@ -753,7 +763,12 @@
 			w.run(5 * sec)
 			id := 0
 			for range 40 {
-				switch w.rng.IntN(10) {
+				switch w.rng.IntN(12) {
+				case 10:
+					w.stand(fmt.Sprintf("c%d", w.rng.IntN(3)), time.Duration(500+w.rng.IntN(14000))*time.Millisecond)
+				case 11:
+					w.unsure = 1 + w.rng.IntN(30)
+					w.at(time.Duration(1+w.rng.IntN(15))*sec, func() { w.unsure = 0 })
 				case 0:
 					n := fmt.Sprintf("c%d", w.rng.IntN(3))
 					if w.nodes[n].core != nil {
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -30,6 +30,7 @@
 	callID  uint64
 	limits  state.Limits
 	cutFrom map[string]bool // nodes alone without the state service
+	unsure  int             // of a hundred calls of the state service, so many are lost, not answered, or executed late
 
 	cloud    *cloud.Cloud
 	capacity int // machines of one kind in one zone
@@ -56,6 +57,8 @@
 	life    int
 	reqs    uint64
 	waiting map[uint64]func(Answer)
+	still   time.Duration // stands still until then: what comes waits
+	held    []any
 }
 
 // host is a machine whose worker is up, or will be.
@@ -164,7 +167,7 @@
 
 func (w *world) start(name string) {
 	n := w.nodes[name]
-	n.core, n.began, n.waiting = New(w.params(name)), w.now, map[uint64]func(Answer){}
+	n.core, n.began, n.waiting, n.still, n.held = New(w.params(name)), w.now, map[uint64]func(Answer){}, 0, nil
 	n.life++
 	w.tick(n, n.life)
 }
@@ -183,10 +186,33 @@
 	w.at(50*time.Millisecond, func() { w.tick(n, life) })
 }
 
+// stand has a controller stand still, as one that gets no processor: what comes
+// meanwhile waits and is worked on in order afterwards.
+func (w *world) stand(name string, d time.Duration) {
+	n := w.nodes[name]
+	life := n.life
+	n.still = w.now + d
+	w.at(d, func() {
+		if n.life == life && w.now >= n.still {
+			held := n.held
+			n.held = nil
+			for _, in := range held {
+				w.step(n, in)
+			}
+		}
+	})
+}
+
 func (w *world) step(n *ctrl, in any) {
 	if n.core == nil {
 		return
 	}
+	if w.now < n.still {
+		if _, tick := in.(Tick); !tick {
+			n.held = append(n.held, in)
+		}
+		return
+	}
 	life := n.life
 	back := func(in any) func() {
 		return func() {
@@ -203,9 +229,7 @@
 				f(v)
 			}
 		case StateCall:
-			w.at(w.lag(), func() {
-				w.callStore(n.name, v, func(r StateReply) { w.at(w.lag(), back(StateDone{v.ID, r})) })
-			})
+			w.reach(n.name, v, func(r StateReply) { w.at(w.lag(), back(StateDone{v.ID, r})) })
 		case CloudCall:
 			w.at(w.lag(), func() { r := w.callCloud(v); w.at(w.lag(), back(CloudDone{v.ID, r})) })
 		case PeerSend:
@@ -246,6 +270,24 @@
 // storeOps maps the core's calls to the service's.
 var storeOps = map[int]state.Op{OpGet: state.Get, OpList: state.List, OpCommit: state.Commit, OpGrant: state.Grant, OpExtend: state.Extend, OpWatch: state.Watch}
 
+// reach brings a call to the service. Of calls it is unsure about, a third is lost, a
+// third executed with its answer lost, a third executed long after the caller gave up.
+func (w *world) reach(node string, v StateCall, reply func(StateReply)) {
+	lag := w.lag()
+	if v.Op == OpWatch || w.unsure == 0 || w.rng.IntN(100) >= w.unsure {
+		w.at(lag, func() { w.callStore(node, v, reply) })
+		return
+	}
+	fate := w.rng.IntN(3)
+	if fate == 2 {
+		lag += time.Duration(w.rng.IntN(8000)) * time.Millisecond
+	}
+	if fate > 0 {
+		w.at(lag, func() { w.callStore(node, v, func(StateReply) {}) })
+	}
+	w.at(tuning.StateTimeout, func() { reply(StateReply{}) })
+}
+
 func (w *world) callStore(node string, c StateCall, reply func(StateReply)) {
 	call := state.Call{Client: node, Op: storeOps[c.Op], Key: c.Key, After: c.After, Lease: c.Lease, Life: tuning.GrantTTL, Revision: c.Revision, Hold: c.Hold}
 	call.Txn.If = c.Txn.If
