--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -101,13 +101,19 @@
 	}
 }
 
-// Serve takes connections and hands their messages on until the listener fails.
+// Serve takes connections and hands their messages on until the listener is closed.
+// For want of a file or socket it pauses: a moment's shortage must not end the process.
 func Serve(ln net.Listener, deliver func(core.PeerMessage), log *slog.Logger) error {
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		if err != nil {
+			log.Error("peer connection not accepted", "err", err.Error())
+			time.Sleep(tuning.AcceptPause)
+			continue
+		}
 		go func() {
 			defer conn.Close()
 			for {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -171,6 +171,9 @@
 	PeerTimeout = 2 * time.Second
 	// PeerIdle (duration): a silent incoming peer connection is closed.
 	PeerIdle = 30 * time.Second
+	// AcceptPause (duration): after a connection could not be accepted, mostly for want
+	// of sockets; one frees up within moments.
+	AcceptPause = 100 * time.Millisecond
 	// PeerQueue (messages): waiting for one peer; advice only, more is dropped.
 	PeerQueue = 16
 	// PeerFrame (bytes): the largest message between controllers.
