--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -216,10 +216,12 @@
 // take plans the end of a spot machine, with a notice of half to one and a
 // half times the nominal length.
 func (c *Cloud) take(h *Host, at Time, tell bool) {
-	h.TakenAt = at
 	if tell {
-		h.NoticeAt = at - time.Duration((0.5+c.rng.Float64())*float64(c.p.Notice))
+		notice := time.Duration((0.5 + c.rng.Float64()) * float64(c.p.Notice))
+		at = max(at, h.Created+notice) // one rented just now is told in time, too
+		h.NoticeAt = at - notice
 	}
+	h.TakenAt = at
 }
 
 // Take has a spot machine taken back; with notice, after it.
