--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,20 +17,12 @@
 
 	"github.com/prometheus/procfs"
 
-	"github.com/barrowbridge/barrowbridge/internal/config"
-	"github.com/barrowbridge/barrowbridge/internal/node"
+	"github.com/barrowbridge/barrowbridge/internal/node/nodetest"
 )
 
 // TestMain lets the test binary be a controller, and a cluster to be killed.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 3 && os.Args[1] == "--config" {
-		cfg, err := config.Load(os.Args[2])
-		if err == nil {
-			err = node.Run(context.Background(), cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
-		}
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	nodetest.ServeIfAsked()
 	if dir := os.Getenv("BARROWBRIDGE_TEST_DEV"); dir != "" {
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 		defer stop()
--- /dev/null
+++ b/internal/node/nodetest/nodetest.go
@@ -0,0 +1,26 @@
+// Package nodetest lets a test binary be a controller, for tests that start real ones.
+package nodetest
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/barrowbridge/barrowbridge/internal/config"
+	"github.com/barrowbridge/barrowbridge/internal/node"
+)
+
+// ServeIfAsked serves as a controller, and does not return, if the binary was called
+// as the program is: with --config and a file. TestMain calls it first.
+func ServeIfAsked() {
+	if len(os.Args) != 3 || os.Args[1] != "--config" {
+		return
+	}
+	cfg, err := config.Load(os.Args[2])
+	if err == nil {
+		err = node.Run(context.Background(), cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -13,21 +12,13 @@
 	"testing"
 	"time"
 
-	"github.com/barrowbridge/barrowbridge/internal/config"
-	"github.com/barrowbridge/barrowbridge/internal/node"
+	"github.com/barrowbridge/barrowbridge/internal/node/nodetest"
 	"github.com/barrowbridge/barrowbridge/internal/recovery"
 )
 
 // TestMain lets the test binary be a controller, and a rehearsal to be killed.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 3 && os.Args[1] == "--config" {
-		cfg, err := config.Load(os.Args[2])
-		if err == nil {
-			err = node.Run(context.Background(), cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
-		}
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	nodetest.ServeIfAsked()
 	if dir := os.Getenv("BARROWBRIDGE_TEST_REHEARSE"); dir != "" {
 		p := Plan{Dir: dir, Jobs: 2, Names: []string{filepath.Join(dir, "one.toml"), filepath.Join(dir, "two.toml")}, Seeds: []uint64{1}}
 		run := Run
--- a/internal/standin/site/site_test.go
+++ b/internal/standin/site/site_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"log/slog"
 	"net/http"
 	"os"
 	"strings"
@@ -13,22 +11,14 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/cborhttp"
 	"github.com/barrowbridge/barrowbridge/internal/checker"
-	"github.com/barrowbridge/barrowbridge/internal/config"
-	"github.com/barrowbridge/barrowbridge/internal/node"
+	"github.com/barrowbridge/barrowbridge/internal/node/nodetest"
 	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
 // TestMain lets the test binary be a controller, as the site starts it.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 3 && os.Args[1] == "--config" {
-		cfg, err := config.Load(os.Args[2])
-		if err == nil {
-			err = node.Run(context.Background(), cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
-		}
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	nodetest.ServeIfAsked()
 	os.Exit(m.Run())
 }
 
