--- /dev/null
+++ b/internal/tools/repeat/main.go
@@ -0,0 +1,276 @@
+// Command repeat plays days of the operators' bench over and over, to find
+// what happens once in many runs. It keeps report, log and journal entry of
+// every run that broke a rule, did not end, or fell out of its day's
+// distribution, and prints per day how the worth of each aim is distributed.
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+type options struct {
+	bench string
+	out   string
+	days  []string
+	runs  int
+	jobs  int
+	fall  float64
+	limit time.Duration
+	score bool
+	sites []string
+}
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "repeat:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var o options
+	cmd := &cobra.Command{
+		Use: "repeat SITE...", Short: "Play days many times and keep what falls out",
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o.sites = args
+			if err := o.check(); err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt)
+			defer stop()
+			return o.play(ctx)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.bench, "bench", "../given/kit/bin/fleetbench", "the bench")
+	f.StringVar(&o.out, "out", "target/repeat", "folder for results; runs found there are counted in")
+	f.StringSliceVar(&o.days, "day", []string{"rough", "troubles"}, "days of each site")
+	f.IntVar(&o.runs, "runs", 10, "runs of each day, or scores")
+	f.IntVar(&o.jobs, "jobs", 2, "runs at once")
+	f.Float64Var(&o.fall, "fall", 0.15, "a run is kept if it lies so far below its day's median")
+	f.DurationVar(&o.limit, "limit", 20*time.Minute, "longest time for one run")
+	f.BoolVar(&o.score, "score", false, "play whole quick scores of all sites instead of single days")
+	return cmd
+}
+
+func (o *options) check() error {
+	if o.runs < 1 || o.jobs < 1 || o.jobs > 64 {
+		return fmt.Errorf("--runs must be at least 1 and --jobs from 1 to 64")
+	}
+	for _, p := range append([]*string{&o.bench, &o.out}, pointers(o.sites)...) {
+		abs, err := filepath.Abs(*p)
+		if err != nil {
+			return err
+		}
+		*p = abs
+	}
+	for _, p := range append([]string{o.bench}, o.sites...) {
+		if _, err := os.Stat(p); err != nil {
+			return err
+		}
+	}
+	return os.MkdirAll(filepath.Join(o.out, "runs"), 0o755)
+}
+
+func pointers(s []string) (out []*string) {
+	for i := range s {
+		out = append(out, &s[i])
+	}
+	return out
+}
+
+// task is one call of the bench.
+type task struct {
+	name string
+	args []string
+}
+
+func (o *options) tasks(from int) (out []task) {
+	for i := range o.runs {
+		n := from + i
+		if o.score {
+			args := append([]string{"score"}, o.sites...)
+			out = append(out, task{fmt.Sprintf("score-%04d", n), append(args, "--quick", "--why", "repeated to find a rare fall")})
+			continue
+		}
+		for _, s := range o.sites {
+			for _, d := range o.days {
+				name := strings.TrimSuffix(filepath.Base(s), ".toml") + "-" + d
+				out = append(out, task{fmt.Sprintf("%s-%04d", name, n), []string{"run", s, d, "--log", "info"}})
+			}
+		}
+	}
+	return out
+}
+
+func (o *options) play(ctx context.Context) error {
+	record := filepath.Join(o.out, "runs.jsonl")
+	past, err := readRuns(record)
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	todo := make(chan task)
+	go func() {
+		defer close(todo)
+		for _, t := range o.tasks(len(past)) {
+			select {
+			case todo <- t:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for slot := range o.jobs {
+		tree, err := worktree(filepath.Join(o.out, "trees"), slot)
+		if err != nil {
+			return err
+		}
+		wg.Go(func() {
+			defer func() { _ = exec.Command("git", "worktree", "remove", "--force", tree).Run() }()
+			for t := range todo {
+				runs := o.one(ctx, tree, t)
+				if ctx.Err() != nil {
+					return
+				}
+				mu.Lock()
+				for _, r := range runs {
+					past = append(past, r)
+					b, _ := json.Marshal(r)
+					fmt.Fprintln(f, string(b))
+					fmt.Printf("%s %s %.3f %s\n", t.name, r.key(), r.Worth, r.Fault)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	fmt.Print(summary(past, o.fall))
+	return keep(o.out, past, o.fall)
+}
+
+// worktree checks the present sources out for one slot, so that the bench's
+// journal entries of these runs do not mix with the project's own.
+func worktree(dir string, slot int) (string, error) {
+	tree := filepath.Join(dir, fmt.Sprint(slot))
+	_ = exec.Command("git", "worktree", "remove", "--force", tree).Run() // of a run that was interrupted
+	if out, err := exec.Command("git", "worktree", "add", "--quiet", "--detach", "--force", tree, "HEAD").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("git worktree: %w: %s", err, out)
+	}
+	return tree, nil
+}
+
+// one plays a task and reads its outcome from the journal entry it wrote.
+func (o *options) one(ctx context.Context, tree string, t task) []run {
+	base := filepath.Join(o.out, "runs", t.name)
+	lost := func(fault string) []run { return []run{{Task: t.name, Day: t.name[:len(t.name)-5], Fault: fault}} }
+	log, err := os.Create(base + ".log")
+	if err != nil {
+		return lost(err.Error())
+	}
+	defer log.Close()
+	args := t.args
+	if !o.score {
+		args = append(args, "--report", base+".report.json")
+	}
+	before := entries(tree)
+	ctx, cancel := context.WithTimeout(ctx, o.limit)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, o.bench, args...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = tree, log, log
+	runErr := cmd.Run()
+	var runs []run
+	for name := range entries(tree) { // a score writes one for each site
+		if before[name] {
+			continue
+		}
+		b, err := os.ReadFile(filepath.Join(tree, "journal", name))
+		if err != nil {
+			return lost(err.Error())
+		}
+		if err := os.WriteFile(base+"."+name, b, 0o644); err != nil {
+			return lost(err.Error())
+		}
+		days, err := parseEntry(t.name, b)
+		if err != nil {
+			return lost(err.Error())
+		}
+		runs = append(runs, days...)
+	}
+	if runs != nil {
+		return runs
+	}
+	return lost(fmt.Sprintf("no journal entry: %v", runErr))
+}
+
+func entries(tree string) map[string]bool {
+	out := map[string]bool{}
+	names, _ := filepath.Glob(filepath.Join(tree, "journal", "*.json"))
+	for _, n := range names {
+		out[filepath.Base(n)] = true
+	}
+	return out
+}
+
+func readRuns(path string) (out []run, err error) {
+	f, err := os.Open(path)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	sc := bufio.NewScanner(f)
+	sc.Buffer(nil, 1<<20)
+	for sc.Scan() {
+		var r run
+		if json.Unmarshal(sc.Bytes(), &r) == nil { // a torn last line is passed over
+			out = append(out, r)
+		}
+	}
+	return out, sc.Err()
+}
+
+// keep moves the files of runs that fell out to kept/ and removes the others.
+func keep(out string, runs []run, fall float64) error {
+	if err := os.MkdirAll(filepath.Join(out, "kept"), 0o755); err != nil {
+		return err
+	}
+	fell := map[string]bool{}
+	for _, r := range outliers(runs, fall) {
+		fell[r.Task] = true
+	}
+	for _, r := range runs {
+		files, _ := filepath.Glob(filepath.Join(out, "runs", r.Task+".*"))
+		for _, f := range files {
+			if fell[r.Task] {
+				if err := os.Rename(f, filepath.Join(out, "kept", filepath.Base(f))); err != nil {
+					return err
+				}
+			} else if err := os.Remove(f); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
