--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/queue"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -105,9 +106,12 @@
 
 // cordonSeen applies a machine's cordon to what this controller holds.
 func (c *Core) cordonSeen(machine string) {
-	c.dirty = true
 	m, cordon := c.machines[machine], c.cordons[machine]
-	if m == nil || !cordon.Drain {
+	if m == nil {
+		return
+	}
+	c.touch(m)
+	if !cordon.Drain {
 		return
 	}
 	m.drop = true // given back once it is empty
@@ -140,14 +144,12 @@
 		}
 		o.Blocks = append(o.Blocks, bv)
 	}
-	used := c.usage()
+	c.update()
 	waiting := map[string]int{}
-	for _, p := range c.queue() {
-		waiting[p.e.rec.Team] += p.pending
-	}
+	c.order.Walk(anyRoom, func(p *queue.Place[*jobEntry]) bool { waiting[p.Job.Team] += p.Job.Pending; return true })
 	for _, t := range sortedKeys(c.p.Teams) {
 		i := c.shardOf(t)
-		o.Teams = append(o.Teams, wire.TeamView{Team: t, Shard: i, Known: c.mine(i), UsedCPU: used[t].CPUs,
+		o.Teams = append(o.Teams, wire.TeamView{Team: t, Shard: i, Known: c.mine(i), UsedCPU: c.room.Used(t, i).CPUs,
 			CPUs: c.p.Teams[t].CPUs, CPUsMax: c.p.Teams[t].CPUsMax, Waiting: waiting[t]})
 	}
 	c.answer(v.Req, 200, o)
@@ -218,7 +220,8 @@
 		out = append(out, fmt.Sprintf("its tasks failed; next try in %s", e.run.notYet-c.now))
 	}
 	t, size := c.p.Teams[j.Team], jobSize(j)
-	if u := c.usage()[j.Team]; t.exceeds(u.Add(size)) {
+	c.update()
+	if u := c.room.Used(j.Team, shard); t.exceeds(u.Add(size)) {
 		out = append(out, fmt.Sprintf("team %s uses %g of at most %g cpus", j.Team, u.CPUs, t.CPUsMax))
 	}
 	place, room := 0, 0
@@ -234,11 +237,11 @@
 		out = append(out, fmt.Sprintf("none of %d machines it may use has room", place))
 	}
 	ahead := 0
-	for _, p := range c.queue() {
-		if p.e == e {
-			break
+	c.order.Walk(anyRoom, func(p *queue.Place[*jobEntry]) bool {
+		if p.Handle != e {
+			ahead++
 		}
-		ahead++
-	}
+		return p.Handle != e
+	})
 	return append(out, fmt.Sprintf("%d jobs are served before it", ahead))
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -187,6 +187,7 @@
 
 	mirror
 	holder
+	books
 	users
 	peers
 	leader leaderState
@@ -204,6 +205,7 @@
 	c.trail = trail.New(trail.Limits{Events: tuning.TrailEvents, Bytes: min(tuning.TrailBytes, p.ValueBytes/2), Every: tuning.TrailEvery})
 	c.mirror = newMirror()
 	c.holder = newHolder()
+	c.books = newBooks(p.Teams)
 	c.users = newUsers()
 	c.peers = newPeers()
 	c.leader.reset()
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -70,6 +72,7 @@
 	idleSince              Time
 	images                 map[string]bool
 	sum                    machineSum
+	touched                bool // see books
 }
 
 // machineSum is what a machine has left and what each team has on it. It is
@@ -78,15 +81,10 @@
 	ok      bool
 	sizes   int // state of the machine types it was made with
 	free    placement.Size
-	teams   []teamUse
+	teams   []ledger.Use
 	unknown int // attempts of unknown size
 }
 
-type teamUse struct {
-	team string
-	size placement.Size
-}
-
 type attemptKey struct {
 	task string
 	try  uint64
@@ -102,6 +100,7 @@
 	team             string
 	size             placement.Size
 	known            bool // size and team are known
+	lesser           bool // gives way to urgent work
 	m                *machine
 	status           string // "" until reported
 	cause            string
@@ -133,7 +132,7 @@
 
 // jobSeen is called for every new version of a live job.
 func (c *Core) jobSeen(e *jobEntry) {
-	c.dirty = true
+	c.touchJob(e)
 	i := c.shardOf(e.rec.Team)
 	if !c.mine(i) {
 		e.run = nil
@@ -145,12 +144,16 @@
 		if e.rec.Started > 0 {
 			e.run.held = e.rec.Started
 			c.settleJob(e, i, true)
+			c.awaitOn(e)
 			c.noteHeld(e, i)
 		}
 	}
 	if e.prio >= urgentRank {
 		u := c.urgent[i]
 		if s := jobSize(&e.rec); s.CPUs >= u.size.CPUs || c.now-u.seen > tuning.UrgentMemory {
+			if u.size != s {
+				c.touchShard(i) // room is counted in tasks of this size
+			}
 			u.size = s
 		}
 		u.seen = c.now
@@ -164,19 +167,16 @@
 		// earlier holder. Those may have been started.
 		e.run.held, e.run.next = e.rec.Started, e.rec.Started
 		c.settleJob(e, i, c.unsettle[i])
+		c.awaitOn(e)
 		c.noteHeld(e, i)
 	}
-	for _, r := range e.rec.Done {
-		for k := r[0]; k < r[1]; k++ {
-			e.run.done = e.run.done.add(k)
-		}
-	}
+	e.run.done = e.run.done.union(e.rec.Done)
 }
 
 // jobGone is called when a job has left the live keys: done or aborted. What
 // of it is still on machines is stopped there and counts until it is gone.
 func (c *Core) jobGone(e *jobEntry) {
-	c.dirty = true
+	c.touchJob(e)
 	if e.run == nil {
 		return
 	}
@@ -205,7 +205,12 @@
 	for _, a := range m.attempts {
 		c.dropAttempt(a)
 	}
+	if m.inherited && !m.accounted {
+		c.open[m.shard]--
+	}
 	delete(c.machines, m.name)
+	delete(c.coming, m)
+	c.room.Drop(m)
 	c.machineList = nil
 }
 
@@ -213,12 +218,14 @@
 func (c *Core) addAttempt(a *attempt) {
 	a.m.attempts[a.key] = a
 	a.m.sum.ok = false
+	c.touch(a.m)
 	c.onTask[a.key.task] = append(c.onTask[a.key.task], a)
 }
 
 func (c *Core) dropAttempt(a *attempt) {
 	delete(a.m.attempts, a.key)
 	a.m.sum.ok = false
+	c.touch(a.m)
 	list := c.onTask[a.key.task]
 	for i, o := range list {
 		if o == a {
@@ -292,12 +299,12 @@
 			c.dropMachine(m)
 		}
 	}
-	for _, e := range c.jobs {
-		if c.shardOf(e.rec.Team) == i {
+	for _, e := range c.jobsByAge() {
+		if c.shardOf(e.rec.Team) == i && e.run != nil {
 			e.run = nil
+			c.touchJob(e)
 		}
 	}
-	c.dirty = true
 	c.noteShard(trail.ShardLost, i, wire.TrailEvent{Node: c.shards[i].rec.Holder, Token: c.shards[i].ver})
 	c.log(1, "shard lost", "shard", i, "to", c.shards[i].rec.Holder)
 }
@@ -318,6 +325,9 @@
 	if old == nil {
 		return
 	}
+	if b != nil && b.rec.Idle != old.rec.Idle {
+		c.touchBlock(id)
+	}
 	for _, bm := range old.rec.Machines {
 		if m := c.machines[bm.Name]; m != nil && m.block == id && !now[bm.Name] {
 			// The leader takes a name out only once the cloud has deleted it, or
@@ -343,12 +353,19 @@
 			}
 			c.machines[bm.Name] = m
 			c.machineList = nil
+			if m.inherited {
+				c.open[m.shard]++
+			}
+		} else if m.shard != b.rec.Shard && m.inherited && !m.accounted {
+			c.open[m.shard]--
+			c.open[b.rec.Shard]++
 		}
 		m.fresh = bm.Fresh
 		// A block may move between two shards of one holder: a machine left in
 		// its old shard would take that shard's tasks, and lose them from sight
 		// with the next change of hands.
 		m.shard, m.base, m.drop = b.rec.Shard, b.rec.Base, m.drop || bm.Drop || c.cordons[bm.Name].Drain
+		c.touch(m)
 	}
 }
 
@@ -366,9 +383,10 @@
 func (c *Core) account(m *machine, why string) {
 	if m.inherited && !m.accounted {
 		c.noteMachine(trail.Accounted, m, wire.TrailEvent{Count: len(m.attempts), Why: why})
+		c.open[m.shard]--
 	}
 	m.accounted = true
-	c.dirty = true
+	c.touch(m)
 	c.settleOn(m)
 	c.settle()
 }
@@ -403,6 +421,7 @@
 
 // endActive marks that a's task is nowhere now.
 func (c *Core) endActive(e *jobEntry, a *attempt) {
+	c.touchJob(e)
 	delete(e.run.active, a.idx)
 	if o := c.elsewhere(a); o != nil {
 		// A delayed report named it on one machine while it was on another:
@@ -431,18 +450,14 @@
 // is accounted for.
 func (c *Core) settle() {
 	for _, i := range sortedInts(c.unsettle) {
-		open := false
-		for _, m := range c.machines {
-			if m.shard == i && m.inherited && !m.accounted {
-				open = true
-				break
-			}
-		}
-		if open {
+		if c.open[i] > 0 {
 			continue
 		}
 		delete(c.unsettle, i)
 		c.dirty = true
+		if len(c.unsettle) == 0 {
+			clear(c.waitsOn)
+		}
 		c.noteShard(trail.Settled, i, wire.TrailEvent{Why: fmt.Sprintf("after %.1f s", (c.now - c.entered[i]).Seconds())})
 		c.log(1, "all inherited machines accounted for", "shard", i, "after", (c.now - c.entered[i]).String())
 		for _, e := range c.jobsByAge() {
@@ -459,11 +474,23 @@
 	if !c.unsettle[m.shard] {
 		return
 	}
-	for _, e := range c.jobsByAge() {
-		if e.run != nil && e.run.held > 0 && contains(e.rec.On, m.name) {
+	for _, e := range c.waitsOn[m.name] {
+		if c.jobs[e.rec.ID] == e && e.run != nil && e.run.held > 0 && contains(e.rec.On, m.name) {
 			c.settleJob(e, m.shard, true)
 		}
 	}
+	delete(c.waitsOn, m.name)
+}
+
+// awaitOn notes which machines a job of few tasks waits for after a takeover.
+func (c *Core) awaitOn(e *jobEntry) {
+	if e.run.held > 0 {
+		for _, name := range e.rec.On {
+			if name != "" && !slices.Contains(c.waitsOn[name], e) {
+				c.waitsOn[name] = append(c.waitsOn[name], e)
+			}
+		}
+	}
 }
 
 // tracked tells whether a job's starts are written down machine by machine.
@@ -498,6 +525,7 @@
 	if e.run.held == 0 || c.unsettle[shard] && !tracked(&e.rec) {
 		return
 	}
+	c.touchJob(e)
 	queued := map[int]bool{}
 	for _, k := range e.run.retry {
 		queued[k] = true
@@ -547,19 +575,25 @@
 		m.silent = false
 		c.noteMachine(trail.MachineBack, m, wire.TrailEvent{Count: len(r.Attempts), Why: fmt.Sprintf("silent for %.1f s", (c.now - m.lastReport).Seconds())})
 	}
+	if m.over {
+		c.touch(m)
+	}
 	m.session, m.seq, m.lastReport, m.over = r.Session, r.Seq, c.now, false
+	if c.room.Heard(m, m.name, c.now) {
+		c.touch(m)
+	}
 	if !m.reported {
 		m.reported = true
 		if m.fresh {
 			c.used[m.block] = true
 		}
 		m.idleSince = c.now
-		c.dirty = true
+		c.touch(m)
 		c.log(2, "machine reports", "machine", m.name, "block", m.block)
 	}
 	if r.NoticeS != nil && !m.notice {
 		m.notice, m.noticeAt = true, c.now+seconds(*r.NoticeS)
-		c.dirty = true
+		c.touch(m)
 		c.noteMachine(trail.MachineNotice, m, wire.TrailEvent{Count: len(m.attempts), Why: fmt.Sprintf("in %.1f s", *r.NoticeS)})
 		c.log(1, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
 	}
@@ -625,7 +659,8 @@
 			}
 			a = &attempt{key: k, job: job, idx: idx, m: m, sent: true, created: c.now, running: c.now}
 			if e := c.jobs[job]; e != nil {
-				a.size, a.team, a.known = jobSize(&e.rec), e.rec.Team, true
+				a.size, a.team, a.known, a.lesser = jobSize(&e.rec), e.rec.Team, true, e.prio < urgentRank
+				c.touchJob(e)
 				if e.run != nil && t.Status != wire.TaskEnded {
 					if o := e.run.active[idx]; o != nil {
 						// One of the two is history, told by a delayed report; the
@@ -639,7 +674,6 @@
 				}
 			}
 			c.addAttempt(a)
-			c.dirty = true
 		}
 		if a.status == t.Status {
 			continue
@@ -657,7 +691,7 @@
 			c.log(2, "task runs", "task", a.key.task, "machine", m.name, "after", (c.now - a.created).String())
 		case wire.TaskEnded:
 			m.sum.ok = false
-			c.dirty = true
+			c.touch(m)
 			c.attemptEnded(a, was)
 		}
 	}
@@ -690,6 +724,7 @@
 	if e == nil || e.run == nil {
 		return
 	}
+	c.touchJob(e)
 	if a.cause == wire.CauseDone {
 		e.run.done = e.run.done.add(a.idx)
 		e.run.fails = 0
@@ -725,6 +760,7 @@
 				c.noteMachine(trail.MachineFaulty, a.m, wire.TrailEvent{Count: a.m.errs, Why: "tasks failed there in a row"})
 				c.log(1, "machine looks faulty, returning it", "machine", a.m.name, "errors", a.m.errs)
 				a.m.drop = true
+				c.touch(a.m)
 			}
 			pause = tuning.ErrorBackoff / 2
 		}
@@ -776,6 +812,7 @@
 		c.dirty = false
 		c.place()
 	}
+	c.preempt()
 	c.flush()
 	c.tellWants()
 }
@@ -802,7 +839,10 @@
 		if m.accounted || !m.inherited {
 			since = m.lastOK
 			if !m.reported {
-				m.accounted = m.accounted || !m.inherited
+				if !m.accounted && !m.inherited {
+					m.accounted = true
+					c.touch(m)
+				}
 				continue // never had a 200 from us, and was empty
 			}
 		} else {
@@ -835,6 +875,7 @@
 			for _, m := range names {
 				if c.machines[m.name] == m && c.now > m.lastOK+c.leaseOver() {
 					m.over = true
+					c.touch(m)
 					if m.session > 0 {
 						// Its worker kills all and goes on with the next session. A
 						// report of this one that a cut has held back would bring
@@ -969,29 +1010,22 @@
 	}
 	b := c.newBatch(c.p.TxnOps / 2) // short, so that acceptances get in between
 	finals := map[string]wire.Final{}
-	for _, urgent := range []bool{true, false} {
-		for _, e := range c.jobsByAge() {
-			if b.full() {
-				break
-			}
-			if e.run == nil || e.run.writing || (e.prio >= urgentRank) != urgent {
-				continue
-			}
-			id := e.rec.ID
-			if e.run.done.count() >= e.rec.Tasks {
-				f := wire.Final{Status: wire.JobDone, Done: e.rec.Tasks}
-				finals[id] = f
-				b.addJob(e, wire.Change{Delete: jobKey(id)}, wire.Change{Put: finalKey(id), Value: f})
-				continue
-			}
-			started := max(e.rec.Started, e.run.next)
-			if ahead := max(tuning.StartAhead, len(e.run.active)); e.rec.Started-e.run.next < ahead/2 && e.run.next > 0 {
-				started = max(started, min(e.rec.Tasks, e.run.next+ahead))
-			}
-			if started > e.rec.Started || c.movedOn(e) {
-				b.addProgress(e, started)
-			}
+	c.update()
+	for _, e := range sortedJobs(c.owed) {
+		if b.full() {
+			break
 		}
+		if e.run.writing {
+			continue
+		}
+		started, ended, _ := c.owes(e)
+		if !ended {
+			b.addProgress(e, started)
+			continue
+		}
+		id, f := e.rec.ID, wire.Final{Status: wire.JobDone, Done: e.rec.Tasks}
+		finals[id] = f
+		b.addJob(e, wire.Change{Delete: jobKey(id)}, wire.Change{Put: finalKey(id), Value: f})
 	}
 	for _, id := range sortedKeys(c.used) {
 		x := c.blocks[id]
@@ -1122,12 +1156,13 @@
 			b.addBlock(x, rec)
 		}
 	}
-	for _, e := range c.jobsByAge() {
+	c.update()
+	for _, e := range sortedJobs(c.behind) {
 		if b.full() {
 			break
 		}
 		// Progress of a job that still has starts to write goes with them.
-		if e.run == nil || e.run.writing || c.now-e.run.wrote < tuning.LazyFlush || e.run.done.count() <= countRanges(e.rec.Done) {
+		if e.run.writing || c.now-e.run.wrote < tuning.LazyFlush {
 			continue
 		}
 		e.run.wrote = c.now
--- /dev/null
+++ b/internal/core/idle.go
@@ -0,0 +1,191 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// offer tells whether a block should stand as idle: nothing runs on it, this
+// shard has no use for it, and another asks. While it stands so, nothing is
+// started on it, and the leader may move it.
+func (c *Core) offer(b *blockEntry) bool {
+	if c.vacating[b.id] {
+		return c.empty(b, 0)
+	}
+	if c.wantedHere(b.rec.Shard) {
+		return false
+	}
+	asked := false
+	for i, w := range c.wants {
+		if i != b.rec.Shard && len(w.Needs) > 0 {
+			for _, n := range w.Needs {
+				asked = asked || c.serves(b, n)
+			}
+		}
+	}
+	return asked && c.empty(b, tuning.IdleOffer) && c.spareBeyond(b.rec.Shard, c.machinesOf(b)...)
+}
+
+// empty tells whether nothing has been on a block for a while.
+func (c *Core) empty(b *blockEntry, since time.Duration) bool {
+	for _, bm := range b.rec.Machines {
+		m := c.machines[bm.Name]
+		if m == nil || m.drop || !m.accounted || len(m.attempts) > 0 || !m.reported || c.now-m.idleSince < since {
+			return false
+		}
+	}
+	return len(b.rec.Machines) > 0
+}
+
+// machinesOf lists the held machines of a block.
+func (c *Core) machinesOf(b *blockEntry) (ms []*machine) {
+	for _, bm := range b.rec.Machines {
+		if m := c.machines[bm.Name]; m != nil {
+			ms = append(ms, m)
+		}
+	}
+	return ms
+}
+
+// spareTarget is for how many urgent tasks a shard keeps room: one, and as many
+// as come while a machine boots.
+func (c *Core) spareTarget(shard int) int {
+	u, ok := c.urgent[shard]
+	if !ok || c.now-u.seen > tuning.UrgentMemory {
+		return 0
+	}
+	came := c.came[shard]
+	for len(came) > 0 && c.now-came[0] > tuning.ArrivalWindow {
+		came = came[1:]
+	}
+	c.came[shard] = came
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	return 1 + int(math.Ceil(float64(len(came))*boot/tuning.ArrivalWindow.Seconds()))
+}
+
+// roomFor counts the urgent tasks that a machine could take at once, lesser
+// work on it giving way.
+func (c *Core) roomFor(m *machine, u placement.Size) int {
+	f := c.free(m)
+	for _, a := range m.attempts {
+		if a.lesser && a.status != wire.TaskEnded {
+			f = f.Add(a.size)
+		}
+	}
+	return placement.Beta(f, u) + 1
+}
+
+// spareBeyond tells whether a shard keeps room for urgent tasks without the
+// given machines: such work should not wait for a boot.
+func (c *Core) spareBeyond(shard int, without ...*machine) bool {
+	c.update()
+	n := c.room.Spare(shard)
+	for _, m := range without {
+		if f, ok := c.room.Of(m); ok && f.Usable && !f.Spot {
+			n -= f.Spare
+		}
+	}
+	return n >= c.spareTarget(shard)
+}
+
+// moveOff frees one rented machine that runs nothing but a few replicas, if all
+// of them find room, and their image, on machines in use. Anchors spread by
+// design; once the batches around them have ended, each holds a machine alone.
+func (c *Core) moveOff(shard int) {
+	if c.unsettle[shard] || !c.every(fmt.Sprintf("move%d", shard), tuning.MoveEvery) {
+		return
+	}
+	var in []*machine
+	for _, m := range c.heldMachines() {
+		if m.shard == shard {
+			if m.moving {
+				return // one at a time
+			}
+			if c.usable(m) && len(m.attempts) > 0 {
+				in = append(in, m)
+			}
+		}
+	}
+	sort.SliceStable(in, func(i, j int) bool { return c.free(in[i]).CPUs > c.free(in[j]).CPUs })
+	for _, m := range in {
+		if !m.base && c.movable(m, in) {
+			m.moving = true
+			c.touch(m)
+			for _, k := range sortedAttempts(m) {
+				c.stopAttempt(m.attempts[k])
+			}
+			c.log(1, "moving replicas off a machine", "machine", m.name, "replicas", len(m.attempts))
+			return
+		}
+	}
+}
+
+// movable tells whether everything on a machine could be moved to the others.
+func (c *Core) movable(m *machine, in []*machine) bool {
+	for _, a := range m.attempts {
+		e := c.jobs[a.job]
+		if e == nil || e.run == nil || e.rec.Shape != wire.ShapeService || e.rec.OneZone || e.rec.Spread || a.stop ||
+			a.status != wire.TaskRunning || c.now-a.running < tuning.MoveAfter {
+			return false
+		}
+	}
+	taken := map[*machine]placement.Size{}
+	for _, k := range sortedAttempts(m) {
+		a := m.attempts[k]
+		j := &c.jobs[a.job].rec
+		found := false
+		for _, o := range in {
+			if o != m && o.images[j.Image] && allows(j, o) && placement.Fits(c.free(o).Sub(taken[o]), a.size) {
+				taken[o] = taken[o].Add(a.size)
+				found = true
+				break
+			}
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// retire marks machines to be given back: idle, silent, never up, or taken.
+func (c *Core) retire(shard int, busy bool) {
+	for _, m := range c.heldMachines() {
+		if m.shard != shard || m.drop {
+			continue
+		}
+		boot := max(seconds(c.types[m.typ].BootS*tuning.BootGiveUp), tuning.BootGiveUpMin)
+		why := ""
+		switch {
+		case !m.reported && c.now-m.since > boot:
+			why = "never came up"
+		case m.over && !m.base, m.reported && c.now-m.lastReport > seconds(c.settings.SilentDropS):
+			// A rented machine that was lost costs as much as another; one that
+			// stands here anyway may come back.
+			why = "silent"
+		case m.notice && c.now > m.noticeAt+2*time.Second && c.now-m.lastReport > 4*c.p.Report:
+			why = "taken"
+		case m.moving && len(m.attempts) == 0:
+			why = "moved off"
+		case !m.base && !busy && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > seconds(c.settings.IdleReturnS) &&
+			(m.spot || c.spareBeyond(shard, m)):
+			why = "idle"
+		}
+		if why != "" {
+			m.drop = true
+			c.touch(m)
+			c.noteMachine(trail.MachineReturned, m, wire.TrailEvent{Why: why})
+			c.log(1, "giving a machine back", "machine", m.name, "why", why)
+		}
+	}
+}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -25,14 +26,16 @@
 
 	// Kept up with the records, so that a report or a poll costs the same
 	// however many machines there are; the tests count them afresh.
-	blockIn   map[string]string   // machine -> its block
-	dropping  map[string]bool     // machines marked to be deleted
-	teamHome  map[string]int      // team -> its shard
-	shardList []int               // in order; nil: to be made again
-	blockList []string            // in order; nil: to be made again
-	jobList   []*jobEntry         // by acceptance; nil: to be made again
-	cached    map[string][]string // machine -> images, as its holder last wrote
-	sizes     int                 // counts changes of machine types
+	blockIn   map[string]string      // machine -> its block
+	dropping  map[string]bool        // machines marked to be deleted
+	teamHome  map[string]int         // team -> its shard
+	shardList []int                  // in order; nil: to be made again
+	blockList []string               // in order; nil: to be made again
+	jobList   []*jobEntry            // by acceptance; nil: to be made again
+	cached    map[string][]string    // machine -> images, as its holder last wrote
+	sizes     int                    // counts changes of machine types
+	shardHas  map[int]map[string]int // shard -> machines of each type in its blocks
+	newest    map[int]uint64         // shard -> latest revision of its blocks; absent: to be looked for
 }
 
 type shardEntry struct {
@@ -51,6 +54,8 @@
 	ver  uint64
 	prio int
 	run  *jobRun // nil unless this controller holds the job's shard
+
+	touched bool // see books
 }
 
 func newMirror() mirror {
@@ -58,7 +63,7 @@
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
 		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
 		settings: defaultSettings(), cordons: map[string]wire.Cordon{},
-		blockIn: map[string]string{}, dropping: map[string]bool{}, teamHome: map[string]int{}, cached: map[string][]string{}}
+		blockIn: map[string]string{}, dropping: map[string]bool{}, shardHas: map[int]map[string]int{}, newest: map[int]uint64{}, teamHome: map[string]int{}, cached: map[string][]string{}}
 }
 
 func shardKey(i int) string { return wire.PrefixShard + strconv.Itoa(i) }
@@ -87,22 +92,34 @@
 		for _, e := range m.jobs {
 			m.jobList = append(m.jobList, e)
 		}
-		sort.Slice(m.jobList, func(i, j int) bool {
-			a, b := &m.jobList[i].rec, &m.jobList[j].rec
-			if a.AcceptedMS != b.AcceptedMS {
-				return a.AcceptedMS < b.AcceptedMS
-			}
-			return a.ID < b.ID
-		})
+		sort.Slice(m.jobList, func(i, j int) bool { return olderJob(m.jobList[i], m.jobList[j]) })
 	}
 	return m.jobList
 }
 
+// listJob keeps the list of jobs in step with one that came or went.
+func (m *mirror) listJob(e *jobEntry, in bool) {
+	if m.jobList == nil {
+		return
+	}
+	i := sort.Search(len(m.jobList), func(i int) bool { return !olderJob(m.jobList[i], e) })
+	switch {
+	case in:
+		m.jobList = slices.Insert(m.jobList, i, e)
+	case i < len(m.jobList) && m.jobList[i] == e:
+		m.jobList = slices.Delete(m.jobList, i, i+1)
+	default:
+		m.jobList = nil // its age was changed under it; made again when asked for
+	}
+}
+
 // indexBlock keeps the machine indexes in step with a block's record.
 func (m *mirror) indexBlock(id string, old, now *blockEntry) {
 	if (old == nil) != (now == nil) {
 		m.blockList = nil
 	}
+	m.countBlock(old, -1)
+	m.countBlock(now, 1)
 	if old != nil {
 		for _, bm := range old.rec.Machines {
 			if m.blockIn[bm.Name] == id {
@@ -128,6 +145,26 @@
 	}
 }
 
+// countBlock keeps what each shard has, and the latest revision of its blocks.
+func (m *mirror) countBlock(b *blockEntry, n int) {
+	if b == nil {
+		return
+	}
+	has := m.shardHas[b.rec.Shard]
+	if has == nil {
+		has = map[string]int{}
+		m.shardHas[b.rec.Shard] = has
+	}
+	has[b.rec.Type] += n * len(b.rec.Machines)
+	newest, known := m.newest[b.rec.Shard]
+	switch {
+	case n < 0 && b.ver == newest:
+		delete(m.newest, b.rec.Shard)
+	case n > 0 && known:
+		m.newest[b.rec.Shard] = max(newest, b.ver)
+	}
+}
+
 // indexTeams finds each team's shard; the first one that names it counts.
 func (m *mirror) indexTeams() {
 	m.shardList = nil
@@ -213,17 +250,22 @@
 	case strings.HasPrefix(key, wire.PrefixType):
 		var r wire.MachineType
 		if read(&r) {
+			old, known := c.types[r.Name]
 			c.types[r.Name] = r
-			c.sizes++
-			c.dirty = true
+			if !known || old.CPUs != r.CPUs || old.GPUs != r.GPUs || old.MemoryGB != r.MemoryGB {
+				c.sizes++ // prices are read every minute, and weigh nothing here
+				c.touchShard(-1)
+			}
 		}
 	case strings.HasPrefix(key, wire.PrefixJob):
 		var r wire.Job
 		if read(&r) {
 			e := c.jobs[r.ID]
 			if e == nil {
-				e = &jobEntry{}
+				e = &jobEntry{rec: r}
 				c.jobs[r.ID] = e
+				c.listJob(e, true)
+			} else if e.rec.AcceptedMS != r.AcceptedMS {
 				c.jobList = nil
 			}
 			e.rec, e.ver, e.prio = r, ver, wire.PriorityRank(r.Priority)
@@ -299,7 +341,9 @@
 		c.settings = defaultSettings()
 	case strings.HasPrefix(key, wire.PrefixCordon):
 		delete(c.cordons, key[len(wire.PrefixCordon):])
-		c.dirty = true
+		if m := c.machines[key[len(wire.PrefixCordon):]]; m != nil {
+			c.touch(m)
+		}
 	case strings.HasPrefix(key, wire.PrefixNode):
 		delete(c.nodes, key[len(wire.PrefixNode):])
 		c.note(wire.TrailEvent{Kind: trail.NodeGone, Node: key[len(wire.PrefixNode):]})
@@ -307,12 +351,13 @@
 	case strings.HasPrefix(key, wire.PrefixType):
 		delete(c.types, key[len(wire.PrefixType):])
 		c.sizes++
+		c.touchShard(-1)
 	case strings.HasPrefix(key, wire.PrefixJob):
 		id := key[len(wire.PrefixJob):]
 		if e := c.jobs[id]; e != nil {
 			delete(c.jobs, id)
 			delete(c.counts, id)
-			c.jobList = nil
+			c.listJob(e, false)
 			c.jobGone(e)
 		}
 	case strings.HasPrefix(key, wire.PrefixWant):
@@ -368,11 +413,14 @@
 
 // newestBlock is the latest revision of a shard's blocks.
 func (c *Core) newestBlock(shard int) uint64 {
-	newest := uint64(0)
-	for _, b := range c.blocks {
-		if b.rec.Shard == shard {
-			newest = max(newest, b.ver)
+	newest, known := c.newest[shard]
+	if !known {
+		for _, b := range c.blocks {
+			if b.rec.Shard == shard {
+				newest = max(newest, b.ver)
+			}
 		}
+		c.newest[shard] = newest
 	}
 	return newest
 }
--- /dev/null
+++ b/internal/core/needs.go
@@ -0,0 +1,213 @@
+package core
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/ledger"
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// anyRoom walks over all waiting jobs, whatever they ask for.
+func anyRoom(string) placement.Size { return placement.Size{CPUs: inf, GPUs: inf, MemGB: inf} }
+
+// supply is a machine with room to come, or with room that a pass has not used.
+type supply struct {
+	m    *machine
+	free placement.Size
+}
+
+// supplies lists the machines of a shard that may take waiting tasks: those that come
+// up or are not accounted for yet, and, if any of the waiting fits at all, those that
+// have room now.
+func (c *Core) supplies(shard int) []supply {
+	var list []supply
+	for m := range c.coming {
+		if m.shard == shard {
+			// What is on a machine not accounted for is not known: it may be empty,
+			// so only what finds no room even then is asked for.
+			full, _ := c.sizeOf(m.typ)
+			list = append(list, supply{m, full})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].m.name < list[j].m.name })
+	most := c.room.Most(shard)
+	var least *placement.Size
+	c.order.Walk(func(team string) placement.Size {
+		if c.shardOf(team) != shard {
+			return placement.Size{CPUs: -1}
+		}
+		return most
+	}, func(p *queue.Place[*jobEntry]) bool {
+		if s := p.Job.Ask; least == nil {
+			least = &s
+		} else {
+			*least = placement.Size{CPUs: min(least.CPUs, s.CPUs), GPUs: min(least.GPUs, s.GPUs), MemGB: min(least.MemGB, s.MemGB)}
+		}
+		return true
+	})
+	if least != nil {
+		c.room.Each(shard, *least, func(ledger.Kind) bool { return true }, func(m *machine, _ ledger.Kind, free placement.Size) {
+			list = append(list, supply{m, free})
+		})
+	}
+	return list
+}
+
+// spareNeed is the room for the next urgent tasks that a shard lacks, so that they do
+// not wait for a boot.
+func (c *Core) spareNeed(shard int) (wire.Need, bool) {
+	left := c.spareTarget(shard)
+	if left <= 0 {
+		return wire.Need{}, false
+	}
+	left -= c.room.Spare(shard)
+	u := c.urgent[shard].size
+	for m := range c.coming {
+		if m.shard != shard || m.spot {
+			continue
+		}
+		if m.reported {
+			left -= c.roomFor(m, u)
+		} else if full, ok := c.sizeOf(m.typ); ok {
+			left -= placement.Beta(full, u) + 1
+		}
+	}
+	return wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left}, left > 0
+}
+
+// underLimit is how many more tasks of a size a team may start before its limit.
+func (t Team) underLimit(used, size placement.Size, most int) int {
+	n := float64(most)
+	if size.CPUs > 0 {
+		n = min(n, math.Floor((t.CPUsMax-used.CPUs)/size.CPUs+1e-6))
+	}
+	if size.GPUs > 0 {
+		n = min(n, math.Floor((t.GPUsMax-used.GPUs)/size.GPUs+1e-6))
+	}
+	return max(0, int(n))
+}
+
+// needs lists the tasks of a shard that no held machine has room for, those
+// still booting included: Pogonip's overflow.
+func (c *Core) needs(shard int) []wire.Need {
+	c.update()
+	var out []wire.Need
+	if n, short := c.spareNeed(shard); short {
+		out = addNeed(out, n)
+	}
+	starved := false
+	used := map[string]placement.Size{}
+	var in []supply
+	if c.order.Len() > 0 {
+		in = c.supplies(shard)
+	}
+	c.order.Walk(func(team string) placement.Size {
+		if c.shardOf(team) != shard {
+			return placement.Size{CPUs: -1}
+		}
+		return anyRoom(team)
+	}, func(p *queue.Place[*jobEntry]) bool {
+		e, j := p.Handle, &p.Handle.rec
+		if e.run == nil {
+			return true
+		}
+		size, team := jobSize(j), c.p.Teams[j.Team]
+		zone := j.Zone
+		if j.OneZone {
+			for _, a := range e.run.active {
+				zone = a.m.zone
+			}
+		}
+		if _, ok := used[j.Team]; !ok {
+			used[j.Team] = c.room.Used(j.Team, shard)
+		}
+		want := team.underLimit(used[j.Team], size, p.Job.Pending)
+		used[j.Team] = used[j.Team].Add(placement.Size{CPUs: float64(want) * size.CPUs, GPUs: float64(want) * size.GPUs, MemGB: float64(want) * size.MemGB})
+		left := want
+		for k := range in {
+			if left == 0 {
+				break
+			}
+			x := &in[k]
+			if n := min(left, placement.Beta(x.free, size)+1); n > 0 && allows(j, x.m) && (zone == "" || x.m.zone == zone) {
+				left -= n
+				x.free = x.free.Sub(placement.Size{CPUs: float64(n) * size.CPUs, GPUs: float64(n) * size.GPUs, MemGB: float64(n) * size.MemGB})
+			}
+		}
+		waits := p.Within && e.prio >= urgentRank && c.now-e.run.since > tuning.DireAfter
+		if left == 0 && !waits {
+			return true
+		}
+		n := wire.Need{Types: j.Types, Zone: zone, Spot: j.Spot, CPUs: size.CPUs, GPUs: size.GPUs, MemGB: size.MemGB, Tasks: left}
+		if waits {
+			// A boot is on its way at best; a borrowed machine is there now.
+			n.Dire, n.Booting, n.Tasks = true, left == 0, max(left, p.Job.Pending)
+		}
+		if p.Within && left > 0 {
+			starved = true
+			if at, ok := c.dire[shard]; ok && c.now-at > tuning.DireAfter {
+				n.Dire = true
+			}
+		}
+		out = addNeed(out, n)
+		return true
+	})
+	if _, was := c.dire[shard]; !starved {
+		delete(c.dire, shard)
+	} else if !was {
+		c.dire[shard] = c.now
+	}
+	return out
+}
+
+// addNeed joins needs of the same kind. Many jobs of one task each used to be as
+// many needs, and got a machine each, one after the other, where one rental or
+// a few of another shard's blocks would have held them all.
+func addNeed(out []wire.Need, n wire.Need) []wire.Need {
+	for i := range out {
+		if sameKind(out[i], n) {
+			out[i].Tasks += n.Tasks
+			return out
+		}
+	}
+	if len(out) < tuning.NeedsMax {
+		out = append(out, n)
+	}
+	return out
+}
+
+// tellWants writes what each held shard lacks, for the leader to read.
+func (c *Core) tellWants() {
+	if c.wantBusy || !c.confirmed() || !c.every("want", 300*time.Millisecond) {
+		return
+	}
+	for _, i := range c.shardIDs() {
+		if !c.mine(i) {
+			continue
+		}
+		w := wire.Want{Needs: c.needs(i), Seen: c.newestBlock(i)}
+		c.retire(i, len(w.Needs) > 0)
+		if len(w.Needs) == 0 {
+			c.moveOff(i)
+		}
+		old := c.wants[i]
+		if sameNeeds(old.Needs, w.Needs) && (len(w.Needs) == 0 || old.Seen == w.Seen) {
+			c.wantSent[i] = old
+			continue
+		}
+		c.wantBusy = true
+		c.wantSent[i] = w
+		c.log(2, "asking the leader for machines", "shard", i, "needs", len(w.Needs))
+		c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: wantKey(i), Value: w}}, func(r StateReply) {
+			c.wantBusy = false
+			c.retryAt["want"] = c.now + 300*time.Millisecond
+			c.changed()
+		})
+		return
+	}
+}
--- a/internal/core/ranges.go
+++ b/internal/core/ranges.go
@@ -1,6 +1,9 @@
 package core
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // ranges is a set of task indexes as ordered half-open ranges.
 type ranges [][2]int
@@ -45,3 +48,40 @@
 }
 
 func (r ranges) clone() ranges { return append(ranges(nil), r...) }
+
+// union returns the set with all of another, ordered one in it.
+func (r ranges) union(o ranges) ranges {
+	switch {
+	case len(o) == 0 || slices.Equal(r, o):
+		return r
+	case len(r) == 0:
+		return o.clone()
+	}
+	out := make(ranges, 0, len(r)+len(o))
+	for len(r)+len(o) > 0 {
+		var x [2]int
+		if len(o) == 0 || len(r) > 0 && r[0][0] <= o[0][0] {
+			x, r = r[0], r[1:]
+		} else {
+			x, o = o[0], o[1:]
+		}
+		if n := len(out); n > 0 && x[0] <= out[n-1][1] {
+			out[n-1][1] = max(out[n-1][1], x[1])
+		} else {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// below counts the indexes of the set under a bound.
+func (r ranges) below(bound int) int {
+	n := 0
+	for _, x := range r {
+		if x[0] >= bound {
+			break
+		}
+		n += min(x[1], bound) - x[0]
+	}
+	return n
+}
--- a/internal/core/recount_test.go
+++ b/internal/core/recount_test.go
@@ -1,10 +1,16 @@
 package core
 
 import (
+	"fmt"
+	"math"
+	"sort"
+
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/queue"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -16,6 +22,9 @@
 		if c == nil {
 			continue
 		}
+		c.update()
+		w.recountRoom(name, c)
+		w.recountOrder(name, c)
 		in, dropping, home := map[string]string{}, map[string]bool{}, map[string]int{}
 		for _, id := range sortedKeys(c.blocks) {
 			for _, bm := range c.blocks[id].rec.Machines {
@@ -58,7 +67,7 @@
 			}
 		}
 		if use != nil {
-			got := c.usage()
+			got := c.plainUsage()
 			for t := range w.teams {
 				w.same(name+" usage of "+t, use[t], got[t], cmpopts.EquateApprox(0, 1e-9))
 			}
@@ -77,8 +86,241 @@
 	}
 }
 
+// recountRoom compares the ledger, and what hangs on machines, with the machines.
+func (w *world) recountRoom(name string, c *Core) {
+	used, spare, open, most, coming := c.plainUsage(), map[int]int{}, map[int]int{}, map[int]placement.Size{}, map[string]bool{}
+	for _, m := range c.heldMachines() {
+		f, ok := c.room.Of(m)
+		if !ok {
+			w.t.Fatalf("%v: %s: %s is not in the ledger", w.now, name, m.name)
+		}
+		w.same(name+" usable "+m.name, c.usable(m), f.Usable)
+		w.same(name+" room of "+m.name, c.free(m), f.Free, cmpopts.EquateApprox(0, 1e-9))
+		w.same(name+" kind of "+m.name, ledger.Kind{Shard: m.shard, Type: m.typ, Zone: m.zone, Spot: m.spot, Opens: !m.base && len(m.attempts) == 0}, f.Kind)
+		if c.usable(m) {
+			s := most[m.shard]
+			most[m.shard] = placement.Size{CPUs: max(s.CPUs, f.Free.CPUs), GPUs: max(s.GPUs, f.Free.GPUs), MemGB: max(s.MemGB, f.Free.MemGB)}
+			if !m.spot {
+				spare[m.shard] += c.roomFor(m, c.urgent[m.shard].size)
+			}
+		}
+		if m.inherited && !m.accounted {
+			open[m.shard]++
+		}
+		if !m.drop && !m.notice && !m.over && (!m.reported || !m.accounted) {
+			coming[m.name] = true
+		}
+	}
+	for t := range w.teams {
+		w.same(name+" used by "+t, used[t], c.room.Used(t, c.shardOf(t)), cmpopts.EquateApprox(0, 1e-6))
+	}
+	for _, i := range c.shardIDs() {
+		w.same(name+" spare room", spare[i], c.room.Spare(i))
+		w.same(name+" most room", most[i], c.room.Most(i))
+		w.same(name+" machines not accounted for", open[i], c.open[i])
+		newest, cpus := uint64(0), 0.0
+		for _, b := range c.blocks {
+			if b.rec.Shard == i {
+				newest, cpus = max(newest, b.ver), cpus+c.blockCPUs(&b.rec)
+			}
+		}
+		w.same(name+" newest block", newest, c.newestBlock(i))
+		w.same(name+" CPUs of a shard", cpus, c.shardCPUs()[i], cmpopts.EquateApprox(0, 1e-9))
+	}
+	got := map[string]bool{}
+	for m := range c.coming {
+		got[m.name] = true
+	}
+	w.same(name+" machines to come", coming, got)
+}
+
+// recountOrder compares the order of service with one that is sorted afresh, and what is
+// to be written with the jobs.
+func (w *world) recountOrder(name string, c *Core) {
+	delete(c.retryAt, "judge")
+	c.judge()
+	var want, got []string
+	for _, p := range c.plainQueue() {
+		want = append(want, fmt.Sprint(p.e.rec.ID, " ", p.pending, " ", p.within, " ", p.late))
+	}
+	c.order.Walk(anyRoom, func(p *queue.Place[*jobEntry]) bool {
+		got = append(got, fmt.Sprint(p.Job.ID, " ", p.Job.Pending, " ", p.Within, " ", p.Late))
+		return true
+	})
+	w.same(name+" order of service", want, got)
+	owed, behind := map[string]bool{}, map[string]bool{}
+	for _, e := range c.jobsByAge() {
+		if e.run == nil {
+			continue
+		}
+		if _, _, owes := c.owes(e); owes {
+			owed[e.rec.ID] = true
+		} else if e.run.done.count() > countRanges(e.rec.Done) {
+			behind[e.rec.ID] = true
+		}
+	}
+	ids := func(set map[*jobEntry]bool) map[string]bool {
+		out := map[string]bool{}
+		for e := range set {
+			out[e.rec.ID] = true
+		}
+		return out
+	}
+	w.same(name+" jobs with starts or ends to write", owed, ids(c.owed))
+	w.same(name+" jobs with progress to write", behind, ids(c.behind))
+}
+
 func (w *world) same(what string, want, got any, opts ...cmp.Option) {
 	if diff := cmp.Diff(want, got, opts...); diff != "" {
 		w.t.Fatalf("%v: %s: counted afresh (-), kept up (+):\n%s", w.now, what, diff)
 	}
 }
+
+// plainUsage is what each team's tasks may use at this moment, at the most. Each
+// team is homed in one shard and runs on that shard's machines only, so that a
+// shard can change hands without leaving tasks behind, uncounted.
+func (c *Core) plainUsage() map[string]placement.Size {
+	u := map[string]placement.Size{}
+	strangers := map[int]placement.Size{}
+	for _, m := range c.heldMachines() {
+		x := c.sumOf(m)
+		n := x.unknown
+		if m.inherited && !m.accounted {
+			n++ // anything may run there, for any team
+		}
+		if n > 0 {
+			full, _ := c.sizeOf(m.typ)
+			for range n {
+				strangers[m.shard] = strangers[m.shard].Add(full)
+			}
+		}
+		for _, t := range x.teams {
+			u[t.Team] = u[t.Team].Add(t.Size)
+		}
+	}
+	if len(strangers) > 0 {
+		for team := range c.p.Teams {
+			u[team] = u[team].Add(strangers[c.shardOf(team)])
+		}
+	}
+	return u
+}
+
+// placing is one job in a placement pass.
+type placing struct {
+	e       *jobEntry
+	within  bool
+	due     float64 // seconds of the day's time; +Inf without a deadline
+	work    float64 // CPU seconds left
+	strict  int
+	pending int
+	late    bool // cannot be on time without making more jobs late
+}
+
+// plainQueue lists this controller's jobs with tasks to start, in the order they
+// are served: priority, work within its team's guarantee, the strictest
+// closeness (Pogonip's order), what can be on time, deadline, age.
+func (c *Core) plainQueue() []placing {
+	var q []placing
+	demand := map[string]placement.Size{}
+	jobs := c.jobsByAge()
+	byTeam := map[string][]*placing{}
+	services := map[string]float64{}
+	all := make([]placing, 0, len(jobs))
+	waiting := 0
+	for _, e := range jobs {
+		if e.run == nil {
+			continue
+		}
+		rest := e.rec.Tasks - e.run.done.count()
+		team := c.p.Teams[e.rec.Team]
+		d := demand[e.rec.Team]
+		s := jobSize(&e.rec)
+		d = d.Add(placement.Size{CPUs: s.CPUs * float64(rest), GPUs: s.GPUs * float64(rest)})
+		demand[e.rec.Team] = d
+		p := placing{e: e, pending: len(e.run.retry) + e.rec.Tasks - e.run.next, due: math.Inf(1)}
+		p.within = d.CPUs <= team.CPUs+1e-6 && d.GPUs <= team.GPUs+1e-6
+		p.work = float64(rest) * e.rec.EstimateS * s.CPUs
+		if e.rec.DueS > 0 {
+			p.due = float64(e.rec.AcceptedMS)/1000 + e.rec.DueS
+		}
+		if e.rec.Zone != "" || e.rec.OneZone {
+			p.strict = 1
+		}
+		if e.rec.Shape == wire.ShapeService {
+			services[e.rec.Team] += s.CPUs * float64(rest)
+		}
+		if p.pending > 0 {
+			waiting++
+		}
+		all = append(all, p)
+	}
+	if waiting == 0 {
+		return nil
+	}
+	for i := range all {
+		if p := &all[i]; !math.IsInf(p.due, 1) {
+			byTeam[p.e.rec.Team] = append(byTeam[p.e.rec.Team], p)
+		}
+	}
+	have := c.shardCPUs()
+	now := float64(c.wall.UnixMilli()) / 1000
+	for _, team := range sortedKeys(byTeam) {
+		t := c.p.Teams[team]
+		markLate(byTeam[team], now, max(1, min(t.CPUsMax, max(have[c.shardOf(team)], t.CPUs))-services[team]))
+	}
+	for _, p := range all {
+		if p.pending > 0 {
+			q = append(q, p)
+		}
+	}
+	sort.SliceStable(q, func(i, j int) bool {
+		a, b := q[i], q[j]
+		switch {
+		case a.e.prio != b.e.prio:
+			return a.e.prio > b.e.prio
+		case a.within != b.within:
+			return a.within
+		case a.strict != b.strict:
+			return a.strict > b.strict
+		case a.late != b.late:
+			return !a.late
+		case a.late && a.work != b.work:
+			return a.work < b.work
+		case a.due != b.due:
+			return a.due < b.due
+		}
+		return false // by age already
+	})
+	return q
+}
+
+// markLate finds the jobs of one team to give up being on time for, so that as
+// many others as possible are (Moore and Hodgson): in order of deadline, and
+// whenever one would be late, the largest so far is left out. Plain order of
+// deadline lets one hopeless job make all after it late.
+func markLate(ps []*placing, now, cpus float64) {
+	sort.SliceStable(ps, func(i, j int) bool { return ps[i].due < ps[j].due })
+	var kept []*placing
+	t := now
+	for _, p := range ps {
+		if now+p.e.rec.EstimateS > p.due && p.pending > 0 {
+			p.late = true
+			continue
+		}
+		kept = append(kept, p)
+		t += p.work / cpus
+		if t <= p.due {
+			continue
+		}
+		k := 0
+		for i, o := range kept {
+			if o.work > kept[k].work {
+				k = i
+			}
+		}
+		kept[k].late = true
+		t -= kept[k].work / cpus
+		kept = append(kept[:k], kept[k+1:]...)
+	}
+}
--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,403 @@
+// Package queue keeps the order in which waiting jobs are served: priority, work
+// within its team's guarantee, the strictest closeness (Pogonip's order), what can
+// still be on time, deadline, age. The order is kept up job by job and is never
+// sorted anew, and a walk skips what fits nowhere without looking at each.
+//
+// A queue is a plain structure: no clock, no I/O, not for concurrent use.
+package queue
+
+import (
+	"container/heap"
+	"math"
+	"slices"
+
+	"github.com/google/btree"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+)
+
+// Job is what the order hangs on.
+type Job struct {
+	ID       string
+	Team     string
+	Accepted int64 // milliseconds of the day's time: its age
+	Rank     int   // of its priority, higher first
+	Strict   bool  // bound to one zone
+	Service  bool
+	Due      float64        // seconds of the day's time; +Inf without a deadline
+	Estimate float64        // seconds of one task
+	Ask      placement.Size // of one task
+	Rest     int            // tasks not done
+	Pending  int            // tasks to start; 0: it only counts against its team's guarantee
+}
+
+func (j *Job) demand() placement.Size {
+	n := float64(j.Rest)
+	return placement.Size{CPUs: j.Ask.CPUs * n, GPUs: j.Ask.GPUs * n}
+}
+
+// work is the CPU seconds left.
+func (j *Job) work() float64 { return float64(j.Rest) * j.Estimate * j.Ask.CPUs }
+
+// Team is a team's guarantee and limit.
+type Team struct {
+	Guarantee, Limit placement.Size
+}
+
+// Place is a job with its place in the order. H is the owner's handle of a job.
+type Place[H any] struct {
+	Handle H
+	Job    Job
+	Within bool // its team's unfinished jobs up to this one fit into the guarantee
+	Late   bool // cannot be on time without making more jobs late
+	n      *node[H]
+}
+
+// Queue is the order of one controller's jobs.
+type Queue[H any] struct {
+	limits map[string]Team
+	jobs   map[string]*Place[H]
+	teams  map[string]*team[H]
+	names  []string // of teams, in order
+}
+
+// team holds the jobs of one team: all by age, with the boundary of its guarantee, and
+// those that wait in the order they are served.
+type team[H any] struct {
+	limit    Team
+	byAge    *btree.BTreeG[*Place[H]]
+	last     *Place[H] // the youngest within the guarantee; nil: none
+	inside   placement.Size
+	within   int
+	services float64 // CPUs of services
+	serving  int     // services
+	byDue    *btree.BTreeG[*Place[H]]
+	waiting  tree[H]
+}
+
+// New returns an empty queue. Jobs of teams it does not know are never within a guarantee.
+func New[H any](limits map[string]Team) *Queue[H] {
+	return &Queue[H]{limits: limits, jobs: map[string]*Place[H]{}, teams: map[string]*team[H]{}}
+}
+
+func older[H any](a, b *Place[H]) bool {
+	if a.Job.Accepted != b.Job.Accepted {
+		return a.Job.Accepted < b.Job.Accepted
+	}
+	return a.Job.ID < b.Job.ID
+}
+
+func sooner[H any](a, b *Place[H]) bool {
+	if a.Job.Due != b.Job.Due {
+		return a.Job.Due < b.Job.Due
+	}
+	return older(a, b)
+}
+
+// before is the order in which jobs are served.
+func before[H any](a, b *Place[H]) bool {
+	switch {
+	case a.Job.Rank != b.Job.Rank:
+		return a.Job.Rank > b.Job.Rank
+	case a.Within != b.Within:
+		return a.Within
+	case a.Job.Strict != b.Job.Strict:
+		return a.Job.Strict
+	case a.Late != b.Late:
+		return !a.Late
+	case a.Late && a.Job.work() != b.Job.work():
+		return a.Job.work() < b.Job.work()
+	}
+	return sooner(a, b)
+}
+
+func (q *Queue[H]) team(name string) *team[H] {
+	t := q.teams[name]
+	if t == nil {
+		t = &team[H]{limit: q.limits[name], byAge: btree.NewG(16, older[H]), byDue: btree.NewG(16, sooner[H])}
+		q.teams[name] = t
+		i, _ := slices.BinarySearch(q.names, name)
+		q.names = slices.Insert(q.names, i, name)
+	}
+	return t
+}
+
+// Put adds a job or replaces what is known of it.
+func (q *Queue[H]) Put(h H, j Job) {
+	if p := q.jobs[j.ID]; p != nil {
+		if p.Job == j {
+			return
+		}
+		if p.Job.Team == j.Team && p.Job.Accepted == j.Accepted && p.Job.Due == j.Due && p.Job.Service == j.Service {
+			q.amend(p, j)
+			return
+		}
+		q.Drop(j.ID)
+	}
+	t := q.team(j.Team)
+	p := &Place[H]{Handle: h, Job: j}
+	q.jobs[j.ID] = p
+	t.byAge.ReplaceOrInsert(p)
+	t.byDueChanged(p, true)
+	t.serve(&j, 1)
+	if t.last != nil && older(p, t.last) {
+		p.Within = true
+		t.inside, t.within = t.inside.Add(j.demand()), t.within+1
+	}
+	t.settle()
+	t.wait(p)
+}
+
+// amend changes how much is left and waits; a job's place by age and deadline stays.
+func (q *Queue[H]) amend(p *Place[H], j Job) {
+	t := q.team(j.Team)
+	t.leave(p)
+	t.serve(&p.Job, -1)
+	if p.Within {
+		t.inside = t.inside.Sub(p.Job.demand()).Add(j.demand())
+	}
+	p.Job = j
+	t.serve(&j, 1)
+	t.settle()
+	t.wait(p)
+}
+
+// Drop forgets a job.
+func (q *Queue[H]) Drop(id string) {
+	p := q.jobs[id]
+	if p == nil {
+		return
+	}
+	delete(q.jobs, id)
+	t := q.team(p.Job.Team)
+	t.leave(p)
+	t.serve(&p.Job, -1)
+	if p.Within {
+		t.inside, t.within = t.inside.Sub(p.Job.demand()), t.within-1
+		if p == t.last {
+			t.last = t.next(p, false)
+		}
+		if t.within == 0 {
+			t.inside, t.last = placement.Size{}, nil // rounding ends here
+		}
+	}
+	t.byAge.Delete(p)
+	t.byDueChanged(p, false)
+	t.settle()
+}
+
+func (t *team[H]) serve(j *Job, n int) {
+	if !j.Service {
+		return
+	}
+	if t.serving += n * j.Rest; t.serving == 0 {
+		t.services = 0
+	} else {
+		t.services += float64(n*j.Rest) * j.Ask.CPUs
+	}
+}
+
+func (t *team[H]) byDueChanged(p *Place[H], in bool) {
+	if math.IsInf(p.Job.Due, 1) {
+		return
+	}
+	if in {
+		t.byDue.ReplaceOrInsert(p)
+	} else {
+		t.byDue.Delete(p)
+	}
+}
+
+// wait puts a job among those that wait, leave takes it out; its place in the order
+// must not change in between.
+func (t *team[H]) wait(p *Place[H]) {
+	if p.Job.Pending > 0 && p.n == nil {
+		p.n = t.waiting.insert(p)
+	}
+}
+
+func (t *team[H]) leave(p *Place[H]) {
+	if p.n != nil {
+		t.waiting.remove(p)
+		p.n = nil
+	}
+}
+
+// next is the neighbour by age, younger or older; nil: none.
+func (t *team[H]) next(p *Place[H], younger bool) (found *Place[H]) {
+	look := func(o *Place[H]) bool {
+		if o == p {
+			return true
+		}
+		found = o
+		return false
+	}
+	if younger {
+		t.byAge.AscendGreaterOrEqual(p, look)
+	} else {
+		t.byAge.DescendLessOrEqual(p, look)
+	}
+	return found
+}
+
+const eps = 1e-6
+
+func fits(s, most placement.Size) bool { return s.CPUs <= most.CPUs+eps && s.GPUs <= most.GPUs+eps }
+
+// settle moves the boundary of the guarantee. Sums over jobs by age only grow, so what
+// is within is always the oldest jobs up to some one.
+func (t *team[H]) settle() {
+	for t.last != nil && !fits(t.inside, t.limit.Guarantee) {
+		p := t.last
+		t.last = t.next(p, false)
+		t.inside, t.within = t.inside.Sub(p.Job.demand()), t.within-1
+		t.setWithin(p, false)
+	}
+	if t.last == nil {
+		t.inside, t.within = placement.Size{}, 0
+	}
+	for {
+		var p *Place[H]
+		if t.last != nil {
+			p = t.next(t.last, true)
+		} else if o, ok := t.byAge.Min(); ok {
+			p = o
+		}
+		if p == nil || !fits(t.inside.Add(p.Job.demand()), t.limit.Guarantee) {
+			return
+		}
+		t.last = p
+		t.inside, t.within = t.inside.Add(p.Job.demand()), t.within+1
+		t.setWithin(p, true)
+	}
+}
+
+func (t *team[H]) setWithin(p *Place[H], v bool) {
+	t.leave(p)
+	p.Within = v
+	t.wait(p)
+}
+
+// Judge decides anew which jobs of each team are late, where anything has changed.
+// now is in seconds of the day's time, cpus what a team can use for its batches.
+func (q *Queue[H]) Judge(now float64, cpus func(team string) float64) {
+	for _, name := range q.names {
+		t := q.teams[name]
+		if t.byDue.Len() == 0 {
+			continue
+		}
+		t.judge(now, max(1, cpus(name)-t.services))
+	}
+}
+
+// judge gives up being on time for as few jobs as possible (Moore and Hodgson): in
+// order of deadline, and whenever one would be late, the largest so far is left out.
+// Plain order of deadline lets one hopeless job make all after it late.
+func (t *team[H]) judge(now, cpus float64) {
+	var kept largest[H]
+	late := map[*Place[H]]bool{}
+	at := now
+	t.byDue.Ascend(func(p *Place[H]) bool {
+		if now+p.Job.Estimate > p.Job.Due && p.Job.Pending > 0 {
+			late[p] = true
+			return true
+		}
+		heap.Push(&kept, p)
+		if at += p.Job.work() / cpus; at > p.Job.Due {
+			o := heap.Pop(&kept).(*Place[H])
+			late[o] = true
+			at -= o.Job.work() / cpus
+		}
+		return true
+	})
+	var turned []*Place[H]
+	t.byDue.Ascend(func(p *Place[H]) bool {
+		if p.Late != late[p] {
+			turned = append(turned, p)
+		}
+		return true
+	})
+	for _, p := range turned {
+		t.leave(p)
+		p.Late = !p.Late
+		t.wait(p)
+	}
+}
+
+// Len is how many jobs wait.
+func (q *Queue[H]) Len() int {
+	n := 0
+	for _, t := range q.teams {
+		n += t.waiting.len
+	}
+	return n
+}
+
+// Of returns a job's place; nil: not known.
+func (q *Queue[H]) Of(id string) *Place[H] { return q.jobs[id] }
+
+// Services is how many CPUs a team's unfinished services take.
+func (q *Queue[H]) Services(team string) float64 {
+	if t := q.teams[team]; t != nil {
+		return t.services
+	}
+	return 0
+}
+
+// Walk calls f with the waiting jobs in the order they are served. room is asked anew
+// for each step what a job of the team may find at the most; jobs that ask for more
+// are skipped without a look at each. f may place tasks, but must not put or drop
+// jobs; it says whether to go on.
+func (q *Queue[H]) Walk(room func(team string) placement.Size, f func(*Place[H]) bool) {
+	heads := make([]*Place[H], 0, len(q.names))
+	for _, name := range q.names {
+		if p := q.teams[name].waiting.first(room(name)); p != nil {
+			heads = append(heads, p)
+		}
+	}
+	for len(heads) > 0 {
+		k := 0
+		for i := range heads {
+			if before(heads[i], heads[k]) {
+				k = i
+			}
+		}
+		p := heads[k]
+		// Room has shrunk since this head was found.
+		if most := room(p.Job.Team); !placement.Fits(most, p.Job.Ask) {
+			if n := q.teams[p.Job.Team].waiting.after(p, most); n != nil {
+				heads[k] = n
+			} else {
+				heads = slices.Delete(heads, k, k+1)
+			}
+			continue
+		}
+		if !f(p) {
+			return
+		}
+		if n := q.teams[p.Job.Team].waiting.after(p, room(p.Job.Team)); n != nil {
+			heads[k] = n
+		} else {
+			heads = slices.Delete(heads, k, k+1)
+		}
+	}
+}
+
+// largest is a heap of jobs, the most work on top.
+type largest[H any] []*Place[H]
+
+func (h largest[H]) Len() int { return len(h) }
+func (h largest[H]) Less(i, j int) bool {
+	if a, b := h[i].Job.work(), h[j].Job.work(); a != b {
+		return a > b
+	}
+	return sooner(h[i], h[j])
+}
+func (h largest[H]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *largest[H]) Push(x any)   { *h = append(*h, x.(*Place[H])) }
+func (h *largest[H]) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,123 @@
+package queue
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+)
+
+var teams = map[string]Team{
+	"red":  {Guarantee: placement.Size{CPUs: 10}, Limit: placement.Size{CPUs: 30}},
+	"blue": {Guarantee: placement.Size{CPUs: 3}, Limit: placement.Size{CPUs: 8}},
+}
+
+func drawJob(t *rapid.T) Job {
+	n := rapid.IntRange(0, 15).Draw(t, "job")
+	j := Job{ID: fmt.Sprintf("job-%06d", n), Team: []string{"red", "blue"}[n%2], Accepted: int64(n / 3), Rank: n % 2, Strict: n%5 == 0, Service: n%7 == 0,
+		Due: math.Inf(1), Estimate: float64(rapid.IntRange(1, 9).Draw(t, "estimate")),
+		Ask:  placement.Size{CPUs: float64(1 + n%3), MemGB: float64(1 + n%4)},
+		Rest: rapid.IntRange(1, 6).Draw(t, "rest")}
+	j.Pending = rapid.IntRange(0, j.Rest).Draw(t, "pending")
+	if n%4 > 0 {
+		j.Due = float64(rapid.IntRange(1, 40).Draw(t, "due"))
+	}
+	return j
+}
+
+// However jobs come, change and go, they are served in the order that sorting them
+// afresh gives, what lies within a guarantee is counted anew, and a walk that is told
+// of little room meets just those that ask for no more.
+func TestOrderIsThatOfSortingAfresh(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, all := New[string](teams), map[string]Job{}
+		for range rapid.IntRange(1, 60).Draw(t, "changes") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				id := fmt.Sprintf("job-%06d", rapid.IntRange(0, 15).Draw(t, "job"))
+				q.Drop(id)
+				delete(all, id)
+			case 1:
+				q.Judge(float64(rapid.IntRange(0, 20).Draw(t, "now")), func(team string) float64 { return teams[team].Limit.CPUs })
+			default:
+				j := drawJob(t)
+				q.Put(j.ID, j)
+				all[j.ID] = j
+			}
+		}
+		var ps []*Place[string]
+		for id, j := range all {
+			p := q.Of(id)
+			if p == nil || p.Job != j {
+				t.Fatalf("%s: kept %+v, put %+v", id, p, j)
+			}
+			ps = append(ps, p)
+		}
+		sort.Slice(ps, func(i, j int) bool { return older(ps[i], ps[j]) })
+		sum := map[string]float64{}
+		for _, p := range ps {
+			sum[p.Job.Team] += p.Job.demand().CPUs
+			if want := sum[p.Job.Team] <= teams[p.Job.Team].Guarantee.CPUs; p.Within != want {
+				t.Fatalf("%s within its guarantee: %v, counted afresh %v", p.Job.ID, p.Within, want)
+			}
+		}
+		most := placement.Size{CPUs: float64(rapid.IntRange(1, 3).Draw(t, "room")), MemGB: float64(rapid.IntRange(1, 4).Draw(t, "mem"))}
+		sort.Slice(ps, func(i, j int) bool { return before(ps[i], ps[j]) })
+		var want, got []string
+		waiting := 0
+		for _, p := range ps {
+			if p.Job.Pending > 0 {
+				waiting++
+				if placement.Fits(most, p.Job.Ask) {
+					want = append(want, p.Job.ID)
+				}
+			}
+		}
+		q.Walk(func(string) placement.Size { return most }, func(p *Place[string]) bool { got = append(got, p.Handle); return true })
+		if strings.Join(got, " ") != strings.Join(want, " ") || q.Len() != waiting {
+			t.Fatalf("served %v of %d, sorted afresh %v of %d", got, q.Len(), want, waiting)
+		}
+	})
+}
+
+// One hopeless job does not make those after it late.
+func TestHopelessJobIsGivenUp(t *testing.T) {
+	q := New[int](teams)
+	for i, work := range []int{1, 50, 1, 1} {
+		q.Put(i, Job{ID: fmt.Sprint(i), Team: "red", Accepted: int64(i), Due: float64(10 + i), Estimate: 1, Ask: placement.Size{CPUs: 1}, Rest: work, Pending: work})
+	}
+	q.Judge(0, func(string) float64 { return 2 })
+	var got []int
+	q.Walk(func(string) placement.Size { return placement.Size{CPUs: 4} }, func(p *Place[int]) bool { got = append(got, p.Handle); return true })
+	if fmt.Sprint(got) != "[0 2 3 1]" {
+		t.Errorf("served %v", got)
+	}
+}
+
+// The cost of a change and of a walk that finds little must not grow with the queue.
+func BenchmarkQueue(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		q := New[int](map[string]Team{"red": {Guarantee: placement.Size{CPUs: float64(n)}, Limit: placement.Size{CPUs: 1e9}}})
+		job := func(i, rest int) Job {
+			return Job{ID: fmt.Sprintf("job-%06d", i), Team: "red", Accepted: int64(i), Due: float64(i), Estimate: 20, Ask: placement.Size{CPUs: 2 + float64(i%8)/8, MemGB: 4}, Rest: rest, Pending: rest}
+		}
+		for i := range n {
+			q.Put(i, job(i, 40))
+		}
+		b.Run(fmt.Sprintf("put-%d", n), func(b *testing.B) {
+			for i := range b.N {
+				q.Put(i%n, job(i%n, 30+i%10))
+			}
+		})
+		b.Run(fmt.Sprintf("walk-%d", n), func(b *testing.B) {
+			for range b.N {
+				q.Walk(func(string) placement.Size { return placement.Size{CPUs: 1.9, MemGB: 16} }, func(*Place[int]) bool { return true })
+			}
+		})
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -110,6 +110,20 @@
 	// ArrivalWindow (duration): over which arrivals of urgent work are counted,
 	// to foresee how many come during a boot.
 	ArrivalWindow = 2 * time.Minute
+	// PreemptEvery (duration): between looks for lesser work to stop; each looks at all
+	// machines once, for all urgent tasks that wait.
+	PreemptEvery = 100 * time.Millisecond
+	// PreemptJobs (jobs): served in one such look.
+	PreemptJobs = 500
+	// JudgeEvery (duration): between decisions which jobs are late; deadlines are tens of
+	// seconds away.
+	JudgeEvery = 250 * time.Millisecond
+	// LookAt (machines): of one kind that a choice looks at among equals, for one with
+	// the image. Without a bound a choice would cost as much as the fleet is large.
+	LookAt = 24
+	// FreshMargin (duration): beyond two report intervals that a machine may be silent
+	// and still be given tasks.
+	FreshMargin = 500 * time.Millisecond
 	// PreemptAfter (duration): urgent work that finds no room stops lesser work
 	// after this; often a task ends by itself sooner.
 	PreemptAfter = 1 * time.Second
