Workers are called for stops and for starts that are written, not waited for

Cause: on the fleet sites workers report every 5 s. A block emptied for another team's guarantee cost 11 s: a report to hear of the stops, one to tell of the ends, one to be sent to the next holder.

Change: POST /orders carries stops, or nothing but a higher token, which makes the worker report at once. Starts go in answers to reports as before. internal/prompt decides who is called and when (urgent first, paced, never right after an answer); internal/workers sends. A token is raised only to a revision at which the mirror showed that the machine is ours: design.md, point 11. The test world's workers had no address; they have one now, and every call in every schedule is checked against the state and the mirror (a token beyond the mirror is found at once).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/prompt"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -188,6 +189,7 @@
 	mirror
 	holder
 	books
+	desk *prompt.Desk[*machine] // workers to call directly
 	users
 	peers
 	leader leaderState
@@ -206,6 +208,7 @@
 	c.mirror = newMirror()
 	c.holder = newHolder()
 	c.books = newBooks(p.Teams)
+	c.desk = newDesk(p)
 	c.users = newUsers()
 	c.peers = newPeers()
 	c.leader.reset()
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -61,6 +61,10 @@
 	session, seq           uint64
 	lastReport             Time
 	lastOK                 Time // when our last 200 left
+	addr                   string
+	seenToken              uint64 // the highest its worker has named
+	raised                 uint64 // token of our last call that was to make it report
+	promptedAt             Time
 	moving                 bool // its replicas are being moved off
 	over                   bool // its lease is surely over; confirmed by the state
 	silent                 bool // its reports stay away
@@ -183,6 +187,8 @@
 	for _, a := range e.run.active {
 		if !a.sent && a.status == "" {
 			c.dropAttempt(a)
+		} else {
+			c.wantReport(a.m, false) // what of it still runs is stopped, and its place is free sooner
 		}
 	}
 	e.run = nil
@@ -211,6 +217,7 @@
 	delete(c.machines, m.name)
 	delete(c.coming, m)
 	c.room.Drop(m)
+	c.desk.Forget(m)
 	c.machineList = nil
 }
 
@@ -332,6 +339,9 @@
 		if m := c.machines[bm.Name]; m != nil && m.block == id && !now[bm.Name] {
 			// The leader takes a name out only once the cloud has deleted it, or
 			// the block moved, which only an empty one does.
+			if b != nil && b.rec.Shard != m.shard {
+				c.passOn(m, b)
+			}
 			c.noteMachine(trail.MachineGone, m, wire.TrailEvent{Count: len(m.attempts), Why: "left its block"})
 			c.machineGone(m, "deleted")
 			c.dropMachine(m)
@@ -564,7 +574,7 @@
 		c.answer(v.Req, 503, unavailable("entitlement not confirmed"))
 		return
 	}
-	token := c.token(b)
+	token := c.tokenOf(m, b)
 	if r.Token > token || r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		// A higher token: someone else is entitled and we have not heard yet.
 		// An older report: delayed on its way, its list is history.
@@ -579,6 +589,7 @@
 		c.touch(m)
 	}
 	m.session, m.seq, m.lastReport, m.over = r.Session, r.Seq, c.now, false
+	m.addr, m.seenToken = r.Addr, r.Token
 	if c.room.Heard(m, m.name, c.now) {
 		c.touch(m)
 	}
@@ -611,6 +622,13 @@
 	reply := wire.ReportReply{Token: token, Commands: c.commands(m)}
 	m.lastOK = c.now
 	c.answer(v.Req, 200, reply)
+	c.desk.Forget(m)
+	for _, a := range m.attempts {
+		if !a.sent && a.status == "" {
+			c.wantReport(m, !a.lesser) // its start is still being written
+			break
+		}
+	}
 	c.flush()
 }
 
@@ -769,7 +787,16 @@
 }
 
 // commands for a machine, in answer to its report.
-func (c *Core) commands(m *machine) []wire.Command {
+func (c *Core) commands(m *machine) []wire.Command { return c.commandsFor(m, false) }
+
+// startable tells whether a reserved attempt's start is written, so that it may be made.
+func (c *Core) startable(a *attempt) bool {
+	e := c.jobs[a.job]
+	return e != nil && e.run != nil && !a.stop && !a.m.fresh && e.rec.Started > a.idx && (!tracked(&e.rec) || onOf(&e.rec, a.idx) == a.m.name)
+}
+
+// commandsFor lists commands for a machine; a look changes nothing.
+func (c *Core) commandsFor(m *machine, look bool) []wire.Command {
 	cmds := []wire.Command{}
 	if !m.accounted {
 		return cmds
@@ -795,7 +822,7 @@
 				}
 				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: k.task, Attempt: k.try, GraceS: &g})
 			}
-		case a.status == "" && !m.fresh && e.rec.Started > a.idx && (!tracked(&e.rec) || onOf(&e.rec, a.idx) == m.name):
+		case a.status == "" && c.startable(a) && !look:
 			a.sent = true
 			c.noteBack(trail.TaskAgain, a)
 			cmds = append(cmds, wire.Command{Verb: wire.VerbRun, Task: k.task, Attempt: k.try})
@@ -814,6 +841,7 @@
 	}
 	c.preempt()
 	c.flush()
+	c.promptWorkers()
 	c.tellWants()
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -196,6 +196,7 @@
 		run.active[idx] = a
 		m.idleSince = c.now
 		c.refreshMachine(m)
+		c.wantReport(m, e.prio >= urgentRank)
 		if zones != nil {
 			zones[m.zone]++
 		}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -116,6 +116,7 @@
 // stopAttempt has a task stopped, with time to save if it can.
 func (c *Core) stopAttempt(a *attempt) {
 	a.stop = true
+	c.wantReport(a.m, true)
 	if e := c.jobs[a.job]; e != nil && e.rec.CheckpointEvery > 0 {
 		a.graceS = e.rec.SaveS
 	}
--- /dev/null
+++ b/internal/core/prompting.go
@@ -0,0 +1,91 @@
+package core
+
+import (
+	"github.com/barrowbridge/barrowbridge/internal/prompt"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Order is a direct call to a worker: stops, or nothing but a higher token, which makes
+// it report at once. Starts go in answers to reports only.
+type Order struct {
+	Machine string
+	Addr    string
+	Orders  wire.Orders
+}
+
+func newDesk(p Params) *prompt.Desk[*machine] {
+	return prompt.New[*machine](prompt.Limits{PerSecond: tuning.OrdersPerSecond, Burst: tuning.OrdersPerSecond / 2, Look: tuning.OrderLook, Keep: 2 * p.Report})
+}
+
+// tokenOf is the token of answers to a machine: its block's, or a later revision at
+// which our copy of the state still showed that we hold it. Whoever is granted it next
+// is so by a later write, so has a higher one.
+func (c *Core) tokenOf(m *machine, b *blockEntry) uint64 { return max(c.token(b), m.raised) }
+
+// wantReport asks for a machine's next report soon.
+func (c *Core) wantReport(m *machine, urgent bool) { c.desk.Want(c.now, m, urgent) }
+
+// promptWorkers calls workers that have something to hear.
+func (c *Core) promptWorkers() {
+	if c.desk.Len() == 0 || !c.confirmed() {
+		return
+	}
+	for _, m := range c.desk.Take(c.now, c.dueFor) {
+		b := c.blocks[m.block]
+		if b == nil {
+			continue
+		}
+		stops := c.stops(m)
+		if len(stops) == 0 {
+			m.raised, m.promptedAt = max(m.raised, c.rev), c.now
+		}
+		c.out = append(c.out, Order{m.name, m.addr, wire.Orders{Token: c.tokenOf(m, b), Session: m.session, Commands: stops}})
+	}
+}
+
+// dueFor tells whether a machine should be called now.
+func (c *Core) dueFor(m *machine) prompt.Verdict {
+	switch {
+	case c.machines[m.name] != m || m.addr == "" || m.over || m.silent || !m.reported || !m.accounted || !c.mine(m.shard):
+		return prompt.Forget
+	case c.now-m.lastOK < tuning.OrderAfterAnswer:
+		return prompt.Wait // what we just answered must not be overtaken
+	case len(c.stops(m)) > 0:
+		return prompt.Call
+	}
+	unsent := false
+	for _, a := range m.attempts {
+		if a.status != "" || a.sent {
+			continue
+		}
+		unsent = true
+		// A worker counts a higher token as a change once per half of its lease.
+		if c.startable(a) && c.rev > max(m.seenToken, m.raised) && (m.promptedAt == 0 || c.now-m.promptedAt > c.p.Lease/2) {
+			return prompt.Call
+		}
+	}
+	if unsent {
+		return prompt.Wait
+	}
+	return prompt.Forget
+}
+
+// stops lists what is to be stopped on a machine.
+func (c *Core) stops(m *machine) (cmds []wire.Command) {
+	for _, cmd := range c.commandsFor(m, true) {
+		if cmd.Verb == wire.VerbStop {
+			cmds = append(cmds, cmd)
+		}
+	}
+	return cmds
+}
+
+// passOn has the workers of a block that was ours report at once: they are sent on to
+// the block's next holder, who has no address to call them at. The token is the one
+// that the next holder was granted, so that ours count no more.
+func (c *Core) passOn(m *machine, b *blockEntry) {
+	if b != nil && m.addr != "" && m.session > 0 && !m.over && c.confirmed() {
+		c.out = append(c.out, Order{m.name, m.addr, wire.Orders{Token: c.token(b), Session: m.session, Commands: []wire.Command{}}})
+	}
+}
--- /dev/null
+++ b/internal/core/prompting_test.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// A start that is written does not wait for its worker's next report: the worker is
+// called, and asks for it. Its token is higher than before and lower than any that
+// another holder can be granted.
+func TestStartDoesNotWaitForTheNextReport(t *testing.T) {
+	w := newWorld(t, 5, 3, func(w *world) { w.reportS = 8 * sec })
+	for i := range 6 {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(30 * sec)
+	began := w.now
+	s := spec("job-000001", "red", wire.ShapeService, 1)
+	s.Priority, s.DueS = ptr("urgent"), nil
+	w.submit(s)
+	for w.runningTasks() == 0 && w.now < began+20*sec {
+		w.run(50 * 1e6)
+	}
+	if took := w.now - began; took > 2*sec {
+		t.Errorf("on its machine after %v", took)
+	}
+	// The same for a stop: an aborted service gives its place back at once.
+	began = w.now
+	w.run(6 * sec)
+	began = w.now
+	w.abort("job-000001")
+	for w.runningTasks() > 0 && w.now < began+20*sec {
+		w.run(50 * 1e6)
+	}
+	if took := w.now - began; took > 2*sec {
+		t.Errorf("gone after %v", took)
+	}
+}
+
+// The workers of a block that moves are sent to its next holder at once.
+func TestMovedBlockReportsToItsNextHolder(t *testing.T) {
+	w := newWorld(t, 6, 3, func(w *world) { w.reportS = 8 * sec })
+	for i := range 12 {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(30 * sec)
+	var id string
+	for _, n := range sortedKeys(w.nodes) {
+		if c := w.nodes[n].core; len(c.machines) > 0 && id == "" {
+			id = c.heldMachines()[0].block
+		}
+	}
+	it := w.key(blockKey(id))
+	var b wire.Block
+	if err := wire.Unmarshal(it.Value, &b); err != nil {
+		t.Fatal(err)
+	}
+	b.Shard = (b.Shard + 1) % 3
+	w.run(9 * sec)
+	it = w.key(blockKey(id))
+	w.callStore("c0", StateCall{Op: OpCommit, Txn: wire.Txn{If: []wire.Condition{{Key: blockKey(id), Version: it.Version}},
+		Then: []wire.Change{{Put: blockKey(id), Value: b}}}}, func(r StateReply) {
+		if r.Status != 200 {
+			t.Fatalf("not moved: %+v", r)
+		}
+	})
+	w.run(2500 * 1e6)
+	for _, bm := range b.Machines {
+		for _, n := range sortedKeys(w.nodes) {
+			if m := w.nodes[n].core.machines[bm.Name]; m != nil && (m.shard != b.Shard || !m.reported) {
+				t.Errorf("%s at %s: shard %d, reported %v", bm.Name, n, m.shard, m.reported)
+			}
+		}
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -37,6 +37,7 @@
 	machines map[string]*host
 	order    []string
 	work     *worker.Work
+	reportS  time.Duration // workers report so often
 	runS     time.Duration // tasks run so long, up to 4 s more
 
 	nodes   map[string]*ctrl
@@ -96,7 +97,7 @@
 const lease = 10 * time.Second
 
 func newWorld(t testing.TB, seed uint64, nodes int, opts ...func(*world)) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second,
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second, reportS: 2 * time.Second,
 		limits:   state.Limits{ValueBytes: 8192, TxnOps: 8, PageItems: 20}, // short pages, to be crossed
 		machines: map[string]*host{}, work: worker.NewWork(), cutFrom: map[string]bool{},
 		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, cancelS: 40 * time.Second,
@@ -122,7 +123,7 @@
 	}
 	w.params = func(node string) Params {
 		return Params{Node: node, Zone: all[node], Nodes: all, Teams: w.teams, Lease: lease, Cancel: w.cancelS,
-			Report: 2 * time.Second, ListLag: 4 * time.Second, TxnOps: w.limits.TxnOps, ValueBytes: w.limits.ValueBytes}
+			Report: w.reportS, ListLag: 4 * time.Second, TxnOps: w.limits.TxnOps, ValueBytes: w.limits.ValueBytes}
 	}
 	for _, n := range sortedKeys(all) {
 		w.nodes[n] = &ctrl{name: n}
@@ -232,6 +233,9 @@
 			w.reach(n.name, v, func(r StateReply) { w.at(w.lag(), back(StateDone{v.ID, r})) })
 		case CloudCall:
 			w.at(w.lag(), func() { r := w.callCloud(v); w.at(w.lag(), back(CloudDone{v.ID, r})) })
+		case Order:
+			w.checkOrder(n, v)
+			w.deliver(v, w.lag())
 		case PeerSend:
 			a, b := w.params(n.name).Zone, w.params(v.To).Zone
 			if a != b && (w.apart[[2]string{a, b}] || w.apart[[2]string{b, a}]) {
@@ -420,7 +424,8 @@
 // ---- workers
 
 func (w *world) newWorker(i wire.MachineInfo) *worker.Worker {
-	return worker.New(w.now, i, worker.Params{Report: 2 * time.Second, Lease: lease, Nodes: sortedKeys(w.nodes),
+	i.Addr = i.Name + ":1"
+	return worker.New(w.now, i, worker.Params{Report: w.reportS, Lease: lease, Nodes: sortedKeys(w.nodes),
 		Type: wire.MachineType{CPUs: 4, MemoryGB: 16, FetchGBps: 1}}, w.work, w.rng)
 }
 
@@ -485,6 +490,65 @@
 	})
 }
 
+// checkOrder judges a direct call by the state as it stands: nothing may be started by
+// it, and once another holder has been granted the machine, no token of ours may reach
+// that holder's. Only a call that carries no command may name the other's own token.
+func (w *world) checkOrder(n *ctrl, v Order) {
+	for _, cmd := range v.Orders.Commands {
+		if cmd.Verb != wire.VerbStop {
+			w.t.Fatalf("%v: %s calls %s to %s", w.now, n.name, v.Machine, cmd.Verb)
+		}
+	}
+	granted, shard := uint64(0), wire.Shard{}
+	w.store.Scan(wire.PrefixBlock, func(it wire.Item) {
+		var b wire.Block
+		_ = wire.Unmarshal(it.Value, &b)
+		for _, m := range b.Machines {
+			if m.Name == v.Machine {
+				s := w.key(shardKey(b.Shard))
+				_ = wire.Unmarshal(s.Value, &shard)
+				granted = max(it.Version, s.Version)
+			}
+		}
+	})
+	if granted == 0 {
+		return
+	}
+	if shard.Holder == n.name && shard.Boot == n.core.boot {
+		// Ours still; but a token that our mirror has not reached may be a successor's.
+		if v.Orders.Token > max(granted, n.core.rev) {
+			w.t.Fatalf("%v: %s calls %s with token %d, its mirror is at %d", w.now, n.name, v.Machine, v.Orders.Token, n.core.rev)
+		}
+		return
+	}
+	if t := v.Orders.Token; t > granted || t == granted && len(v.Orders.Commands) > 0 {
+		w.t.Fatalf("%v: %s calls %s with token %d, granted to %s at %d", w.now, n.name, v.Machine, t, shard.Holder, granted)
+	}
+}
+
+// deliver brings direct commands to a worker. Some are lost, some come late; those for a
+// machine that hangs are read when it goes on.
+func (w *world) deliver(v Order, lag time.Duration) {
+	if w.unsure > 0 && w.rng.IntN(100) < w.unsure {
+		if w.rng.IntN(2) == 0 {
+			return
+		}
+		lag += time.Duration(w.rng.IntN(8000)) * time.Millisecond
+	}
+	w.at(lag, func() {
+		m := w.machines[v.Machine]
+		if m.gone || !m.up {
+			return
+		}
+		if m.Fault.Hung {
+			w.deliver(v, 100*time.Millisecond)
+			return
+		}
+		_, _, out := m.Orders(w.now, v.Orders)
+		w.drive(m, out)
+	})
+}
+
 func (w *world) hang(m *host) { m.Fault.Hung = true }
 
 func (w *world) resume(m *host) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/peer"
 	"github.com/barrowbridge/barrowbridge/internal/statestore"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/internal/workers"
 )
 
 // Params turns settings into what the core needs.
@@ -57,6 +58,7 @@
 	state   *statestore.Client
 	cloud   *cloud.Client
 	peers   *peer.Links
+	orders  *workers.Client
 	metrics *metrics.Metrics
 	waiting map[uint64]chan httpapi.Reply
 	nextReq uint64
@@ -88,6 +90,7 @@
 	}
 	n.peers = peer.Dial(ctx, addrs, log)
 	n.metrics = metrics.New(func() float64 { return float64(len(n.inbox) + len(n.workers) + len(n.users)) })
+	n.orders = workers.New(ctx, log, func(status int, took time.Duration) { n.metrics.Call("worker", status, took) })
 	srv := httpapi.New(n.ask, n.metrics, log)
 	fail := make(chan error, 2)
 	go func() { fail <- peer.Serve(netutil.LimitListener(pln, 4*len(addrs)+4), n.fromPeer, log) }()
@@ -209,6 +212,8 @@
 			n.metrics.Call("cloud", rep.Status, time.Since(began))
 			n.inbox <- core.CloudDone{ID: v.ID, Reply: rep}
 		}()
+	case core.Order:
+		n.orders.Send(v.Addr, v.Orders)
 	case core.PeerSend:
 		n.peers.Send(v.To, v.Msg)
 	case core.Log:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -110,6 +110,21 @@
 	// ArrivalWindow (duration): over which arrivals of urgent work are counted,
 	// to foresee how many come during a boot.
 	ArrivalWindow = 2 * time.Minute
+	// OrdersPerSecond (calls a second): direct calls of one controller to workers. Each
+	// costs a connection and a third of a millisecond; services start and end at a few
+	// a second, and a block that is emptied has eight machines.
+	OrdersPerSecond = 60
+	// OrderLook (machines): looked at in one turn for whether a call is due.
+	OrderLook = 200
+	// OrderAfterAnswer (duration): a worker is not called sooner after an answer: the
+	// call would overtake it, and a worker reports twice a second at the most.
+	OrderAfterAnswer = 300 * time.Millisecond
+	// OrderTimeout (duration): a direct call; workers answer in milliseconds, and report
+	// by themselves within seconds.
+	OrderTimeout = 1500 * time.Millisecond
+	// OrderQueue and OrderCalls (calls): waiting and under way.
+	OrderQueue = 256
+	OrderCalls = 16
 	// PreemptEvery (duration): between looks for lesser work to stop; each looks at all
 	// machines once, for all urgent tasks that wait.
 	PreemptEvery = 100 * time.Millisecond
--- /dev/null
+++ b/internal/workers/workers.go
@@ -0,0 +1,69 @@
+// Package workers sends direct commands to workers, as POST /orders of the protocol.
+// They are advice: what cannot be sent soon is dropped.
+package workers
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/cborhttp"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Client is safe for concurrent use.
+type Client struct {
+	http  *http.Client
+	queue chan call
+	log   *slog.Logger
+	done  func(status int, took time.Duration)
+}
+
+type call struct {
+	addr   string
+	orders wire.Orders
+}
+
+// New returns a client that works until the context ends; done is called after each
+// call, with status 0 for one that had no answer.
+func New(ctx context.Context, log *slog.Logger, done func(status int, took time.Duration)) *Client {
+	c := &Client{queue: make(chan call, tuning.OrderQueue), log: log, done: done,
+		// A connection to each of a thousand workers would cost more sockets than it saves.
+		http: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: tuning.OrderTimeout}).DialContext,
+			DisableKeepAlives: true, DisableCompression: true}}}
+	for range tuning.OrderCalls {
+		go c.work(ctx)
+	}
+	return c
+}
+
+// Send queues a call; it says whether there was room.
+func (c *Client) Send(addr string, o wire.Orders) bool {
+	select {
+	case c.queue <- call{addr, o}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Client) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case x := <-c.queue:
+			began := time.Now()
+			ctx, cancel := context.WithTimeout(ctx, tuning.OrderTimeout)
+			status, _, err := cborhttp.RoundTrip(ctx, c.http, http.MethodPost, "http://"+x.addr+"/orders", x.orders)
+			cancel()
+			if err != nil {
+				c.log.Debug("no answer to direct commands", "to", x.addr, "err", err.Error())
+			}
+			c.done(status, time.Since(began))
+		}
+	}
+}
--- /dev/null
+++ b/internal/workers/workers_test.go
@@ -0,0 +1,56 @@
+package workers
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+func TestOrdersArriveAndSilenceHoldsUpOnlyItself(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	got := make(chan wire.Orders, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		var o wire.Orders
+		if r.URL.Path == "/orders" && wire.Unmarshal(b, &o) == nil {
+			got <- o
+		}
+	}))
+	defer srv.Close()
+	stall := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stall }))
+	defer silent.Close()
+	defer close(stall)
+	ended := make(chan int, 4)
+	c := New(ctx, slog.New(slog.DiscardHandler), func(status int, _ time.Duration) { ended <- status })
+	if !c.Send(silent.Listener.Addr().String(), wire.Orders{Token: 1, Session: 1}) || !c.Send(srv.Listener.Addr().String(), wire.Orders{Token: 7, Session: 2}) {
+		t.Fatal("no room in an empty queue")
+	}
+	select {
+	case o := <-got:
+		if o.Token != 7 || o.Session != 2 {
+			t.Errorf("arrived %+v", o)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing arrived")
+	}
+	if s := <-ended; s != 200 {
+		t.Errorf("status %d", s)
+	}
+	select {
+	case s := <-ended:
+		if s != 0 {
+			t.Errorf("the silent one answered %d", s)
+		}
+	case <-time.After(tuning.OrderTimeout + 5*time.Second):
+		t.Error("a silent worker holds a call for ever")
+	}
+}
