Takeovers: images known, starts further ahead, few missing machines given back

Change: images are packed as bits in as many records as they need, and learned from ended tasks too; starts are written ahead for two rounds; up to two machines (or a fiftieth of a shard), rented and the only ones missing after one and a half report intervals, are given back, and their deletion is the proof.

--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -157,7 +157,7 @@
 		return 0, true, true
 	}
 	started = max(e.rec.Started, run.next)
-	if ahead := max(tuning.StartAhead, len(run.active)); e.rec.Started-run.next < ahead/2 && run.next > 0 {
+	if ahead := max(tuning.StartAhead, tuning.AheadTimes*len(run.active)); e.rec.Started-run.next < ahead/2 && run.next > 0 {
 		started = max(started, min(e.rec.Tasks, run.next+ahead))
 	}
 	return started, false, started > e.rec.Started || c.movedOn(e)
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -29,6 +29,7 @@
 	wantBusy                         bool
 	checking                         bool
 	learned                          map[int]bool    // shards whose machines have fetched images since that was written
+	cachePart                        map[int]int     // which record of that is to be written next
 	used                             map[string]bool // blocks with fresh machines that are up
 	entered                          map[int]Time    // when a held shard was taken up
 	prevDead                         map[int]Time    // since when the life a shard was taken from is known to be dead
@@ -131,7 +132,7 @@
 
 func newHolder() holder {
 	return holder{machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
-		learned: map[int]bool{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
+		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -698,13 +699,14 @@
 		}
 		was := a.status
 		a.status, a.cause = t.Status, t.Cause
+		if t.Status == wire.TaskRunning || t.Status == wire.TaskSaving || t.Status == wire.TaskEnded && t.Cause == wire.CauseDone {
+			// After a takeover, what ended meanwhile tells it too: without that, tasks
+			// went where their image was not, and fetched it again.
+			c.hasImage(m, a.job)
+		}
 		switch t.Status {
 		case wire.TaskRunning:
 			a.running = c.now
-			if e := c.jobs[a.job]; e != nil && !m.images[e.rec.Image] {
-				m.images[e.rec.Image] = true
-				c.learned[m.shard] = true
-			}
 			c.noteBack(trail.TaskRuns, a)
 			c.log(2, "task runs", "task", a.key.task, "machine", m.name, "after", (c.now - a.created).String())
 		case wire.TaskEnded:
@@ -727,6 +729,14 @@
 	}
 }
 
+// hasImage notes that a machine has the image of a job whose task ran there.
+func (c *Core) hasImage(m *machine, job string) {
+	if e := c.jobs[job]; e != nil && !m.images[e.rec.Image] {
+		m.images[e.rec.Image] = true
+		c.learned[m.shard] = true
+	}
+}
+
 func dropInt(list *[]int, v int) {
 	for i, x := range *list {
 		if x == v {
@@ -858,6 +868,7 @@
 		return
 	}
 	c.suspect()
+	c.missing()
 	byShard := map[int][]*machine{}
 	for _, m := range c.heldMachines() {
 		if m.over || !c.mine(m.shard) {
@@ -921,6 +932,40 @@
 	}
 }
 
+// missing gives back the few rented machines that alone keep a shard from being settled,
+// once all others have reported. Their deletion proves at once what else only the end of
+// a lease would: of some hundred spot machines one is taken every few seconds, so nearly
+// each change of hands had started tasks of every array wait for half a minute. Many
+// missing at a time are a cut or an outage, and are waited for.
+func (c *Core) missing() {
+	for _, i := range sortedInts(c.unsettle) {
+		if n := c.open[i]; n == 0 || c.now-c.entered[i] < max(tuning.MissingAfter, c.p.Report*3/2) {
+			continue
+		} else if total := c.machinesIn(i); n > max(tuning.MissingFew, total/tuning.MissingShare) {
+			continue
+		}
+		for _, m := range c.heldMachines() {
+			if m.shard == i && m.inherited && !m.accounted && !m.reported && !m.base && !m.drop {
+				m.drop = true
+				c.touch(m)
+				c.used[m.block] = true // written with what users wait for
+				c.noteMachine(trail.MachineReturned, m, wire.TrailEvent{Why: "missing after a change of hands"})
+				c.log(1, "giving a machine back", "machine", m.name, "why", "missing after a change of hands")
+			}
+		}
+	}
+}
+
+// machinesIn counts a shard's machines.
+func (c *Core) machinesIn(shard int) (n int) {
+	for _, m := range c.machines {
+		if m.shard == shard {
+			n++
+		}
+	}
+	return n
+}
+
 // allDead tells whether none of these lives can be answering a worker now: a
 // later life of the same node proves it, and this node answers as itself only.
 func (c *Core) allDead(lives []wire.Life) bool {
@@ -1123,36 +1168,37 @@
 		if !c.every("caches"+strconv.Itoa(i), tuning.CachesEvery) {
 			continue
 		}
-		rec := wire.Cache{Machines: map[string][]int{}}
-		index, room := map[string]int{}, c.p.ValueBytes-512
+		var has []ledger.MachineImages
 		for _, m := range c.heldMachines() {
-			if m.shard != i || m.drop || len(m.images) == 0 {
-				continue
-			}
-			for _, image := range sortedKeys(m.images) {
-				k, known := index[image]
-				if !known {
-					k = len(rec.Images)
-					index[image] = k
-					rec.Images = append(rec.Images, image)
-					room -= len(image) + 3
-				}
-				rec.Machines[m.name] = append(rec.Machines[m.name], k)
-				room -= 3
-			}
-			if room -= len(m.name) + 6; room < 256 {
-				break // the rest is learned again from its tasks
+			if m.shard == i && !m.drop && len(m.images) > 0 {
+				has = append(has, ledger.MachineImages{Machine: m.name, Images: sortedKeys(m.images)})
 			}
 		}
-		delete(c.learned, i)
+		parts := ledger.PackImages(has, c.p.ValueBytes-256)
+		if len(parts) == 0 {
+			delete(c.learned, i)
+			continue
+		}
+		// One record at a time, in turn; the duty is done when the last is written.
+		k := c.cachePart[i] % len(parts)
+		key := wire.PrefixCache + strconv.Itoa(i)
+		if k > 0 {
+			key += "." + strconv.Itoa(k)
+		}
+		c.cachePart[i] = k + 1
+		if k+1 < len(parts) {
+			c.retryAt["caches"+strconv.Itoa(i)] = c.now + tuning.CachesEvery/time.Duration(len(parts))
+		} else {
+			c.cachePart[i] = 0
+			delete(c.learned, i)
+		}
 		c.telling = true
-		c.commit(LaneLater, []wire.Condition{c.shardCond(i)},
-			[]wire.Change{{Put: wire.PrefixCache + strconv.Itoa(i), Value: rec}}, func(r StateReply) {
-				c.telling = false
-				if r.Status != 200 {
-					c.learned[i] = true
-				}
-			})
+		c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: key, Value: parts[k]}}, func(r StateReply) {
+			c.telling = false
+			if r.Status != 200 {
+				c.learned[i], c.cachePart[i] = true, k
+			}
+		})
 		return
 	}
 }
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -295,14 +295,8 @@
 	case strings.HasPrefix(key, wire.PrefixCache):
 		var r wire.Cache
 		if read(&r) {
-			for name, list := range r.Machines {
-				var images []string
-				for _, i := range list {
-					if i >= 0 && i < len(r.Images) {
-						images = append(images, r.Images[i])
-					}
-				}
-				if c.blockIn[name] != "" {
+			for _, name := range r.Names() {
+				if images, _ := r.Of(name); c.blockIn[name] != "" {
 					c.cached[name] = images
 				}
 			}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -151,6 +151,10 @@
 	// write serves many starts: at 4, starts were half of all writes. What is
 	// written and not started waits, after a takeover, until that is known.
 	StartAhead = 16
+	// AheadTimes (multiple of the running tasks): starts written ahead, if that is more.
+	// While the state service is away none can be written; at one time the running
+	// tasks, half of a fleet's slots stood empty by the end of 25 s.
+	AheadTimes = 2
 	// BootGiveUp (multiple of ready_s): a machine that has not reported is
 	// replaced; most need 0.6 to 1.5 times.
 	BootGiveUp = 4
@@ -162,6 +166,13 @@
 	// ShardGrace (duration): at first start, how long the leader waits for all
 	// controllers before it shares out the shards.
 	ShardGrace = 3 * time.Second
+	// MissingAfter (duration): after a change of hands, and not before one and a half
+	// report intervals; by then every worker that can has found its holder.
+	MissingAfter = 4 * time.Second
+	// MissingFew (machines) and MissingShare (one in so many of the shard): missing ones
+	// that are given back at once; more of them are no accident.
+	MissingFew   = 2
+	MissingShare = 50
 	// PastLives (lives): most that a shard's record names; more crashes than that
 	// within one settling, and it waits for the full time.
 	PastLives = 8
--- a/wire/records.go
+++ b/wire/records.go
@@ -114,8 +114,41 @@
 // Cache tells which images a shard's machines have fetched. It is advice: a
 // successor that does not know lets tasks wait for fetches that are needless.
 type Cache struct {
-	Images   []string         `cbor:"images"`
-	Machines map[string][]int `cbor:"machines"` // indexes into Images
+	Images []string `cbor:"images"`
+	// Sets has for each machine bits of the images it has: bit k%32 of word k/32 stands
+	// for Images[k]. A shard of many machines has several records.
+	Sets map[string][]uint32 `cbor:"sets,omitempty"`
+	// Machines is what earlier versions wrote: indexes into Images.
+	Machines map[string][]int `cbor:"machines,omitempty"`
+}
+
+// Of lists the images of a machine, and whether the record names it.
+func (c *Cache) Of(machine string) (images []string, named bool) {
+	words, named := c.Sets[machine]
+	for k, image := range c.Images {
+		if k/32 < len(words) && words[k/32]>>(k%32)&1 == 1 {
+			images = append(images, image)
+		}
+	}
+	old, was := c.Machines[machine]
+	for _, k := range old {
+		if k >= 0 && k < len(c.Images) {
+			images = append(images, c.Images[k])
+		}
+	}
+	return images, named || was
+}
+
+// Names lists the machines that the record names, in no order.
+func (c *Cache) Names() []string {
+	names := make([]string, 0, len(c.Sets)+len(c.Machines))
+	for n := range c.Sets {
+		names = append(names, n)
+	}
+	for n := range c.Machines {
+		names = append(names, n)
+	}
+	return names
 }
 
 // Want is what a shard's holder asks of the leader. Seen is the newest
