Polls share one look at the changes; limits learned from refusals; renewals first

Answers that entitlement hangs on and the clock have a queue of their own. Changes count with their own revision, since two calls may now tell of them out of order.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -310,6 +310,7 @@
 	c.keepMirror()
 	c.tellPeers()
 	c.giveUpRelays()
+	c.askAll()
 	if !c.loaded {
 		return
 	}
@@ -401,18 +402,7 @@
 			switch r.Status {
 			case 200:
 				c.watchOK = sent
-				for _, e := range r.Events.Events {
-					if e.Put != "" {
-						c.put(e.Put, e.Value, e.Version)
-					} else {
-						c.remove(e.Delete, max(e.Version, c.rev))
-					}
-				}
-				if r.Events.Revision > c.rev {
-					c.rev = r.Events.Revision
-				}
-				c.dropTombs(c.rev)
-				c.enterShards()
+				c.follow(&r.Events)
 				c.keepMirror()
 				c.changed()
 			case 410:
@@ -428,6 +418,21 @@
 	}
 }
 
+// follow applies changes. Two calls may tell of them, and the later answer of the one may
+// come before the earlier one of the other: each event counts with its own revision.
+func (c *Core) follow(ev *wire.Events) {
+	for _, e := range ev.Events {
+		if e.Put != "" {
+			c.put(e.Put, e.Value, e.Version)
+		} else {
+			c.remove(e.Delete, e.Version)
+		}
+	}
+	c.rev = max(c.rev, ev.Revision)
+	c.dropTombs(c.rev)
+	c.enterShards()
+}
+
 func (c *Core) loadPage(after string, began Time) {
 	c.state(StateCall{Op: OpList, Key: wire.LivePrefix, After: after}, func(r StateReply) {
 		if r.Status != 200 {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -13,6 +13,8 @@
 	finals   map[string]wire.Final
 	finalAge []string // oldest first
 	polls    map[string][]uint64
+	asked    []Poll // wait for the next look at the changes
+	asking   bool
 }
 
 func newUsers() users {
@@ -105,7 +107,17 @@
 		c.answer(v.Req, 200, finalStatus(v.ID, f))
 		return
 	}
-	// One read serves all polls that came before it was sent.
+	if !c.loaded || c.loading {
+		c.readFor(v)
+		return
+	}
+	c.asked = append(c.asked, v)
+	c.askAll()
+}
+
+// readFor answers a poll by a read of its own. One read serves all polls for the job
+// that came before it was sent.
+func (c *Core) readFor(v Poll) {
 	if reqs, busy := c.polls[v.ID]; busy {
 		c.polls[v.ID] = append(reqs, v.Req)
 		return
@@ -114,6 +126,43 @@
 	c.pollRead(v.ID, []uint64{v.Req})
 }
 
+// askAll answers all polls that wait with one call: it asks for the changes that the
+// mirror lacks at this moment, however many jobs are asked for. Once they are applied the
+// mirror holds all that was written before the call was sent, so nothing older is
+// answered than anybody has been told. A read for each poll was most of what a large
+// fleet asked of the state service, and took its limit from the renewals of grants.
+func (c *Core) askAll() {
+	if len(c.asked) == 0 || c.asking || !c.every("ask", tuning.AskEvery) {
+		return
+	}
+	batch := c.asked
+	c.asked, c.asking = nil, true
+	c.state(StateCall{Op: OpWatch, Key: wire.LivePrefix, Revision: c.rev}, func(r StateReply) {
+		c.asking = false
+		if r.Status == 200 {
+			c.follow(&r.Events)
+		}
+		for _, v := range batch {
+			f, known := c.finals[v.ID]
+			e := c.jobs[v.ID]
+			switch {
+			case known:
+				c.answer(v.Req, 200, finalStatus(v.ID, f))
+			case r.Status == 410 || r.Status == 200 && (e == nil || c.loading):
+				c.readFor(v) // ended, never accepted, or the mirror is being read anew
+			case r.Status == 200:
+				c.answer(v.Req, 200, c.statusOf(&e.rec))
+			default:
+				c.answer(v.Req, 503, unavailable("state not readable"))
+			}
+		}
+		if r.Status == 200 {
+			c.changed()
+		}
+		c.askAll()
+	})
+}
+
 func (c *Core) pollRead(id string, reqs []uint64) {
 	c.look(id, func(j *wire.Job, _ uint64, fin *wire.Final, ok bool) {
 		for _, q := range reqs {
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -25,12 +25,14 @@
 	queue events
 	seq   int
 
-	store   *state.Store
-	calls   map[uint64]func(StateReply)
-	callID  uint64
-	limits  state.Limits
-	cutFrom map[string]bool // nodes alone without the state service
-	unsure  int             // of a hundred calls of the state service, so many are lost, not answered, or executed or answered late
+	store    *state.Store
+	calls    map[uint64]func(StateReply)
+	callID   uint64
+	limits   state.Limits
+	reached  map[string]int  // calls of the state service, by node
+	watchLag time.Duration   // answers to held watches come so much later
+	cutFrom  map[string]bool // nodes alone without the state service
+	unsure   int             // of a hundred calls of the state service, so many are lost, not answered, or executed or answered late
 
 	cloud    *cloud.Cloud
 	capacity int // machines of one kind in one zone
@@ -99,7 +101,7 @@
 func newWorld(t testing.TB, seed uint64, nodes int, opts ...func(*world)) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second, reportS: 2 * time.Second,
 		limits:   state.Limits{ValueBytes: 8192, TxnOps: 8, PageItems: 20}, // short pages, to be crossed
-		machines: map[string]*host{}, work: worker.NewWork(), cutFrom: map[string]bool{},
+		machines: map[string]*host{}, work: worker.NewWork(), cutFrom: map[string]bool{}, reached: map[string]int{},
 		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, cancelS: 40 * time.Second,
 		teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 12}, "blue": {CPUs: 8, CPUsMax: 12}, "green": {CPUs: 8, CPUsMax: 12}},
 	}
@@ -279,6 +281,12 @@
 // up, and a quarter answered so late that the watch has long gone on.
 func (w *world) reach(node string, v StateCall, reply func(StateReply)) {
 	lag := w.lag()
+	w.reached[node]++
+	if v.Op == OpWatch && v.Hold > 0 && w.watchLag > 0 {
+		late := w.watchLag
+		w.at(lag, func() { w.callStore(node, v, func(r StateReply) { w.at(late, func() { reply(r) }) }) })
+		return
+	}
 	if v.Op == OpWatch || w.unsure == 0 || w.rng.IntN(100) >= w.unsure {
 		w.at(lag, func() { w.callStore(node, v, reply) })
 		return
--- /dev/null
+++ b/internal/limits/share_test.go
@@ -0,0 +1,67 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// crowd plays callers that each have as much to do as want allows at a time, on a
+// service of 70 units a second with a burst of one second, as the protocol has it.
+func crowd(d time.Duration, shares []*Share, want func(caller int, at time.Duration) bool) (served []int, refused int) {
+	service := rate.NewLimiter(70, 70)
+	served = make([]int, len(shares))
+	own := make([]float64, len(shares))
+	for at := time.Duration(0); at < d; at += 5 * time.Millisecond {
+		for i := range shares {
+			k := (i + int(at/(5*time.Millisecond))) % len(shares)
+			if own[k] = min(own[k]+shares[k].Rate()*0.005, 8); !want(k, at) {
+				continue
+			}
+			for own[k] >= 1 {
+				own[k]--
+				if service.AllowN(time.Unix(0, 0).Add(at), 1) {
+					shares[k].Served(1)
+					served[k]++
+				} else {
+					shares[k].Refused(at)
+					refused++
+				}
+			}
+		}
+	}
+	return served, refused
+}
+
+func three() (s []*Share) {
+	for range 3 {
+		s = append(s, NewShare(ShareParams{Min: 7, Max: 63, Gain: 7, Cut: 0.7, Pause: 300 * time.Millisecond}))
+	}
+	return s
+}
+
+func TestACrowdUsesTheLimitWithFewRefusals(t *testing.T) {
+	served, refused := crowd(60*time.Second, three(), func(int, time.Duration) bool { return true })
+	sum := served[0] + served[1] + served[2]
+	if sum < 60*70*8/10 || refused > sum/8 {
+		t.Errorf("%v served, %d refused, of %d", served, refused, 60*70)
+	}
+	for _, n := range served {
+		if n < sum/5 {
+			t.Errorf("unequal: %v", served)
+		}
+	}
+}
+
+func TestOneThatIsLeftAloneSoonHasNearlyAll(t *testing.T) {
+	shares := three()
+	crowd(30*time.Second, shares, func(int, time.Duration) bool { return true })
+	served, _ := crowd(10*time.Second, shares, func(k int, _ time.Duration) bool { return k == 0 })
+	if served[0] < 10*63*7/10 {
+		t.Errorf("%d served in 10 s", served[0])
+	}
+	if shares[0].Rate() < 60 {
+		t.Errorf("share %.1f after 10 s alone", shares[0].Rate())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 }
 
 type node struct {
+	first   chan any // what entitlement hangs on: never behind anything else
 	inbox   chan any
 	workers chan request // served first
 	users   chan request
@@ -70,7 +71,7 @@
 		debug.SetMemoryLimit(int64(mb * 0.6 * 1024 * 1024)) // the runtime's own share stays below the kill limit
 	}
 	n := &node{
-		inbox: make(chan any, tuning.InboxSize), log: log,
+		first: make(chan any, tuning.InboxSize), inbox: make(chan any, tuning.InboxSize), log: log,
 		workers: make(chan request, tuning.InboxSize), users: make(chan request, tuning.UserQueue),
 		state:   statestore.New(cfg.Services.State, cfg.Params.State.RPS, cfg.Params.State.WriteRPS),
 		cloud:   cloud.New(cfg.Services.Cloud, cfg.Params.Cloud.RPS),
@@ -133,6 +134,13 @@
 // users' requests. Requests that nobody waits for any more are passed over.
 func (n *node) next(ctx context.Context, tick <-chan time.Time) (any, bool) {
 	for {
+		select { // a loop that is late renews first, and ticks: a grant ends in seconds
+		case in := <-n.first:
+			return in, true
+		case <-tick:
+			return core.Tick{}, true
+		default:
+		}
 		users := n.users
 		if len(n.inbox)+len(n.workers)+len(tick) > 0 {
 			users = nil // their turn comes when nothing else waits
@@ -141,6 +149,8 @@
 		select {
 		case <-ctx.Done():
 			return nil, false
+		case in := <-n.first:
+			return in, true
 		case in := <-n.inbox:
 			return in, true
 		case <-tick:
@@ -203,7 +213,11 @@
 			if v.Op != core.OpWatch { // a watch is meant to take long
 				n.metrics.Call("state", rep.Status, time.Since(began))
 			}
-			n.inbox <- core.StateDone{ID: v.ID, Reply: rep}
+			if v.Lane == core.LaneFirst && v.Op == core.OpCommit && len(v.Txn.Then) > 0 || v.Op == core.OpGrant || v.Op == core.OpExtend {
+				n.first <- core.StateDone{ID: v.ID, Reply: rep}
+			} else {
+				n.inbox <- core.StateDone{ID: v.ID, Reply: rep}
+			}
 		}()
 	case core.CloudCall:
 		go func() {
--- a/internal/node/queue_test.go
+++ b/internal/node/queue_test.go
@@ -13,7 +13,7 @@
 // A controller that cannot keep up serves workers first, tells users beyond a
 // short queue at once to come back, and does no work nobody waits for.
 func TestOverload(t *testing.T) {
-	n := &node{inbox: make(chan any, 1), workers: make(chan request, tuning.InboxSize), users: make(chan request, tuning.UserQueue),
+	n := &node{first: make(chan any, 1), inbox: make(chan any, 1), workers: make(chan request, tuning.InboxSize), users: make(chan request, tuning.UserQueue),
 		waiting: map[uint64]chan httpapi.Reply{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -41,6 +41,18 @@
 	for len(n.workers) < 1 {
 		time.Sleep(time.Millisecond)
 	}
+	// The renewal of a grant and the clock wait behind nothing.
+	n.inbox <- core.StateDone{ID: 1}
+	n.first <- core.StateDone{ID: 2}
+	tick := make(chan time.Time, 1)
+	tick <- time.Time{}
+	for range 2 {
+		in, _ := n.next(ctx, tick)
+		if d, ok := in.(core.StateDone); ok && d.ID != 2 || isReport(in) {
+			t.Errorf("before a renewal or a tick: %+v", in)
+		}
+	}
+	<-n.inbox
 	if in, _ := n.next(ctx, nil); !isReport(in) {
 		t.Errorf("a report should go first, got %T", in)
 	}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/barrowbridge/barrowbridge/internal/cborhttp"
 	"github.com/barrowbridge/barrowbridge/internal/core"
+	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -22,9 +24,40 @@
 type Client struct {
 	base   string
 	http   *http.Client
-	calls  *rate.Limiter
-	writes *rate.Limiter
+	calls  *shared
+	writes *shared
 	later  *rate.Limiter // what LaneLater may take of writes
+	began  time.Time
+}
+
+// shared is our part of a limit that the controllers share, as a limiter.
+type shared struct {
+	*rate.Limiter
+	mu    sync.Mutex
+	share *limits.Share
+}
+
+func newShared(limit, most float64) *shared {
+	p := limits.ShareParams{Min: limit * tuning.ShareLeast, Max: limit * most, Gain: limit * tuning.ShareGain, Cut: tuning.ShareCut, Pause: tuning.SharePause}
+	return &shared{Limiter: rate.NewLimiter(rate.Limit(p.Max), max(1, int(p.Max))), share: limits.NewShare(p)}
+}
+
+// learn takes note of how the service answered n units.
+func (s *shared) learn(status, n int, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case n == 0:
+		return
+	case status == http.StatusTooManyRequests:
+		s.share.Refused(now)
+	case status == http.StatusOK || status == http.StatusConflict || status == http.StatusNotFound:
+		s.share.Served(n)
+	default:
+		return
+	}
+	s.SetLimit(rate.Limit(s.share.Rate()))
+	s.SetBurst(max(1, int(s.share.Rate())))
 }
 
 // New returns a client of the service at addr.
@@ -32,8 +65,9 @@
 	return &Client{
 		base:   "http://" + addr,
 		http:   cborhttp.NewClient(tuning.StateTimeout, 32),
-		calls:  rate.NewLimiter(rate.Limit(rps*tuning.StateShare), max(1, int(rps*tuning.StateShare))),
-		writes: rate.NewLimiter(rate.Limit(writeRPS*tuning.WriteShare), max(1, int(writeRPS*tuning.WriteShare))),
+		calls:  newShared(rps, tuning.StateShare),
+		writes: newShared(writeRPS, tuning.WriteShare),
+		began:  time.Now(),
 		later:  rate.NewLimiter(rate.Limit(writeRPS*tuning.LaterShare), max(1, int(writeRPS*tuning.LaterShare))),
 	}
 }
@@ -76,6 +110,11 @@
 			return core.StateReply{Status: http.StatusTooManyRequests, Err: err.Error()}
 		}
 		rep := c.do(ctx, call)
+		if n := len(call.Txn.Then); n > 0 {
+			c.writes.learn(rep.Status, n, time.Since(c.began))
+		} else {
+			c.calls.learn(rep.Status, 1, time.Since(c.began))
+		}
 		if rep.Status != http.StatusTooManyRequests || !awaited || tries == tuning.LimitRetries {
 			return rep
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -47,6 +47,14 @@
 	// controller has nearly all the writes to make; at half, starts waited ten
 	// seconds while the service was half idle.
 	WriteShare = 0.9
+	// ShareLeast (share of the limit): what a controller keeps however often it is
+	// refused; ten of them would still fit. ShareGain (share a second): regained in each
+	// second of full use. ShareCut (factor) and SharePause (duration): a refusal costs so
+	// much, once in so long, since refusals come in bunches.
+	ShareLeast = 0.1
+	ShareGain  = 0.1
+	ShareCut   = 0.7
+	SharePause = 300 * time.Millisecond
 	// LaterShare (share): what progress and marks may take of the limit on
 	// changes; three controllers together then leave room for what users wait for.
 	LaterShare = 0.25
@@ -193,6 +201,9 @@
 	// UserTimeout (duration): a user's request is given up before its client
 	// does at 5 s; a poll's client waits 2 s.
 	UserTimeout = 4 * time.Second
+	// AskEvery (duration): between looks at the changes for all polls that wait; users
+	// wait 2 s for an answer and ask again after 5.
+	AskEvery = 50 * time.Millisecond
 	// PollTimeout (duration): see UserTimeout.
 	PollTimeout = 1800 * time.Millisecond
 	// ReportTimeout (duration): workers wait 4 s.
