A place without a job's image is left to a job whose image is there

Cause: on the fleet sites a quarter to a half of the array tasks waited over 5 s between place and run, 6 to 15 s in the mean against runs of 18 to 25 s: with hundreds of machines nearly every freed place lacked the image of the job that was next.

Change: in a pass such a place is left to one of the next 24 jobs of the same rank, guarantee and lateness whose image is there; a job is passed over for 4 s at the most. Not for anchors nor urgent jobs.

--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -128,6 +128,8 @@
 	since   Time   // known here, or waiting for room again, since
 	wrote   Time   // when its progress was last written
 	writing bool   // a write of its record is under way
+
+	passedOver Time // since when places without its image have been left to others; 0: not
 }
 
 func newHolder() holder {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -100,7 +100,7 @@
 		t, u := c.p.Teams[team], c.room.Used(team, i)
 		return placement.Size{CPUs: min(m.CPUs, t.CPUsMax-u.CPUs), GPUs: min(m.GPUs, t.GPUsMax-u.GPUs), MemGB: m.MemGB}
 	}, func(p *queue.Place[*jobEntry]) bool {
-		if c.placeJob(p.Handle) > 0 {
+		if c.placeJob(p) > 0 {
 			delete(most, c.shardOf(p.Job.Team))
 		}
 		return true
@@ -153,7 +153,8 @@
 }
 
 // placeJob starts as many of a job's waiting tasks as fit, and says how many.
-func (c *Core) placeJob(e *jobEntry) (placed int) {
+func (c *Core) placeJob(p *queue.Place[*jobEntry]) (placed int) {
+	e := p.Handle
 	j, run := &e.rec, e.run
 	shard := c.shardOf(j.Team)
 	if run == nil || c.now < run.notYet {
@@ -176,10 +177,11 @@
 		if team.exceeds(c.room.Used(j.Team, shard).Add(placement.Size{CPUs: size.CPUs * maybe, GPUs: size.GPUs * maybe})) {
 			return placed
 		}
-		m, beta := c.choose(e, shard, size, anchor, zones)
+		m, beta := c.choose(p, shard, size, anchor, zones)
 		if m == nil {
 			return placed
 		}
+		run.passedOver = 0
 		idx := run.next
 		if len(run.retry) > 0 {
 			idx, run.retry = run.retry[0], run.retry[1:]
@@ -209,7 +211,8 @@
 
 // choose picks the machine of a job's next task among those the ledger proposes, nil if
 // none has room, and tells its beta.
-func (c *Core) choose(e *jobEntry, shard int, size placement.Size, anchor bool, zones map[string]int) (*machine, int) {
+func (c *Core) choose(p *queue.Place[*jobEntry], shard int, size placement.Size, anchor bool, zones map[string]int) (*machine, int) {
+	e := p.Handle
 	j, run := &e.rec, e.run
 	kinds := c.kinds(e, zones)
 	if len(run.retry) > 0 && tracked(j) {
@@ -222,7 +225,52 @@
 			}
 		}
 	}
-	c.found = c.room.Find(shard, size, anchor, tuning.LookAt, kinds, func(m *machine) bool { return !run.avoids(m, j.ID) },
+	left := []*machine{}
+	for range tuning.LocalTries {
+		m, beta := c.pick(e, shard, size, anchor, zones, kinds, left)
+		if m == nil || m.images[j.Image] || anchor || e.prio >= urgentRank || !c.leaveToLocal(p, m) {
+			return m, beta
+		}
+		left = append(left, m)
+	}
+	return nil, 0
+}
+
+// leaveToLocal tells whether a machine without a job's image is better left to a job
+// that is served as early and has its image there: the fetch takes as long as many a
+// task, and where tasks end all the time a place with the image comes soon. For a while
+// only: a job that has been passed over for long takes what there is.
+func (c *Core) leaveToLocal(p *queue.Place[*jobEntry], m *machine) bool {
+	run, looked, found := p.Handle.run, 0, false
+	if run.passedOver > 0 && c.now-run.passedOver > tuning.LocalWait {
+		return false
+	}
+	free := c.free(m)
+	c.order.Walk(func(team string) placement.Size {
+		if c.shardOf(team) != m.shard {
+			return placement.Size{CPUs: -1}
+		}
+		t, u := c.p.Teams[team], c.room.Used(team, m.shard)
+		return placement.Size{CPUs: min(free.CPUs, t.CPUsMax-u.CPUs), GPUs: min(free.GPUs, t.GPUsMax-u.GPUs), MemGB: free.MemGB}
+	}, func(o *queue.Place[*jobEntry]) bool {
+		e := o.Handle
+		if looked++; looked > tuning.LocalLook || e.prio < p.Handle.prio {
+			return false
+		}
+		found = o != p && e.prio == p.Handle.prio && o.Within == p.Within && o.Late == p.Late && e.run != nil && c.now >= e.run.notYet &&
+			e.run.pending(&e.rec) > 0 && m.images[e.rec.Image] && allows(&e.rec, m) && zonesOf(e) == nil && !e.run.avoids(m, e.rec.ID)
+		return !found
+	})
+	if found && run.passedOver == 0 {
+		run.passedOver = c.now
+	}
+	return found
+}
+
+// pick is the heuristic's choice among the machines that the ledger proposes, some apart.
+func (c *Core) pick(e *jobEntry, shard int, size placement.Size, anchor bool, zones map[string]int, kinds func(ledger.Kind) bool, apart []*machine) (*machine, int) {
+	j, run := &e.rec, e.run
+	c.found = c.room.Find(shard, size, anchor, tuning.LookAt, kinds, func(m *machine) bool { return !run.avoids(m, j.ID) && !slices.Contains(apart, m) },
 		func(m *machine) bool { return m.images[j.Image] }, c.found[:0])
 	c.cands = c.cands[:0]
 	for _, f := range c.found {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -144,6 +144,13 @@
 	// LookAt (machines): of one kind that a choice looks at among equals, for one with
 	// the image. Without a bound a choice would cost as much as the fleet is large.
 	LookAt = 24
+	// LocalWait (duration): for how long a job may be passed over on machines without its
+	// image; a fetch takes about three times as long. LocalLook (jobs): next in the order
+	// that are looked at for one whose image is there. LocalTries (machines): left so in
+	// one choice.
+	LocalWait  = 4 * time.Second
+	LocalLook  = 24
+	LocalTries = 4
 	// FreshMargin (duration): beyond two report intervals that a machine may be silent
 	// and still be given tasks.
 	FreshMargin = 500 * time.Millisecond
