--- /dev/null
+++ b/internal/core/flush.go
@@ -0,0 +1,279 @@
+package core
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/ledger"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// flush writes what the holder has to make durable, by compare-and-set: first
+// what tasks and users wait for, then the rest, so that a short write limit
+// never keeps a start behind progress.
+func (c *Core) flush() {
+	if !c.every("flush", tuning.Tick) {
+		return
+	}
+	c.flushJobs()
+	c.flushLater()
+	c.tellCaches()
+}
+
+// batch is one write of the holder: every part of it compares its shard.
+type batch struct {
+	c     *Core
+	when  []wire.Condition
+	then  []wire.Change
+	jobs  []*jobEntry
+	bytes int
+	max   int // changes
+	shard map[int]bool
+}
+
+func (c *Core) newBatch(most int) *batch {
+	return &batch{c: c, max: max(2, min(most, c.p.TxnOps)), shard: map[int]bool{}}
+}
+
+func (b *batch) full() bool { return len(b.then)+2 > b.max || b.bytes > tuning.TxnBytes }
+
+func (b *batch) add(shard int, cond *wire.Condition, changes ...wire.Change) {
+	if !b.shard[shard] {
+		b.shard[shard] = true
+		b.when = append(b.when, b.c.shardCond(shard))
+	}
+	if cond != nil {
+		b.when = append(b.when, *cond)
+	}
+	b.then = append(b.then, changes...)
+}
+
+// addJob adds changes of one job.
+func (b *batch) addJob(e *jobEntry, changes ...wire.Change) {
+	b.jobs = append(b.jobs, e)
+	e.run.writing = true
+	b.add(b.c.shardOf(e.rec.Team), &wire.Condition{Key: jobKey(e.rec.ID), Version: e.ver}, changes...)
+}
+
+// addBlock adds a block's new record.
+func (b *batch) addBlock(x *blockEntry, rec wire.Block) {
+	b.add(rec.Shard, &wire.Condition{Key: blockKey(x.id), Version: x.ver}, wire.Change{Put: blockKey(x.id), Value: rec})
+}
+
+// addProgress adds a job's starts and progress as they stand now.
+func (b *batch) addProgress(e *jobEntry, started int) {
+	rec := e.rec
+	rec.Started, rec.Done = started, e.run.done.clone()
+	if tracked(&rec) {
+		rec.On = make([]string, rec.Tasks)
+		copy(rec.On, e.rec.On)
+		for k, a := range e.run.active {
+			rec.On[k] = a.m.name
+		}
+	}
+	raw, err := wire.Marshal(rec)
+	for err == nil && len(rec.Done) > 0 && !wire.FitsIn(raw, b.c.p.ValueBytes) {
+		// Too scattered to keep: what is left out would only run again.
+		rec.Done = rec.Done[:len(rec.Done)*3/4]
+		raw, err = wire.Marshal(rec)
+	}
+	b.bytes += len(raw)
+	b.addJob(e, wire.Change{Put: jobKey(rec.ID), Value: rec})
+}
+
+// send commits the batch, if there is anything in it. busy is set meanwhile; a
+// duty whose write failed pauses; written is called after one that did not.
+func (b *batch) send(lane int, busy *bool, duty string, written func()) {
+	if len(b.then) == 0 {
+		return
+	}
+	c := b.c
+	*busy = true
+	c.commit(lane, b.when, b.then, func(r StateReply) {
+		*busy = false
+		for _, e := range b.jobs {
+			if e.run != nil {
+				e.run.writing = false
+			}
+		}
+		if r.Status == 200 {
+			written()
+		} else {
+			c.retryAt[duty] = c.now + tuning.RetryAfter/2
+			c.log(2, "not written", "changes", len(b.then), "status", r.Status, "err", r.Err, "failed", strings.Join(r.Txn.Failed, " "))
+		}
+		c.dirty = true
+		c.hold()
+	})
+}
+
+// flushJobs writes starts, before they are made, and ends of jobs, urgent ones first.
+func (c *Core) flushJobs() {
+	if c.flushing || c.now < c.retryAt["flushJobs"] {
+		return
+	}
+	b := c.newBatch(c.p.TxnOps / 2) // short, so that acceptances get in between
+	finals := map[string]wire.Final{}
+	c.update()
+	for _, e := range sortedJobs(c.owed) {
+		if b.full() {
+			break
+		}
+		if e.run.writing {
+			continue
+		}
+		started, ended, _ := c.owes(e)
+		if !ended {
+			b.addProgress(e, started)
+			continue
+		}
+		id, f := e.rec.ID, wire.Final{Status: wire.JobDone, Done: e.rec.Tasks}
+		finals[id] = f
+		b.addJob(e, wire.Change{Delete: jobKey(id)}, wire.Change{Put: finalKey(id), Value: f})
+	}
+	for _, id := range sortedKeys(c.used) {
+		x := c.blocks[id]
+		if x == nil || !c.mine(x.rec.Shard) {
+			delete(c.used, id)
+		} else if !b.full() {
+			if rec, change := c.markBlock(x); change {
+				b.addBlock(x, rec)
+			} else {
+				delete(c.used, id)
+			}
+		}
+	}
+	for _, i := range c.shardIDs() {
+		s := c.shards[i]
+		if !c.mine(i) || c.unsettle[i] || s.rec.Settled || b.full() {
+			continue
+		}
+		rec := s.rec
+		rec.Settled = true
+		b.add(i, nil, wire.Change{Put: shardKey(i), Value: rec})
+	}
+	b.send(LaneUser, &c.flushing, "flushJobs", func() {
+		for _, id := range sortedKeys(finals) {
+			c.keepFinal(id, finals[id])
+			c.log(1, "job done", "job", id)
+		}
+	})
+}
+
+// markBlock is a block's record as it should stand.
+func (c *Core) markBlock(x *blockEntry) (rec wire.Block, change bool) {
+	rec = x.rec
+	rec.Machines = append([]wire.BlockMachine(nil), x.rec.Machines...)
+	for k := range rec.Machines {
+		m, bm := c.machines[rec.Machines[k].Name], &rec.Machines[k]
+		if m == nil {
+			continue
+		}
+		if bm.Fresh && m.reported {
+			bm.Fresh, change = false, true
+		}
+		if m.drop {
+			if empty := m.accounted && len(m.attempts) == 0; !bm.Drop || empty && !bm.Empty {
+				bm.Drop, bm.Empty, change = true, bm.Empty || empty, true
+			}
+		}
+	}
+	if idle := c.offer(x); idle != rec.Idle {
+		rec.Idle, change = idle, true
+	}
+	return rec, change
+}
+
+// tellCaches writes which images the machines of a shard have, now and then:
+// with the holder's memory that was lost, and for minutes after a takeover
+// services waited for images that other machines had.
+func (c *Core) tellCaches() {
+	if c.telling || !c.confirmed() || !c.every("caches", tuning.CachesEvery/10) {
+		return
+	}
+	for _, i := range sortedInts(c.learned) {
+		if !c.mine(i) {
+			delete(c.learned, i)
+			continue
+		}
+		if !c.every("caches"+strconv.Itoa(i), tuning.CachesEvery) {
+			continue
+		}
+		var has []ledger.MachineImages
+		for _, m := range c.heldMachines() {
+			if m.shard == i && !m.drop && len(m.images) > 0 {
+				has = append(has, ledger.MachineImages{Machine: m.name, Images: sortedKeys(m.images)})
+			}
+		}
+		parts := ledger.PackImages(has, c.p.ValueBytes-256)
+		if len(parts) == 0 {
+			delete(c.learned, i)
+			continue
+		}
+		// One record at a time, in turn; the duty is done when the last is written.
+		k := c.cachePart[i] % len(parts)
+		key := wire.PrefixCache + strconv.Itoa(i)
+		if k > 0 {
+			key += "." + strconv.Itoa(k)
+		}
+		c.cachePart[i] = k + 1
+		if k+1 < len(parts) {
+			c.retryAt["caches"+strconv.Itoa(i)] = c.now + tuning.CachesEvery/time.Duration(len(parts))
+		} else {
+			c.cachePart[i] = 0
+			delete(c.learned, i)
+		}
+		c.telling = true
+		c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: key, Value: parts[k]}}, func(r StateReply) {
+			c.telling = false
+			if r.Status != 200 {
+				c.learned[i], c.cachePart[i] = true, k
+			}
+		})
+		return
+	}
+}
+
+// movedOn tells whether a tracked job has a task on another machine than written.
+func (c *Core) movedOn(e *jobEntry) bool {
+	if tracked(&e.rec) {
+		for k, a := range e.run.active {
+			if onOf(&e.rec, k) != a.m.name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// flushLater writes marks on blocks and the progress of jobs.
+func (c *Core) flushLater() {
+	if c.flushingLater || !c.every("flushLater", tuning.LaterEvery) {
+		return
+	}
+	b := c.newBatch(c.p.TxnOps / 2)
+	for _, id := range c.blockIDs() {
+		x := c.blocks[id]
+		if !c.mine(x.rec.Shard) || c.used[id] || b.full() {
+			continue
+		}
+		if rec, change := c.markBlock(x); change {
+			b.addBlock(x, rec)
+		}
+	}
+	c.update()
+	for _, e := range sortedJobs(c.behind) {
+		if b.full() {
+			break
+		}
+		// Progress of a job that still has starts to write goes with them.
+		if e.run.writing || c.now-e.run.wrote < tuning.LazyFlush {
+			continue
+		}
+		e.run.wrote = c.now
+		b.addProgress(e, max(e.rec.Started, e.run.next))
+	}
+	b.send(LaneLater, &c.flushingLater, "flushLater", func() {})
+}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -250,27 +250,13 @@
 	case strings.HasPrefix(key, wire.PrefixType):
 		var r wire.MachineType
 		if read(&r) {
-			old, known := c.types[r.Name]
-			c.types[r.Name] = r
-			if !known || old.CPUs != r.CPUs || old.GPUs != r.GPUs || old.MemoryGB != r.MemoryGB {
-				c.sizes++ // prices are read every minute, and weigh nothing here
-				c.touchShard(-1)
-			}
+			c.putType(r)
 		}
 	case strings.HasPrefix(key, wire.PrefixJob):
 		var r wire.Job
 		if read(&r) {
-			e := c.jobs[r.ID]
-			if e == nil {
-				e = &jobEntry{rec: r}
-				c.jobs[r.ID] = e
-				c.listJob(e, true)
-			} else if e.rec.AcceptedMS != r.AcceptedMS {
-				c.jobList = nil
-			}
-			e.rec, e.ver, e.prio = r, ver, wire.PriorityRank(r.Priority)
 			c.ver[key] = ver
-			c.jobSeen(e)
+			c.putJob(r, ver)
 		}
 	case strings.HasPrefix(key, wire.PrefixShard):
 		var r wire.Shard
@@ -316,6 +302,28 @@
 	delete(c.tombs, key)
 }
 
+func (c *Core) putJob(r wire.Job, ver uint64) {
+	e := c.jobs[r.ID]
+	if e == nil {
+		e = &jobEntry{rec: r}
+		c.jobs[r.ID] = e
+		c.listJob(e, true)
+	} else if e.rec.AcceptedMS != r.AcceptedMS {
+		c.jobList = nil
+	}
+	e.rec, e.ver, e.prio = r, ver, wire.PriorityRank(r.Priority)
+	c.jobSeen(e)
+}
+
+func (c *Core) putType(r wire.MachineType) {
+	old, known := c.types[r.Name]
+	c.types[r.Name] = r
+	if !known || old.CPUs != r.CPUs || old.GPUs != r.GPUs || old.MemoryGB != r.MemoryGB {
+		c.sizes++ // prices are read every minute, and weigh nothing here
+		c.touchShard(-1)
+	}
+}
+
 // remove applies a deletion known at revision rev.
 func (c *Core) remove(key string, rev uint64) {
 	if !strings.HasPrefix(key, wire.LivePrefix) || c.ver[key] > rev {
--- /dev/null
+++ b/internal/core/renting.go
@@ -0,0 +1,285 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// writeBlocks forms blocks of one type, zone and kind out of machines and
+// writes as many as one transaction holds. Fresh machines have just been rented
+// and have never been in a block.
+func (c *Core) writeBlocks(infos []wire.MachineInfo, base, fresh bool, assign func(*wire.Block), done func(ok bool)) {
+	l := &c.leader
+	var blocks []wire.Block
+	last, size := map[string]int{}, map[string]int{}
+	kind := func(m wire.MachineInfo) string { return m.Type + "|" + m.Zone + "|" + fmt.Sprint(m.Spot) }
+	for _, m := range infos {
+		size[kind(m)]++
+	}
+	for k, n := range size {
+		size[k] = min(max(n/tuning.BlocksAtOnce, tuning.BlockSize), tuning.BlockSizeMax)
+	}
+	for _, m := range infos {
+		k, bm := kind(m), wire.BlockMachine{Name: m.Name, Fresh: fresh}
+		if i, ok := last[k]; ok && len(blocks[i].Machines) < size[k] {
+			blocks[i].Machines = append(blocks[i].Machines, bm)
+			continue
+		}
+		last[k] = len(blocks)
+		blocks = append(blocks, wire.Block{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Base: base, Machines: []wire.BlockMachine{bm}})
+	}
+	l.writing = true
+	var write func(rest []wire.Block, allOK bool)
+	write = func(rest []wire.Block, allOK bool) {
+		if len(rest) == 0 || !c.leading() {
+			l.writing = false
+			if done != nil {
+				done(allOK && len(rest) == 0)
+			}
+			c.changed()
+			return
+		}
+		n := min(len(rest), max(1, c.p.TxnOps/2))
+		when := []wire.Condition{c.leaderCond()}
+		var then []wire.Change
+		for k := range rest[:n] {
+			assign(&rest[k])
+			id := c.newBlockID(rest[k].Machines[0].Name)
+			when = append(when, wire.Condition{Key: blockKey(id)})
+			then = append(then, wire.Change{Put: blockKey(id), Value: rest[k]})
+		}
+		c.commit(LaneUser, when, then, func(r StateReply) {
+			for _, b := range rest[:n] {
+				c.log(1, "block formed", "first", b.Machines[0].Name, "shard", b.Shard, "zone", b.Zone, "machines", len(b.Machines), "spot", b.Spot, "status", r.Status)
+			}
+			if r.Status == 429 || r.Status == 503 {
+				// Not executed: the machines stay strangers until it works.
+				allOK = false
+			}
+			write(rest[n:], allOK && r.Status == 200)
+		})
+	}
+	write(blocks, true)
+}
+
+// newBlockID names a block after its first machine. A block outlives that machine
+// if others are in it, and a late list may bring the machine's name back: with
+// the same id twice, the leader once tried for minutes to form a block in vain.
+func (c *Core) newBlockID(machine string) string {
+	id := machine
+	for i := 2; c.blocks[id] != nil; i++ {
+		id = fmt.Sprintf("%s.%d", machine, i)
+	}
+	return id
+}
+
+// poorest is the shard with the fewest machines for its teams' guarantees,
+// among those held in the zone if any is.
+func (c *Core) poorest(zone string, have map[int]float64) int {
+	best, score := -1, 0.0
+	for _, i := range c.shardIDs() {
+		s := (have[i] + 0.001) / (c.guarantee(i) + 0.001)
+		if c.p.Nodes[c.shards[i].rec.Holder] == zone {
+			s *= 0.7
+		}
+		if best < 0 || s < score {
+			best, score = i, s
+		}
+	}
+	return best
+}
+
+// serveWants gives shards the machines they ask for: idle blocks of others
+// first, then rented ones.
+func (c *Core) serveWants() {
+	l := &c.leader
+	if l.writing || len(c.types) == 0 {
+		return
+	}
+	for _, i := range c.shardIDs() {
+		w, ok := c.wants[i]
+		if !ok || len(w.Needs) == 0 || l.renting[i] || c.shards[i] == nil {
+			continue
+		}
+		if w.Seen < c.newestBlock(i) {
+			continue // asked before it knew of what it has
+		}
+		for _, n := range w.Needs {
+			if c.moveIdle(i, n) || (!n.Booting && c.rent(i, n)) {
+				return
+			}
+		}
+	}
+}
+
+// moveIdle moves an idle block, which its holder has promised to keep empty.
+func (c *Core) moveIdle(shard int, n wire.Need) bool {
+	l := &c.leader
+	for _, id := range c.blockIDs() {
+		b := c.blocks[id]
+		if !b.rec.Idle || b.rec.Shard == shard || !c.serves(b, n) {
+			continue
+		}
+		rec := b.rec
+		rec.Shard, rec.Idle = shard, false
+		from := b.rec.Shard
+		l.writing = true
+		l.renting[shard] = true
+		c.commit(LaneUser, []wire.Condition{c.leaderCond(), {Key: blockKey(id), Version: b.ver}}, []wire.Change{{Put: blockKey(id), Value: rec}}, func(r StateReply) {
+			l.writing = false
+			delete(l.renting, shard)
+			if r.Status == 200 {
+				c.noteShard(trail.BlockMoved, shard, wire.TrailEvent{Block: id, Why: fmt.Sprintf("idle in shard %d", from)})
+			}
+			c.log(1, "idle block moved", "block", id, "from", from, "to", shard, "status", r.Status)
+			c.changed()
+		})
+		return true
+	}
+	return false
+}
+
+// offering is one way to rent.
+type offering struct {
+	typ, zone string
+	spot      bool
+	price     float64
+	away      bool
+}
+
+// rent books machines for a need, the cheapest per task first, near the
+// shard's holder before elsewhere.
+func (c *Core) rent(shard int, n wire.Need) bool {
+	l := &c.leader
+	if c.now < l.cloudAt {
+		return false
+	}
+	zone := c.p.Nodes[c.shards[shard].rec.Holder]
+	ask := needSize(n)
+	var offers []offering
+	for _, name := range sortedKeys(c.types) {
+		t := c.types[name]
+		full, _ := c.sizeOf(name)
+		if !allowsType(n.Types, name) || !placement.Fits(full, ask) {
+			continue
+		}
+		per := float64(placement.Beta(full, ask) + 1)
+		for _, z := range t.Zones {
+			if n.Zone != "" && z != n.Zone {
+				continue
+			}
+			offers = append(offers, offering{name, z, false, t.Price / per, z != zone})
+			if n.Spot && c.settings.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
+				offers = append(offers, offering{name, z, true, t.SpotPrice / per, z != zone})
+			}
+		}
+	}
+	sort.SliceStable(offers, func(i, j int) bool {
+		if offers[i].price != offers[j].price {
+			return offers[i].price < offers[j].price
+		}
+		return !offers[i].away && offers[j].away
+	})
+	for _, o := range offers {
+		key := fmt.Sprintf("%s|%s|%v", o.typ, o.zone, o.spot)
+		if c.now < l.pause[key] {
+			continue
+		}
+		full, _ := c.sizeOf(o.typ)
+		per := placement.Beta(full, ask) + 1
+		count := min((n.Tasks+per-1)/per, tuning.RentMax)
+		l.bookings++
+		req := wire.RentRequest{Request: fmt.Sprintf("%s-%d-%d", c.p.Node, c.boot, l.bookings), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: count}
+		l.renting[shard] = true
+		c.noteShard(trail.Rented, shard, wire.TrailEvent{Count: count, Why: fmt.Sprintf("%d tasks of %g cpus find no machine", n.Tasks, n.CPUs)})
+		c.log(1, "renting", "shard", shard, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", count, "booking", req.Request)
+		c.book(shard, key, req, 0)
+		return true
+	}
+	return false
+}
+
+// book sends a rental until it has a definite answer: the same name yields the
+// same machines, so that none is rented twice or lost.
+func (c *Core) book(shard int, key string, req wire.RentRequest, tries int) {
+	l := &c.leader
+	term := l.since
+	c.cloud(CloudCall{Op: OpRent, Rent: req}, func(r CloudReply) {
+		if !c.leading() || l.since != term {
+			return // the next leader finds the machines in the list
+		}
+		switch {
+		case r.Status == 200:
+			l.backoff = 0
+			if len(r.Names) < req.Count {
+				l.pause[key] = c.now + tuning.NoCapacityPause
+			}
+			var infos []wire.MachineInfo
+			for _, n := range r.Names {
+				infos = append(infos, wire.MachineInfo{Name: n, Type: req.Type, Zone: req.Zone, Spot: req.Spot})
+			}
+			if len(infos) == 0 {
+				delete(l.renting, shard)
+				return
+			}
+			l.booked[shard] = infos
+			c.lead()
+		case r.Status == 503 && r.Err == "no capacity":
+			l.pause[key] = c.now + tuning.NoCapacityPause
+			delete(l.renting, shard)
+			c.noteShard(trail.RentRefused, shard, wire.TrailEvent{Why: "no capacity for " + req.Type + " in " + req.Zone})
+			c.log(1, "no capacity", "type", req.Type, "zone", req.Zone, "spot", req.Spot)
+			c.lead()
+		case r.Status == 400:
+			c.log(0, "rental refused as malformed", "booking", req.Request, "err", r.Err)
+			l.pause[key] = c.now + tuning.NoCapacityPause
+			delete(l.renting, shard)
+		case (r.Status == 429 || r.Status == 503) && tries == 0:
+			// Surely not executed.
+			c.cloudFailed("rent", r)
+			delete(l.renting, shard)
+		default:
+			c.cloudFailed("rent", r)
+			if tries < 20 {
+				c.book(shard, key, req, tries+1)
+			} else {
+				delete(l.renting, shard)
+			}
+		}
+	})
+}
+
+// writeBooked forms blocks of the machines just rented, shard by shard.
+func (c *Core) writeBooked() {
+	l := &c.leader
+	for _, shard := range c.shardIDs() {
+		infos := l.booked[shard]
+		if len(infos) == 0 || l.writing || !c.every("booked", 50*time.Millisecond) {
+			continue
+		}
+		var rest []wire.MachineInfo
+		for _, m := range infos {
+			if c.blockOf(m.Name) == nil {
+				rest = append(rest, m)
+			}
+		}
+		l.booked[shard] = rest
+		if len(rest) == 0 {
+			delete(l.booked, shard)
+			delete(l.renting, shard)
+			continue
+		}
+		to := shard
+		c.writeBlocks(rest, false, true, func(b *wire.Block) { b.Shard = to }, func(ok bool) {
+			if !ok { // tried again with what still stands in no block
+				c.retryAt["booked"] = c.now + tuning.RetryAfter
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/reports.go
@@ -0,0 +1,289 @@
+package core
+
+import (
+	"fmt"
+
+	"github.com/barrowbridge/barrowbridge/internal/trail"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// onReport answers a worker. Only the holder of its block says 200.
+func (c *Core) onReport(v WorkerReport) {
+	r := &v.Report
+	m := c.machines[r.Machine]
+	if m == nil {
+		c.redirect(v.Req, r)
+		return
+	}
+	b := c.blocks[m.block]
+	if b == nil || !c.mine(m.shard) || !c.confirmed() {
+		// Not sure to be entitled: the worker may find one who is.
+		c.answer(v.Req, 503, unavailable("entitlement not confirmed"))
+		return
+	}
+	token := c.tokenOf(m, b)
+	if r.Token > token || r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		// A higher token: someone else is entitled and we have not heard yet.
+		// An older report: delayed on its way, its list is history.
+		c.answer(v.Req, 503, unavailable("report out of date"))
+		return
+	}
+	if m.silent {
+		m.silent = false
+		c.noteMachine(trail.MachineBack, m, wire.TrailEvent{Count: len(r.Attempts), Why: fmt.Sprintf("silent for %.1f s", (c.now - m.lastReport).Seconds())})
+	}
+	if m.over {
+		c.touch(m)
+	}
+	m.session, m.seq, m.lastReport, m.over = r.Session, r.Seq, c.now, false
+	m.addr, m.seenToken = r.Addr, r.Token
+	if c.room.Heard(m, m.name, c.now) {
+		c.touch(m)
+	}
+	if !m.reported {
+		m.reported = true
+		if m.fresh {
+			c.used[m.block] = true
+		}
+		m.idleSince = c.now
+		c.touch(m)
+		c.log(2, "machine reports", "machine", m.name, "block", m.block)
+	}
+	if r.NoticeS != nil && !m.notice {
+		m.notice, m.noticeAt = true, c.now+seconds(*r.NoticeS)
+		c.touch(m)
+		c.noteMachine(trail.MachineNotice, m, wire.TrailEvent{Count: len(m.attempts), Why: fmt.Sprintf("in %.1f s", *r.NoticeS)})
+		c.log(1, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
+	}
+	c.takeStock(m, r)
+	if c.cordons[m.name].Drain {
+		c.cordonSeen(m.name)
+	}
+	if !m.accounted && r.Token >= m.takenToken {
+		c.account(m, "report")
+	}
+	if c.dirty { // a slot that this report frees is refilled in its answer
+		c.dirty = false
+		c.place()
+	}
+	reply := wire.ReportReply{Token: token, Commands: c.commands(m)}
+	m.lastOK = c.now
+	c.answer(v.Req, 200, reply)
+	c.desk.Forget(m)
+	for _, a := range m.attempts {
+		if !a.sent && a.status == "" {
+			c.wantReport(m, !a.lesser) // its start is still being written
+			break
+		}
+	}
+	c.flush()
+}
+
+// redirect answers a worker of a block this controller does not hold.
+func (c *Core) redirect(req uint64, r *wire.Report) {
+	if c.loaded {
+		if b := c.blockOf(r.Machine); b != nil && c.shards[b.rec.Shard] != nil {
+			s := c.shards[b.rec.Shard]
+			holder := s.rec.Holder
+			if n, up := c.nodes[holder]; !up || n.Boot != s.rec.Boot {
+				holder = ""
+			}
+			if to, ok := c.yielded[b.rec.Shard]; ok {
+				holder = to
+			}
+			if _, ours := c.relayed[req]; holder != "" && holder != c.p.Node && !ours {
+				if !c.relay(req, r, holder, s.ver) {
+					c.answer(req, 421, wire.Redirect{Holder: holder})
+				}
+				return
+			}
+			c.answer(req, 503, unavailable("holder not known"))
+			return
+		}
+		c.surprise(r)
+		if c.chief.Node != "" && c.chief.Node != c.p.Node {
+			c.answer(req, 421, wire.Redirect{Holder: c.chief.Node})
+			return
+		}
+	}
+	c.answer(req, 503, unavailable("machine not known"))
+}
+
+// takeStock brings the attempts of a machine in line with its newest report.
+func (c *Core) takeStock(m *machine, r *wire.Report) {
+	present := map[attemptKey]bool{}
+	for _, t := range r.Attempts {
+		k := attemptKey{t.Task, t.Attempt}
+		present[k] = true
+		a := m.attempts[k]
+		if a == nil {
+			job, idx, err := wire.ParseTask(t.Task)
+			if err != nil {
+				c.log(0, "report names no task", "machine", m.name, "task", t.Task)
+				continue
+			}
+			a = &attempt{key: k, job: job, idx: idx, m: m, sent: true, created: c.now, running: c.now}
+			if e := c.jobs[job]; e != nil {
+				a.size, a.team, a.known, a.lesser = jobSize(&e.rec), e.rec.Team, true, e.prio < urgentRank
+				c.touchJob(e)
+				if e.run != nil && t.Status != wire.TaskEnded {
+					if o := e.run.active[idx]; o != nil {
+						// One of the two is history, told by a delayed report; the
+						// next reports settle which.
+						c.log(0, "task named on two machines", "task", t.Task, "on", o.m.name, "and", m.name)
+						a.stop = o.m.accounted && m.accounted && o.m != m
+					} else {
+						e.run.active[idx] = a
+						dropInt(&e.run.retry, idx)
+					}
+				}
+			}
+			c.addAttempt(a)
+		}
+		if a.status == t.Status {
+			continue
+		}
+		was := a.status
+		a.status, a.cause = t.Status, t.Cause
+		if t.Status == wire.TaskRunning || t.Status == wire.TaskSaving || t.Status == wire.TaskEnded && t.Cause == wire.CauseDone {
+			// After a takeover, what ended meanwhile tells it too: without that, tasks
+			// went where their image was not, and fetched it again.
+			c.hasImage(m, a.job)
+		}
+		switch t.Status {
+		case wire.TaskRunning:
+			a.running = c.now
+			c.noteBack(trail.TaskRuns, a)
+			c.log(2, "task runs", "task", a.key.task, "machine", m.name, "after", (c.now - a.created).String())
+		case wire.TaskEnded:
+			m.sum.ok = false
+			c.touch(m)
+			c.attemptEnded(a, was)
+		}
+	}
+	for _, k := range sortedAttempts(m) {
+		a := m.attempts[k]
+		if present[k] || (!a.sent && a.status == "") {
+			continue
+		}
+		// A newer report without it: the answer that carried the start was
+		// dropped, the session is over, or it was cleared.
+		c.attemptGone(a, "not on its machine")
+	}
+	if len(m.attempts) > 0 {
+		m.idleSince = c.now
+	}
+}
+
+// hasImage notes that a machine has the image of a job whose task ran there.
+func (c *Core) hasImage(m *machine, job string) {
+	if e := c.jobs[job]; e != nil && !m.images[e.rec.Image] {
+		m.images[e.rec.Image] = true
+		c.learned[m.shard] = true
+	}
+}
+
+func dropInt(list *[]int, v int) {
+	for i, x := range *list {
+		if x == v {
+			*list = append((*list)[:i], (*list)[i+1:]...)
+			return
+		}
+	}
+}
+
+// attemptEnded handles an attempt's end as its worker reports it.
+func (c *Core) attemptEnded(a *attempt, was string) {
+	e := c.jobs[a.job]
+	if e == nil || e.run == nil {
+		return
+	}
+	c.touchJob(e)
+	if a.cause == wire.CauseDone {
+		e.run.done = e.run.done.add(a.idx)
+		e.run.fails = 0
+		a.m.errs, a.m.badJobs = 0, map[string]bool{}
+		if o := e.run.active[a.idx]; o == a {
+			delete(e.run.active, a.idx)
+		}
+		dropInt(&e.run.retry, a.idx)
+		c.log(2, "task done", "task", a.key.task, "machine", a.m.name)
+		return
+	}
+	if e.run.active[a.idx] == a {
+		c.endActive(e, a)
+		if a.cause == wire.CauseHalted {
+			c.noteTask(trail.TaskLost, a, "stopped")
+		}
+	}
+	if a.cause == wire.CauseHalted {
+		return
+	}
+	c.noteTask(trail.TaskFailed, a, a.cause)
+	c.log(1, "task ended", "task", a.key.task, "machine", a.m.name, "cause", a.cause, "was", was)
+	e.run.fails++
+	pause := min(tuning.ErrorBackoff<<min(e.run.fails-1, 10), tuning.ErrorBackoffMax)
+	if a.cause == wire.CauseError {
+		// A faulty machine fails whatever it starts; a faulty job fails
+		// wherever it starts. A machine is suspect when tasks of two jobs failed
+		// there in a row, or of one job that completes elsewhere.
+		a.m.errs++
+		a.m.badJobs[a.job] = true
+		if len(a.m.badJobs) >= 2 || e.run.done.count() > 0 && a.m.errs >= tuning.SickErrors {
+			if a.m.errs >= tuning.SickErrors {
+				c.noteMachine(trail.MachineFaulty, a.m, wire.TrailEvent{Count: a.m.errs, Why: "tasks failed there in a row"})
+				c.log(1, "machine looks faulty, returning it", "machine", a.m.name, "errors", a.m.errs)
+				a.m.drop = true
+				c.touch(a.m)
+			}
+			pause = tuning.ErrorBackoff / 2
+		}
+	}
+	e.run.notYet = c.now + pause
+}
+
+// commands for a machine, in answer to its report.
+func (c *Core) commands(m *machine) []wire.Command { return c.commandsFor(m, false) }
+
+// startable tells whether a reserved attempt's start is written, so that it may be made.
+func (c *Core) startable(a *attempt) bool {
+	e := c.jobs[a.job]
+	return e != nil && e.run != nil && !a.stop && !a.m.fresh && e.rec.Started > a.idx && (!tracked(&e.rec) || onOf(&e.rec, a.idx) == a.m.name)
+}
+
+// commandsFor lists commands for a machine; a look changes nothing.
+func (c *Core) commandsFor(m *machine, look bool) []wire.Command {
+	cmds := []wire.Command{}
+	if !m.accounted {
+		return cmds
+	}
+	for _, k := range sortedAttempts(m) {
+		if len(cmds) >= 200 {
+			break // the rest comes with the next report; a reply has its limit
+		}
+		a := m.attempts[k]
+		e := c.jobs[a.job]
+		live := e != nil && e.run != nil
+		switch {
+		case a.status == wire.TaskEnded:
+			// Cleared only once the outcome is written, or has no bearing.
+			if !live || a.cause != wire.CauseDone || ranges(e.rec.Done).has(a.idx) {
+				cmds = append(cmds, wire.Command{Verb: wire.VerbClear, Task: k.task, Attempt: k.try})
+			}
+		case !live || a.stop:
+			if a.sent {
+				g := a.graceS
+				if !live {
+					g = 0
+				}
+				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: k.task, Attempt: k.try, GraceS: &g})
+			}
+		case a.status == "" && c.startable(a) && !look:
+			a.sent = true
+			c.noteBack(trail.TaskAgain, a)
+			cmds = append(cmds, wire.Command{Verb: wire.VerbRun, Task: k.task, Attempt: k.try})
+		}
+	}
+	return cmds
+}
