--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -45,7 +45,7 @@
 }
 
 func BenchmarkCore(b *testing.B) {
-	for _, n := range []int{10, 100, 500} {
+	for _, n := range []int{100, 1000, 4000} {
 		w := largeWorld(b, n)
 		c := w.busiest().core
 		now, wall := w.now-w.busiest().began, time.UnixMilli(1e12).Add(w.now)
@@ -90,3 +90,52 @@
 }
 
 func held0shard(c *Core) int { return sortedInts(c.held)[0] }
+
+// fleetWorld has twelve teams, services on half of the machines and arrays for the rest.
+func fleetWorld(t testing.TB, n int) *world {
+	cpus := float64(4 * n)
+	w := newWorld(t, 7, 3, func(w *world) {
+		w.capacity, w.runS, w.limits.PageItems = n/2, 20*sec, 500
+		w.teams = map[string]Team{}
+		for i := range 12 {
+			w.teams[fmt.Sprintf("t%02d", i)] = Team{CPUs: cpus / 12, CPUsMax: cpus / 4}
+		}
+	})
+	for i := range n {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(20 * sec)
+	for i := range n * 7 / 10 {
+		shape, tasks := wire.ShapeService, 1
+		if i%7 == 0 {
+			shape, tasks = wire.ShapeBatch, 40
+		}
+		s := spec(fmt.Sprintf("job-%06d", i), fmt.Sprintf("t%02d", i%12), shape, tasks)
+		if shape == wire.ShapeService {
+			s.Priority, s.DueS = ptr("urgent"), nil
+		}
+		w.submit(s)
+	}
+	w.run(20 * sec)
+	return w
+}
+
+// BenchmarkTakeover kills the busiest of three controllers and plays ten seconds: what the
+// two others spend on all their inputs, and on the longest of them. Run with -benchtime 1x.
+func BenchmarkTakeover(b *testing.B) {
+	for _, n := range []int{500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				w := fleetWorld(b, n)
+				var sum, worst time.Duration
+				inputs := 0
+				w.spent = func(d time.Duration) { sum, worst, inputs = sum+d, max(worst, d), inputs+1 }
+				w.kill(w.busiest().name)
+				w.run(10 * sec)
+				b.ReportMetric(float64(sum.Milliseconds()), "ms/takeover")
+				b.ReportMetric(float64(worst.Microseconds())/1000, "ms/worst")
+				b.ReportMetric(float64(sum.Microseconds())/float64(inputs), "us/input")
+			}
+		})
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -168,6 +168,7 @@
 	boot         uint64 // first grant of this process: names this life of the node
 	grant        uint64
 	granting     bool
+	refused      bool // the last try for a grant failed
 	present      bool
 	extendAt     Time
 	extendIn     bool
@@ -340,9 +341,16 @@
 		c.state(StateCall{Op: OpGrant}, func(r StateReply) {
 			c.granting = false
 			if r.Status != 200 {
-				c.log(0, "no grant from the state service", "status", r.Status, "err", r.Err)
+				if !c.refused { // once: an outage is not news by the attempt
+					c.refused = true
+					c.log(0, "no grant from the state service", "status", r.Status, "err", r.Err)
+				}
 				return
 			}
+			if c.refused {
+				c.refused = false
+				c.log(1, "grants again from the state service")
+			}
 			c.grant, c.present = r.Lease, false
 			if c.boot == 0 {
 				c.boot = r.Lease
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -98,40 +98,48 @@
 	return n >= c.spareTarget(shard)
 }
 
-// moveOff frees one rented machine that runs nothing but a few replicas, if all
-// of them find room, and their image, on machines in use. Anchors spread by
-// design; once the batches around them have ended, each holds a machine alone.
+// moveOff frees rented machines that run nothing but a few replicas, if all of them find
+// room, and their image, on machines in use. Anchors spread by design; once the batches
+// around them have ended, each holds a machine alone. So many at a time as are a small
+// share of the shard: one at a time, a fleet's tail was paid for ten minutes.
 func (c *Core) moveOff(shard int) {
 	if c.unsettle[shard] || !c.every(fmt.Sprintf("move%d", shard), tuning.MoveEvery) {
 		return
 	}
 	var in []*machine
+	moving := 0
 	for _, m := range c.heldMachines() {
-		if m.shard == shard {
-			if m.moving {
-				return // one at a time
-			}
-			if c.usable(m) && len(m.attempts) > 0 {
-				in = append(in, m)
-			}
+		switch {
+		case m.shard != shard:
+		case m.moving:
+			moving++
+		case c.usable(m) && len(m.attempts) > 0:
+			in = append(in, m)
 		}
 	}
+	left := max(1, len(in)/tuning.MoveShare) - moving
 	sort.SliceStable(in, func(i, j int) bool { return c.free(in[i]).CPUs > c.free(in[j]).CPUs })
-	for _, m := range in {
-		if !m.base && c.movable(m, in) {
-			m.moving = true
-			c.touch(m)
-			for _, k := range sortedAttempts(m) {
-				c.stopAttempt(m.attempts[k])
-			}
-			c.log(1, "moving replicas off a machine", "machine", m.name, "replicas", len(m.attempts))
+	taken := map[*machine]placement.Size{} // of the machines that replicas are moved to
+	for i, m := range in {
+		if left <= 0 || i >= tuning.MoveLook {
 			return
 		}
+		if _, target := taken[m]; target || m.base || !c.movable(m, in, taken) {
+			continue
+		}
+		left--
+		m.moving = true
+		c.touch(m)
+		for _, k := range sortedAttempts(m) {
+			c.stopAttempt(m.attempts[k])
+		}
+		c.log(1, "moving replicas off a machine", "machine", m.name, "replicas", len(m.attempts))
 	}
 }
 
-// movable tells whether everything on a machine could be moved to the others.
-func (c *Core) movable(m *machine, in []*machine) bool {
+// movable tells whether everything on a machine could be moved to the others, beside what
+// is moved there already; if so, what it takes there is noted.
+func (c *Core) movable(m *machine, in []*machine, taken map[*machine]placement.Size) bool {
 	for _, a := range m.attempts {
 		e := c.jobs[a.job]
 		if e == nil || e.run == nil || e.rec.Shape != wire.ShapeService || e.rec.OneZone || e.rec.Spread || a.stop ||
@@ -139,14 +147,14 @@
 			return false
 		}
 	}
-	taken := map[*machine]placement.Size{}
+	more := map[*machine]placement.Size{}
 	for _, k := range sortedAttempts(m) {
 		a := m.attempts[k]
 		j := &c.jobs[a.job].rec
 		found := false
 		for _, o := range in {
-			if o != m && o.images[j.Image] && allows(j, o) && placement.Fits(c.free(o).Sub(taken[o]), a.size) {
-				taken[o] = taken[o].Add(a.size)
+			if o != m && !o.moving && o.images[j.Image] && allows(j, o) && placement.Fits(c.free(o).Sub(taken[o]).Sub(more[o]), a.size) {
+				more[o] = more[o].Add(a.size)
 				found = true
 				break
 			}
@@ -155,6 +163,9 @@
 			return false
 		}
 	}
+	for o, s := range more {
+		taken[o] = taken[o].Add(s)
+	}
 	return true
 }
 
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -29,10 +29,11 @@
 	calls    map[uint64]func(StateReply)
 	callID   uint64
 	limits   state.Limits
-	reached  map[string]int  // calls of the state service, by node
-	watchLag time.Duration   // answers to held watches come so much later
-	cutFrom  map[string]bool // nodes alone without the state service
-	unsure   int             // of a hundred calls of the state service, so many are lost, not answered, or executed or answered late
+	reached  map[string]int      // calls of the state service, by node
+	spent    func(time.Duration) // told what each input of a core took of real time; nil: nobody
+	watchLag time.Duration       // answers to held watches come so much later
+	cutFrom  map[string]bool     // nodes alone without the state service
+	unsure   int                 // of a hundred calls of the state service, so many are lost, not answered, or executed or answered late
 
 	cloud    *cloud.Cloud
 	capacity int // machines of one kind in one zone
@@ -224,7 +225,12 @@
 			}
 		}
 	}
-	for _, e := range n.core.Step(w.now-n.began, time.UnixMilli(1e12).Add(w.now), in) {
+	began := time.Now()
+	out := n.core.Step(w.now-n.began, time.UnixMilli(1e12).Add(w.now), in)
+	if w.spent != nil {
+		w.spent(time.Since(began))
+	}
+	for _, e := range out {
 		switch v := e.(type) {
 		case Answer:
 			if f := n.waiting[v.Req]; f != nil {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -99,8 +99,12 @@
 	// its machine; a move costs it some seconds, a machine costs until it ends.
 	MoveAfter = 60 * time.Second
 	// MoveEvery (duration): between moves in one shard, so that few replicas are
-	// away at a time.
+	// away at a time. MoveShare (one in so many machines of the shard): moved off at once;
+	// a move takes a replica away for a second or two. MoveLook (machines): emptiest first,
+	// looked at in one round.
 	MoveEvery = 12 * time.Second
+	MoveShare = 32
+	MoveLook  = 128
 	// IdleOffer (duration): an empty block is offered to other shards after this.
 	IdleOffer = 3 * time.Second
 	// CachesEvery (duration): between records of which images a shard's machines
