A gang leaves no place to others, and no work is stopped for a part of one

Cause: found by reading the change. A place without a gang's image could be left to another job in the middle of placing the gang, so that a part of it was placed and waited on its machines; and preemption, now in a pass of its own, looked past the checks of placing (gangs, jobs whose other tasks are not accounted for). The test fails with the check taken out.

Change: gangs are exempt; placing and preemption share one check.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -569,23 +569,6 @@
 	}
 }
 
-// unconfirmed is how long workers may be answered without confirmation from
-// the state service: an abort missed meanwhile still ends within cancel_s,
-// since the workers' leases run out in the rest.
-func (c *Core) unconfirmedMax() time.Duration {
-	return max(c.p.Cancel-c.leaseOver()-tuning.UnconfirmedMargin, c.p.Lease/2)
-}
-
-// leaseOver is how long after a 200 left the worker's lease is surely over.
-func (c *Core) leaseOver() time.Duration {
-	return time.Duration(float64(c.p.Lease)*(1+tuning.Drift)) + tuning.LeaseMargin
-}
-
-// confirmed tells whether the entitlement was confirmed recently enough.
-func (c *Core) confirmed() bool {
-	return c.loaded && c.now-c.confirmedAt() < c.unconfirmedMax()
-}
-
 func (c *Core) sizeOf(typ string) (placement.Size, bool) {
 	t, ok := c.types[typ]
 	return placement.Size{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemoryGB}, ok
--- a/internal/core/local_test.go
+++ b/internal/core/local_test.go
@@ -54,3 +54,31 @@
 		t.Errorf("passed over for long, and the place went to %s", got)
 	}
 }
+
+// A gang leaves no place to others: a part of it would wait on its machines.
+func TestGangIsPlacedWhole(t *testing.T) {
+	w := newWorld(t, 13, 1, func(w *world) {
+		w.runS, w.capacity, w.teams = 1000*sec, 0, map[string]Team{"red": {CPUs: 100, CPUsMax: 100}}
+	})
+	name := w.addMachine("n", false, sec)
+	w.run(20 * sec)
+	for i, image := range []string{"img-x", "img-a", "img-b"} {
+		s := spec([]string{"job-000000", "job-000001", "job-000002"}[i], "red", []string{wire.ShapeBatch, wire.ShapeGang, wire.ShapeBatch}[i], []int{4, 4, 8}[i])
+		s.Image, s.DueS = &image, ptr(4000.0+float64(i))
+		w.submit(s)
+		w.run(2 * sec)
+	}
+	c := w.nodes["c0"].core
+	m := c.machines[name]
+	run := c.jobs["job-000002"].run
+	run.done, run.next = run.done.add(0), 1
+	c.touchJob(c.jobs["job-000002"])
+	m.images = map[string]bool{"img-b": true}
+	for _, k := range sortedAttempts(m) {
+		c.dropAttempt(m.attempts[k])
+	}
+	c.place()
+	if n := len(c.jobs["job-000001"].run.active); n != 4 {
+		t.Errorf("%d of 4 tasks of a gang are placed", n)
+	}
+}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -267,6 +267,23 @@
 	return max(own, all)
 }
 
+// unconfirmed is how long workers may be answered without confirmation from
+// the state service: an abort missed meanwhile still ends within cancel_s,
+// since the workers' leases run out in the rest.
+func (c *Core) unconfirmedMax() time.Duration {
+	return max(c.p.Cancel-c.leaseOver()-tuning.UnconfirmedMargin, c.p.Lease/2)
+}
+
+// leaseOver is how long after a 200 left the worker's lease is surely over.
+func (c *Core) leaseOver() time.Duration {
+	return time.Duration(float64(c.p.Lease)*(1+tuning.Drift)) + tuning.LeaseMargin
+}
+
+// confirmed tells whether the entitlement was confirmed recently enough.
+func (c *Core) confirmed() bool {
+	return c.loaded && c.now-c.confirmedAt() < c.unconfirmedMax()
+}
+
 // count gives a job's running and done tasks.
 func (r *jobRun) count() (running, done int) {
 	for _, a := range r.active {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -152,17 +152,22 @@
 	return n
 }
 
+// barred tells whether nothing of a job may be placed now: it pauses after failures, or
+// where its other tasks are, on which its places hang, is not known yet.
+func (c *Core) barred(e *jobEntry, shard int) bool {
+	j, run := &e.rec, e.run
+	return run == nil || c.now < run.notYet ||
+		c.unsettle[shard] && run.held > 0 && j.Tasks > 1 && (j.OneZone || j.Spread || j.Shape == wire.ShapeService)
+}
+
 // placeJob starts as many of a job's waiting tasks as fit, and says how many.
 func (c *Core) placeJob(p *queue.Place[*jobEntry]) (placed int) {
 	e := p.Handle
 	j, run := &e.rec, e.run
 	shard := c.shardOf(j.Team)
-	if run == nil || c.now < run.notYet {
+	if c.barred(e, shard) {
 		return 0
 	}
-	if c.unsettle[shard] && run.held > 0 && j.Tasks > 1 && (j.OneZone || j.Spread || j.Shape == wire.ShapeService) {
-		return 0 // where its other tasks are is not known yet
-	}
 	size, team, zones := jobSize(j), c.p.Teams[j.Team], zonesOf(e)
 	maybe := float64(run.unseen() + 1)
 	anchor := len(run.active) == 0 && run.done.count() == 0
@@ -228,7 +233,8 @@
 	left := []*machine{}
 	for range tuning.LocalTries {
 		m, beta := c.pick(e, shard, size, anchor, zones, kinds, left)
-		if m == nil || m.images[j.Image] || anchor || e.prio >= urgentRank || !c.leaveToLocal(p, m) {
+		// A gang has been found room for as a whole: it leaves none of it.
+		if m == nil || m.images[j.Image] || anchor || e.prio >= urgentRank || j.Shape == wire.ShapeGang || !c.leaveToLocal(p, m) {
 			return m, beta
 		}
 		left = append(left, m)
@@ -257,7 +263,7 @@
 		if looked++; looked > tuning.LocalLook || e.prio < p.Handle.prio {
 			return false
 		}
-		found = o != p && e.prio == p.Handle.prio && o.Within == p.Within && o.Late == p.Late && e.run != nil && c.now >= e.run.notYet &&
+		found = o != p && e.prio == p.Handle.prio && o.Within == p.Within && o.Late == p.Late && !c.barred(e, m.shard) && e.rec.Shape != wire.ShapeGang &&
 			e.run.pending(&e.rec) > 0 && m.images[e.rec.Image] && allows(&e.rec, m) && zonesOf(e) == nil && !e.run.avoids(m, e.rec.ID)
 		return !found
 	})
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -35,7 +35,8 @@
 		if e.prio < urgentRank {
 			return false // the order begins with urgent jobs
 		}
-		if e.run != nil && c.now >= e.run.notYet && c.now-e.run.since > tuning.PreemptAfter && len(list) < tuning.PreemptJobs {
+		// For a part of a gang no work is stopped: the rest may find no room.
+		if !c.barred(e, c.shardOf(e.rec.Team)) && e.rec.Shape != wire.ShapeGang && c.now-e.run.since > tuning.PreemptAfter && len(list) < tuning.PreemptJobs {
 			list = append(list, e)
 		}
 		return true
--- a/internal/core/prompting.go
+++ b/internal/core/prompting.go
@@ -72,7 +72,8 @@
 }
 
 // stops lists what is to be stopped on a machine.
-func (c *Core) stops(m *machine) (cmds []wire.Command) {
+func (c *Core) stops(m *machine) []wire.Command {
+	cmds := []wire.Command{}
 	for _, cmd := range c.commandsFor(m, true) {
 		if cmd.Verb == wire.VerbStop {
 			cmds = append(cmds, cmd)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -336,14 +336,6 @@
 // Of returns a job's place; nil: not known.
 func (q *Queue[H]) Of(id string) *Place[H] { return q.jobs[id] }
 
-// Services is how many CPUs a team's unfinished services take.
-func (q *Queue[H]) Services(team string) float64 {
-	if t := q.teams[team]; t != nil {
-		return t.services
-	}
-	return 0
-}
-
 // Walk calls f with the waiting jobs in the order they are served. room is asked anew
 // for each step what a job of the team may find at the most; jobs that ask for more
 // are skipped without a look at each. f may place tasks, but must not put or drop
