--- a/internal/tools/repeat/main.go
+++ b/internal/tools/repeat/main.go
@@ -56,7 +56,7 @@
 		},
 	}
 	f := cmd.Flags()
-	f.StringVar(&o.bench, "bench", "../given/kit/bin/fleetbench", "the bench")
+	f.StringVar(&o.bench, "bench", "../given/kit/more/fleet/bin/fleetbench", "the bench")
 	f.StringVar(&o.out, "out", "target/repeat", "folder for results; runs found there are counted in")
 	f.StringSliceVar(&o.days, "day", []string{"rough", "troubles"}, "days of each site")
 	f.IntVar(&o.runs, "runs", 10, "runs of each day, or scores")
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -103,7 +103,7 @@
 	// a move takes a replica away for a second or two. MoveLook (machines): emptiest first,
 	// looked at in one round.
 	MoveEvery = 12 * time.Second
-	MoveShare = 32
+	MoveShare = 16
 	MoveLook  = 128
 	// IdleOffer (duration): an empty block is offered to other shards after this.
 	IdleOffer = 3 * time.Second
