--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
+	"github.com/barrowbridge/barrowbridge/internal/takeover"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -142,6 +143,7 @@
 	Txn    wire.TxnReply
 	Lease  uint64
 	Events wire.Events
+	Own    bool // our own limit refused it: the service was not asked
 }
 
 // CloudReply is the cloud's answer; Status 0: none came.
@@ -160,8 +162,9 @@
 	wall time.Time
 	out  []any
 	seq  uint64
+	life uint64 // tells this life from earlier ones in what peers answer: numbers begin anew
 
-	stateWait map[uint64]func(StateReply)
+	stateWait map[uint64]*waiting
 	cloudWait map[uint64]func(CloudReply)
 
 	// Own presence.
@@ -190,16 +193,21 @@
 	mirror
 	holder
 	books
-	desk *prompt.Desk[*machine] // workers to call directly
+	desk    *prompt.Desk[*machine]   // workers to call directly
+	roll    *takeover.Roll[*machine] // machines to be accounted for
+	addrs   *takeover.Book           // where workers listen
+	listing bool                     // the cloud's list is being read for that
 	users
 	peers
+	ways ways
+	reaching
 	leader leaderState
 }
 
 // New returns a core that has yet to read the state.
 func New(p Params) *Core {
 	c := &Core{p: p,
-		stateWait: map[uint64]func(StateReply){}, cloudWait: map[uint64]func(CloudReply){},
+		stateWait: map[uint64]*waiting{}, cloudWait: map[uint64]func(CloudReply){},
 		retryAt: map[string]Time{},
 	}
 	seed := fnv.New64a()
@@ -210,8 +218,11 @@
 	c.holder = newHolder()
 	c.books = newBooks(p.Teams)
 	c.desk = newDesk(p)
+	c.roll, c.addrs = newRoll(), takeover.NewBook()
 	c.users = newUsers()
 	c.peers = newPeers()
+	c.ways = newWays()
+	c.reaching = newReaching(p)
 	c.leader.reset()
 	return c
 }
@@ -219,6 +230,9 @@
 // Step takes one input at a steady time (and time of day) and returns effects.
 func (c *Core) Step(now Time, wall time.Time, in any) []any {
 	c.now, c.wall, c.out = now, wall, nil
+	if c.life == 0 {
+		c.life = uint64(wall.UnixNano())
+	}
 	switch v := in.(type) {
 	case Tick:
 		c.tick()
@@ -232,6 +246,8 @@
 		c.onReady(v)
 	case WorkerReport:
 		c.onReport(v)
+	case OrderDone:
+		c.onOrderDone(v)
 	case Peer:
 		c.onPeer(v.Msg)
 	case AdminSettings:
@@ -244,15 +260,12 @@
 		c.onAdminWhy(v)
 	case AdminTrail:
 		c.onAdminTrail(v)
+	case AdminReach:
+		c.onAdminReach(v)
 	case AdminMachine:
 		c.onAdminMachine(v)
 	case StateDone:
-		r := &v.Reply
-		c.knows(max(r.Txn.Revision, r.Events.Revision, r.List.Revision, r.Item.Version))
-		if f := c.stateWait[v.ID]; f != nil {
-			delete(c.stateWait, v.ID)
-			f(v.Reply)
-		}
+		c.onStateDone(v)
 	case CloudDone:
 		if f := c.cloudWait[v.ID]; f != nil {
 			delete(c.cloudWait, v.ID)
@@ -262,13 +275,6 @@
 	return c.out
 }
 
-func (c *Core) state(call StateCall, f func(StateReply)) {
-	c.seq++
-	call.ID = c.seq
-	c.stateWait[call.ID] = f
-	c.out = append(c.out, call)
-}
-
 func (c *Core) cloud(call CloudCall, f func(CloudReply)) {
 	c.seq++
 	call.ID = c.seq
@@ -307,6 +313,7 @@
 }
 
 func (c *Core) tick() {
+	c.keepWays()
 	c.keepPresence()
 	c.keepMirror()
 	c.tellPeers()
@@ -325,6 +332,8 @@
 		c.log(1, "entitlement confirmed", "now", ok, "renewed_ago", (c.now - c.renewOK).String(), "watched_ago", (c.now - c.watchOK).String())
 	}
 	c.lead()
+	c.followAddrs()
+	c.watchReach()
 	c.hold()
 	c.keepTrail()
 }
@@ -470,6 +479,7 @@
 			}
 		}
 		// Changes made while the pages were read come again with the watch.
+		c.floor = c.listRev
 		c.rev, c.loading, c.watching, c.watchOK, c.listSeen = c.listRev, false, false, began, nil
 		c.enterShards()
 		if !c.loaded {
@@ -514,9 +524,10 @@
 		return
 	}
 	from := e.rec.Holder
+	c.taking[i] = taking{rec, from}
 	c.commit(LaneFirst, []wire.Condition{{Key: key, Version: e.ver}}, []wire.Change{{Put: key, Value: rec}}, func(r StateReply) {
 		if r.Status == 200 {
-			c.noteShard(trail.ShardTaken, i, wire.TrailEvent{Node: from, Token: r.Txn.Revision, Why: "for " + node})
+			c.noteTaken(i)
 		}
 		c.log(1, "shard taken", "shard", i, "holder", node, "from", from, "status", r.Status)
 		c.changed()
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -26,6 +26,7 @@
 	learned                          map[int]bool    // shards whose machines have fetched images since that was written
 	cachePart                        map[int]int     // which record of that is to be written next
 	used                             map[string]bool // blocks with fresh machines that are up
+	taking                           map[int]taking
 	entered                          map[int]Time    // when a held shard was taken up
 	prevDead                         map[int]Time    // since when the life a shard was taken from is known to be dead
 	vacating                         map[string]bool // blocks being emptied for another shard's guarantee
@@ -128,7 +129,7 @@
 }
 
 func newHolder() holder {
-	return holder{machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
+	return holder{taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
 		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
@@ -216,6 +217,7 @@
 	delete(c.coming, m)
 	c.room.Drop(m)
 	c.desk.Forget(m)
+	c.roll.Drop(m)
 	c.machineList = nil
 }
 
@@ -363,6 +365,7 @@
 			c.machineList = nil
 			if m.inherited {
 				c.open[m.shard]++
+				c.roll.Add(m, false)
 			}
 		} else if m.shard != b.rec.Shard && m.inherited && !m.accounted {
 			c.open[m.shard]--
@@ -442,6 +445,7 @@
 	}
 	c.preempt()
 	c.flush()
+	c.callRoll()
 	c.promptWorkers()
 	c.tellWants()
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/duty"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -142,11 +143,13 @@
 		switch {
 		case !up || (n.Boot != s.rec.Boot && c.now-l.nodeUp[s.rec.Holder] > tuning.GrantTTL):
 			// Dead, or back without having retaken it. All of it goes to one successor.
-			to = c.successor(s.rec.Home, held)
-		case s.rec.Home != s.rec.Holder && held[s.rec.Home] == 0 && s.rec.Settled:
-			if at, ok := l.nodeUp[s.rec.Home]; ok && c.now-at > tuning.HomeAfter {
-				to = s.rec.Home
+			members := c.members(i)
+			for k := range members {
+				members[k].Held = held[members[k].Node]
 			}
+			to = duty.Successor(s.rec.Home, c.p.Nodes, members)
+		case s.rec.Home != s.rec.Holder && c.mayGoHome(s, held):
+			to = s.rec.Home
 		}
 		if to != "" && (to != s.rec.Holder || c.nodes[to].Boot != s.rec.Boot) {
 			c.takeShard(i, to, c.nodes[to].Boot)
@@ -156,25 +159,6 @@
 	c.addTeams()
 }
 
-// successor is the live controller with the fewest shards, in the same zone if
-// there is one.
-func (c *Core) successor(home string, held map[string]int) string {
-	best, score := "", 0
-	for _, n := range sortedKeys(c.nodes) {
-		s := 2 * held[n]
-		if c.nodes[n].Zone != c.p.Nodes[home] {
-			s++
-		}
-		if n == home {
-			s -= 4
-		}
-		if best == "" || s < score {
-			best, score = n, s
-		}
-	}
-	return best
-}
-
 // shareTeams spreads the teams over n shards by their guarantees.
 func (c *Core) shareTeams(n int) [][]string {
 	out := make([][]string, n)
@@ -301,6 +285,7 @@
 			return
 		}
 		l.firstList = true
+		c.learnAddrs(all)
 		in := map[string]bool{}
 		for _, id := range c.blockIDs() {
 			for _, bm := range c.blocks[id].rec.Machines {
--- /dev/null
+++ b/internal/core/masks_test.go
@@ -0,0 +1,263 @@
+package core
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// A mask names the links that are cut: bits 0 to 2 controllers from the state service, 3
+// to 5 controllers from each other, 6 to 8 controllers from the workers.
+type mask int
+
+var pairs = [3][2]int{{0, 1}, {0, 2}, {1, 2}}
+
+func (m mask) has(bit int) bool { return m>>bit&1 == 1 }
+
+func (m mask) String() string {
+	var out []string
+	for i := range 3 {
+		if m.has(i) {
+			out = append(out, fmt.Sprintf("c%d-state", i))
+		}
+	}
+	for k, p := range pairs {
+		if m.has(3 + k) {
+			out = append(out, fmt.Sprintf("c%d-c%d", p[0], p[1]))
+		}
+	}
+	for i := range 3 {
+		if m.has(6 + i) {
+			out = append(out, fmt.Sprintf("c%d-workers", i))
+		}
+	}
+	return fmt.Sprintf("%03x %s", int(m), strings.Join(out, " "))
+}
+
+// serving are the controllers that, by the mask alone, have some path to the state
+// service; and of these the ones that workers reach.
+func (m mask) serving() (near, whole [3]bool) {
+	near = [3]bool{!m.has(0), !m.has(1), !m.has(2)} // reach the state service somehow
+	for range 2 {
+		for k, p := range pairs {
+			if !m.has(3+k) && (near[p[0]] || near[p[1]]) {
+				near[p[0]], near[p[1]] = true, true
+			}
+		}
+	}
+	for i := range 3 {
+		whole[i] = near[i] && !m.has(6+i)
+	}
+	return near, whole
+}
+
+// served tells whether some path leads from the workers through controllers to the state
+// service.
+func (m mask) served() bool {
+	_, whole := m.serving()
+	return whole != [3]bool{}
+}
+
+// cut brings a mask about.
+func (w *world) cut(m mask) {
+	for i := range 3 {
+		n := fmt.Sprintf("c%d", i)
+		w.hung[n], w.lost[n] = m.has(i), m.has(6+i)
+	}
+	for k, p := range pairs {
+		a, b := fmt.Sprintf("c%d", p[0]), fmt.Sprintf("c%d", p[1])
+		w.mute[[2]string{a, b}], w.mute[[2]string{b, a}] = m.has(3+k), m.has(3+k)
+	}
+}
+
+// least is how soon new work must start: within 8 s; within 13 s where a worker may have
+// to try two controllers in vain, of which the cut swallows one report at least. Each that
+// is swallowed costs it 4 s and 1 s more before it tries the next, each refusal 1 s, and
+// nothing can shorten that: a start goes in the answer to a report alone.
+func (m mask) least() time.Duration {
+	_, whole := m.serving()
+	useless, swallowed := 0, false
+	for i := range 3 {
+		if !whole[i] {
+			useless++
+		}
+		swallowed = swallowed || m.has(6+i)
+	}
+	if useless >= 2 && swallowed {
+		return 13 * sec
+	}
+	return 8 * sec
+}
+
+// maskedWorld has two services and an array of each team under way.
+func maskedWorld(t testing.TB, seed uint64) *world {
+	w := newWorld(t, seed, 3, func(w *world) {
+		w.runS, w.lease, w.cancelS = 6*sec, 20*sec, 50*sec
+		w.teams = map[string]Team{"red": {CPUs: 16, CPUsMax: 24}, "blue": {CPUs: 16, CPUsMax: 24}, "green": {CPUs: 16, CPUsMax: 24}}
+	})
+	for i := range 9 {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(8 * sec)
+	for k, team := range []string{"red", "blue", "green"} {
+		s := spec(fmt.Sprintf("job-00010%d", k), team, wire.ShapeService, 2)
+		s.DueS = nil
+		w.submit(s)
+		w.submit(spec(fmt.Sprintf("job-00020%d", k), team, wire.ShapeBatch, 40))
+	}
+	w.run(22 * sec)
+	return w
+}
+
+// submitEverywhere submits to all controllers, again and again: the load balancer would
+// find those that are ready.
+func (w *world) submitEverywhere(s wire.JobSpec) {
+	w.upload(s)
+	done := false
+	for _, n := range sortedKeys(w.nodes) {
+		var try func()
+		try = func() {
+			asked := w.now
+			w.ask(n, func(id uint64) any { return Submit{id, s} }, func(a Answer) {
+				st, _ := a.Body.(wire.JobStatus)
+				w.check.Submitted(w.now, asked, *s.ID, a.Status, st)
+				if done = done || a.Status < 300; !done {
+					w.at(time.Second, try)
+				}
+			})
+		}
+		try()
+	}
+}
+
+// begin submits one urgent task of each team and returns when all of them have started.
+func (w *world) begin(first int, most time.Duration) (took time.Duration) {
+	began := w.now
+	for k, team := range []string{"red", "blue", "green"} {
+		s := spec(fmt.Sprintf("job-%06d", first+k), team, wire.ShapeService, 1)
+		s.Priority, s.DueS = ptr("urgent"), nil
+		w.submitEverywhere(s)
+	}
+	for w.now-began < most {
+		w.run(100 * time.Millisecond)
+		n := 0
+		for k := range 3 {
+			if w.started(fmt.Sprintf("job-%06d", first+k)) {
+				n++
+			}
+		}
+		if n == 3 {
+			break
+		}
+	}
+	return w.now - began
+}
+
+// started tells whether a task of a job is on a machine, with its image or waiting for it.
+func (w *world) started(job string) bool {
+	for _, m := range w.machines {
+		for _, a := range m.tasks() {
+			if strings.HasPrefix(a.Task, job+"/") && a.Status != wire.TaskEnded {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// maskResult is what a mask did.
+type maskResult struct {
+	starts, back  time.Duration // of new work: after the cut, after healing
+	leases, moves int           // leases that ended; most changes of hands of one duty
+}
+
+func (w *world) holders() (list []string) {
+	var l wire.Leader
+	_ = wire.Unmarshal(w.key(wire.KeyLeader).Value, &l)
+	list = []string{l.Node}
+	for i := range 3 {
+		var s wire.Shard
+		_ = wire.Unmarshal(w.key(shardKey(i)).Value, &s)
+		list = append(list, s.Holder)
+	}
+	return list
+}
+
+// play holds a mask for 90 s under work, heals it, and reports.
+func (m mask) play(t testing.TB, seed uint64) (r maskResult) {
+	w := maskedWorld(t, seed)
+	sessions := map[string]uint64{}
+	for n, h := range w.machines {
+		if h.up && !h.gone {
+			sessions[n] = w.session(h)
+		}
+	}
+	was, moved := w.holders(), map[int]int{}
+	var watch func()
+	watch = func() {
+		for i, h := range w.holders() {
+			if h != "" && h != was[i] {
+				moved[i]++
+				was[i] = h
+			}
+		}
+		w.at(50*time.Millisecond, watch)
+	}
+	watch()
+	cutAt := w.now
+	w.cut(m)
+	r.starts = w.begin(301, 30*sec)
+	w.run(90*sec - (w.now - cutAt))
+	for n, s := range sessions {
+		if h := w.machines[n]; !h.gone && w.session(h) != s {
+			r.leases++
+		}
+	}
+	for _, n := range moved {
+		r.moves = max(r.moves, n)
+	}
+	w.cut(0)
+	r.back = w.begin(401, 60*sec)
+	return r
+}
+
+// Every subset of the nine links is cut for 90 s. Where a path leads from the workers
+// through controllers to the state service, no lease ends, new work starts within 8 s and
+// no duty moves more than twice; where none does, all is back within 8 s of healing. The
+// set played without BARROWBRIDGE_MASKS=all has every pair of links cut and uncut.
+func TestMasks(t *testing.T) {
+	const seed = 77
+	t.Logf("seed %d", seed)
+	all := os.Getenv("BARROWBRIDGE_MASKS") == "all"
+	for m := range mask(512) {
+		if n := m.count(); !all && n > 2 && n < 8 {
+			continue
+		}
+		t.Run(m.String(), func(t *testing.T) {
+			t.Parallel()
+			r := m.play(t, seed)
+			if all {
+				t.Logf("served %v: starts %.1f s, leases %d, moves %d, back %.1f s", m.served(), r.starts.Seconds(), r.leases, r.moves, r.back.Seconds())
+			}
+			if m.served() && (r.leases > 0 || r.starts > m.least() || r.moves > 2) {
+				t.Errorf("new work after %v, %d leases ended, a duty moved %d times", r.starts, r.leases, r.moves)
+			}
+			if r.back > 8*sec {
+				t.Errorf("new work %v after healing", r.back)
+			}
+		})
+	}
+}
+
+func (m mask) count() (n int) {
+	for i := range 9 {
+		if m.has(i) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -13,6 +13,7 @@
 // mirror is this controller's copy of the live keys, in revision order.
 type mirror struct {
 	ver      map[string]uint64 // version of each key present
+	floor    uint64            // all that stood at this revision has been read
 	tombs    map[string]tomb   // keys removed, while older news of them may still come
 	jobs     map[string]*jobEntry
 	blocks   map[string]*blockEntry
@@ -214,6 +215,12 @@
 	if !strings.HasPrefix(key, wire.LivePrefix) || ver <= c.ver[key] || ver <= c.tombs[key].rev {
 		return
 	}
+	// What stood there when all was read, and is not here, had been removed: a poll's read
+	// that was sent before the list, and answered after it, made an aborted job live again
+	// in a controller that had just started.
+	if _, here := c.ver[key]; !here && ver <= c.floor {
+		return
+	}
 	fail := func(err error) { c.log(0, "stored record not readable", "key", key, "err", err.Error()) }
 	read := func(v any) bool {
 		err := wire.Unmarshal(raw, v)
@@ -242,6 +249,11 @@
 			c.cordons[key[len(wire.PrefixCordon):]] = r
 			c.cordonSeen(key[len(wire.PrefixCordon):])
 		}
+	case strings.HasPrefix(key, wire.PrefixReach):
+		var r wire.Reach
+		if read(&r) {
+			c.words[key[len(wire.PrefixReach):]] = r
+		}
 	case strings.HasPrefix(key, wire.PrefixNode):
 		var r wire.Node
 		if read(&r) {
@@ -267,6 +279,7 @@
 			c.ver[key] = ver
 			old := c.shards[i]
 			c.shards[i] = &shardEntry{r, ver}
+			c.noteTaken(i)
 			c.indexTeams()
 			c.shardSeen(i, old)
 		}
@@ -346,6 +359,8 @@
 		if m := c.machines[key[len(wire.PrefixCordon):]]; m != nil {
 			c.touch(m)
 		}
+	case strings.HasPrefix(key, wire.PrefixReach):
+		delete(c.words, key[len(wire.PrefixReach):])
 	case strings.HasPrefix(key, wire.PrefixNode):
 		delete(c.nodes, key[len(wire.PrefixNode):])
 		c.note(wire.TrailEvent{Kind: trail.NodeGone, Node: key[len(wire.PrefixNode):]})
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -25,8 +25,17 @@
 	// Holds names the shards the sender holds, with their tokens.
 	Holds []HeldShard `msgpack:"holds,omitempty"`
 	// Relay passes a worker's report to its holder, Answer what it said.
-	Relay  *RelayReport `msgpack:"relay,omitempty"`
-	Answer *RelayAnswer `msgpack:"answer,omitempty"`
+	Relay *RelayReport `msgpack:"relay,omitempty"`
+	// Way is one more than the controllers between the sender and the state service; 0:
+	// it has no way there. Call asks the receiver to make a call, Result is its outcome.
+	Way  int         `msgpack:"way,omitempty"`
+	Word *wire.Reach `msgpack:"word,omitempty"` // with a ping: what the sender reaches
+	// Order asks the receiver to call a worker, Ordered is what came of it.
+	Order   *Order       `msgpack:"order,omitempty"`
+	Ordered *OrderDone   `msgpack:"ordered,omitempty"`
+	Call    *PeerCall    `msgpack:"call,omitempty"`
+	Result  *PeerResult  `msgpack:"result,omitempty"`
+	Answer  *RelayAnswer `msgpack:"answer,omitempty"`
 }
 
 // HeldShard is a shard and the revision that granted it.
@@ -107,6 +116,7 @@
 // tell sends a message, with what every message says of its sender.
 func (c *Core) tell(to string, m PeerMessage) {
 	m.From, m.Boot, m.Revision, m.UpMS = c.p.Node, c.boot, c.topRev, c.now.Milliseconds()
+	m.Way = c.wayFor(to)
 	c.out = append(c.out, PeerSend{to, m})
 }
 
@@ -134,9 +144,10 @@
 			delete(c.relays, name)
 		}
 	}
+	word := c.ownWord()
 	for _, n := range sortedKeys(c.p.Nodes) {
 		if n != c.p.Node {
-			c.tell(n, PeerMessage{Nonce: c.nonce, Jobs: jobs, Holds: holds})
+			c.tell(n, PeerMessage{Nonce: c.nonce, Jobs: jobs, Holds: holds, Word: &word})
 		}
 	}
 }
@@ -164,7 +175,25 @@
 		c.log(1, "message from no controller of this deployment", "from", m.From)
 		return
 	}
+	c.ways.routes.Offer(c.now, m.From, m.Way-1)
+	if delete(c.ways.wayless, m.From); m.Way == 0 {
+		c.ways.wayless[m.From] = c.now
+	}
 	switch {
+	case m.Order != nil:
+		v := *m.Order
+		v.For = m.From
+		c.out = append(c.out, v)
+		return
+	case m.Ordered != nil:
+		c.onOrderDone(*m.Ordered)
+		return
+	case m.Call != nil:
+		c.onPeerCall(m.From, m.Call)
+		return
+	case m.Result != nil:
+		c.onPeerResult(m.From, m.Result)
+		return
 	case m.Relay != nil:
 		c.seq++
 		req := 1<<63 | c.seq
@@ -193,6 +222,9 @@
 			c.log(1, "shard yielded to a later token", "shard", h.Shard, "to", m.From, "token", h.Token)
 		}
 	}
+	if m.Word != nil {
+		c.spoken[m.From] = spokenWord{*m.Word, c.now}
+	}
 	if !m.Reply {
 		for _, j := range m.Jobs {
 			if e := c.jobs[j.ID]; e != nil && e.run == nil {
@@ -231,13 +263,13 @@
 	if x == nil || c.now-x.last > c.p.Lease {
 		x = &relaying{home: -tuning.RelayFor}
 		c.relays[r.Machine] = x
-		if r.Token < granted {
+		if r.Token < granted && !c.wordOf(holder).Lacks {
 			x.last, x.home = c.now, c.now
 			return false
 		}
 	}
 	x.last = c.now
-	if x.n++; x.n > tuning.RelayReports && c.now-x.home > tuning.RelayFor {
+	if x.n++; x.n > tuning.RelayReports && c.now-x.home > tuning.RelayFor && !c.wordOf(holder).Lacks {
 		x.n, x.home = 0, c.now
 		return false
 	}
--- a/internal/core/prompting.go
+++ b/internal/core/prompting.go
@@ -12,6 +12,24 @@
 	Machine string
 	Addr    string
 	Orders  wire.Orders
+	Roll    bool   // its outcome is to come back as OrderDone
+	Look    bool   // nothing is ordered: only its report is asked for, and comes back so too
+	For     string // the controller that asked for the call; "": this one
+}
+
+// callWorker calls a worker, through a peer if we reach none of them and it does. A peer on the
+// way is like a slow network: the worker compares token and session of what we sent.
+func (c *Core) callWorker(v Order) {
+	if c.workers.Lacks() {
+		for _, n := range sortedKeys(c.nodes) {
+			if n != c.p.Node && c.near(n) && !c.wordOf(n).Lacks {
+				v.For = c.p.Node
+				c.tell(n, PeerMessage{Order: &v})
+				return
+			}
+		}
+	}
+	c.out = append(c.out, v)
 }
 
 func newDesk(p Params) *prompt.Desk[*machine] {
@@ -40,7 +58,7 @@
 		if len(stops) == 0 {
 			m.raised, m.promptedAt = max(m.raised, c.rev), c.now
 		}
-		c.out = append(c.out, Order{m.name, m.addr, wire.Orders{Token: c.tokenOf(m, b), Session: m.session, Commands: stops}})
+		c.callWorker(Order{Machine: m.name, Addr: m.addr, Orders: wire.Orders{Token: c.tokenOf(m, b), Session: m.session, Commands: stops}})
 	}
 }
 
@@ -87,6 +105,6 @@
 // that the next holder was granted, so that ours count no more.
 func (c *Core) passOn(m *machine, b *blockEntry) {
 	if b != nil && m.addr != "" && m.session > 0 && !m.over && c.confirmed() {
-		c.out = append(c.out, Order{m.name, m.addr, wire.Orders{Token: c.token(b), Session: m.session, Commands: []wire.Command{}}})
+		c.callWorker(Order{Machine: m.name, Addr: m.addr, Orders: wire.Orders{Token: c.token(b), Session: m.session, Commands: []wire.Command{}}})
 	}
 }
--- /dev/null
+++ b/internal/core/reaching.go
@@ -0,0 +1,254 @@
+package core
+
+import (
+	"fmt"
+	"reflect"
+	"sort"
+
+	"github.com/barrowbridge/barrowbridge/internal/duty"
+	"github.com/barrowbridge/barrowbridge/internal/reach"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// reaching is what this controller and the others say of what they reach.
+type reaching struct {
+	workers *reach.Workers
+	words   map[string]wire.Reach // by controller, as the state has them
+	spoken  map[string]spokenWord // as peers last told us
+	wrote   wire.Reach            // our own as it was last written, on that grant
+	onGrant uint64
+	began   Time // when this life began to judge
+	writing bool
+	lacked  map[string]Time // controller -> when it last lacked workers, as far as we know
+}
+
+type spokenWord struct {
+	word wire.Reach
+	at   Time
+}
+
+func newReaching(p Params) reaching {
+	return reaching{words: map[string]wire.Reach{}, spoken: map[string]spokenWord{}, lacked: map[string]Time{},
+		workers: reach.NewWorkers(reach.WorkerLimits{Probe: tuning.ProbeEvery, Wait: tuning.ProbeWait, Sample: tuning.ProbeSample, Again: tuning.ProbeAgain,
+			Crowd: reach.CrowdLimits{Every: p.Report, Least: tuning.SilenceLeast, Gaps: tuning.SilenceGaps, Most: tuning.SuspectReports, Ask: tuning.AskGaps, Asked: tuning.AskReports}})}
+}
+
+var rules = duty.Rules{Gain: tuning.MoveGain, After: tuning.GiveAfter}
+
+// wordOf is a controller's newest word that we have.
+func (c *Core) wordOf(node string) wire.Reach {
+	if s, ok := c.reaching.spoken[node]; ok && c.now-s.at < tuning.WayKeep {
+		return s.word
+	}
+	if w := c.reaching.words[node]; w.Boot == c.nodes[node].Boot {
+		return w
+	}
+	return wire.Reach{}
+}
+
+// watchReach judges the workers of what is held, asks where nothing shows whether workers
+// are reached, says what has changed, and gives away what others can do and we cannot.
+func (c *Core) watchReach() {
+	if !c.every("reach", tuning.ReachEvery) {
+		return
+	}
+	held := map[int]reach.Crowd{}
+	for i := range c.held {
+		held[i] = reach.Crowd{}
+	}
+	for _, m := range c.heldMachines() {
+		x, ok := held[m.shard]
+		if !ok || m.over || m.fresh || m.drop || !m.reported && !m.inherited {
+			continue
+		}
+		x.Of++
+		if m.reported && c.now-m.lastReport < c.freshFor() {
+			x.Heard++
+		}
+		held[m.shard] = x
+	}
+	r := &c.reaching
+	if r.began == 0 {
+		r.began = c.now
+	}
+	r.workers.Watch(c.now, held)
+	sought := map[int]bool{}
+	for n := range c.nodes {
+		w := c.wordOf(n)
+		if n == c.p.Node {
+			continue
+		}
+		if w.Lacks {
+			r.lacked[n] = c.now
+		}
+		for _, i := range w.Seeks {
+			if !c.mine(i) {
+				sought[i] = true
+			}
+		}
+	}
+	for _, name := range r.workers.Probe(c.now, sought, c.pickToProbe) {
+		at, _ := c.addrs.Of(name)
+		c.out = append(c.out, Order{Machine: name, Addr: at.Addr, Look: true})
+	}
+	c.giveAway(held)
+	c.tellReach()
+}
+
+// pickToProbe names a few machines of a shard, or of all, that may be called.
+func (c *Core) pickToProbe(shard, n int) []string {
+	var names []string
+	for m, id := range c.blockIn {
+		if b := c.blocks[id]; b != nil && (shard == reach.Anywhere || b.rec.Shard == shard) && !c.dropping[m] {
+			if _, known := c.addrs.Of(m); known {
+				names = append(names, m)
+			}
+		}
+	}
+	sort.Strings(names)
+	return reach.Spread(names, n)
+}
+
+// giveAway hands shards whose machines have all fallen silent to a controller that
+// reaches them, by a write of our own. Without it they were sent back to us by everybody
+// they could reach, until their leases were over.
+func (c *Core) giveAway(held map[int]reach.Crowd) {
+	for _, i := range sortedInts(held) {
+		silent := c.reaching.workers.Silent(c.now, i)
+		if silent == 0 || c.shards[i] == nil {
+			continue
+		}
+		var others []duty.Member
+		for _, m := range c.members(i) {
+			if m.Node != c.p.Node {
+				others = append(others, m)
+			}
+		}
+		to := rules.GiveTo(duty.Reach{Of: held[i].Of}, silent, c.shards[i].rec.Home, c.p.Nodes, others)
+		if to == "" {
+			continue
+		}
+		c.noteShard(trail.ShardGiven, i, wire.TrailEvent{Node: to, Why: fmt.Sprintf("its machines silent for %.1f s here, heard there", silent.Seconds())})
+		c.takeShard(i, to, c.nodes[to].Boot)
+	}
+}
+
+// members are the controllers that are present, with their words on a shard.
+func (c *Core) members(shard int) []duty.Member {
+	held := map[string]int{}
+	for _, s := range c.shards {
+		held[s.rec.Holder]++
+	}
+	var out []duty.Member
+	for _, n := range sortedKeys(c.nodes) {
+		w := c.wordOf(n)
+		if n == c.p.Node {
+			w = c.ownWord()
+		}
+		m := duty.Member{Node: n, Zone: c.nodes[n].Zone, Held: held[n], Lacks: w.Lacks, Near: c.near(n)}
+		for _, h := range w.Hears {
+			if h.Shard == shard {
+				m.Reaches = &duty.Reach{Of: h.Of, Heard: h.Heard}
+			}
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// near tells whether a peer has answered us just now.
+func (c *Core) near(peer string) bool {
+	at, ok := c.heard[peer]
+	return ok && c.now-at <= 3*tuning.PeerEvery
+}
+
+func (c *Core) ownWord() wire.Reach {
+	w := c.reaching.workers.Word()
+	w.Boot = c.boot
+	for _, n := range sortedKeys(c.nodes) {
+		if n != c.p.Node && c.now-max(c.heard[n], c.reaching.began) > tuning.ApartAfter {
+			w.Apart = append(w.Apart, n)
+		}
+	}
+	return w
+}
+
+// tellReach writes our word where all can read it, when it has changed. Peers that we
+// reach hear it with each ping as well.
+func (c *Core) tellReach() {
+	r := &c.reaching
+	w := c.ownWord()
+	if r.onGrant != c.grant { // the word of another grant went with it
+		r.wrote = wire.Reach{Boot: c.boot}
+	}
+	if reflect.DeepEqual(w, r.wrote) || r.writing || !c.present || !c.every("tellReach", tuning.TellReach) {
+		return
+	}
+	if w.Lacks != r.wrote.Lacks {
+		c.log(1, "reach of the workers", "lost", w.Lacks)
+	}
+	grant := c.grant
+	r.writing = true
+	c.commit(LaneLater, nil, []wire.Change{{Put: wire.PrefixReach + c.p.Node, Value: w, Lease: grant}}, func(rep StateReply) {
+		if r.writing = false; rep.Status == 200 {
+			r.wrote, r.onGrant = w, grant
+		}
+	})
+}
+
+// mayGoHome tells whether a shard may go back to the controller it is homed at.
+func (c *Core) mayGoHome(s *shardEntry, held map[string]int) bool {
+	at, ok := c.leader.nodeUp[s.rec.Home]
+	if !ok || !s.rec.Settled {
+		return false
+	}
+	up := c.now - at
+	if lacked, ever := c.reaching.lacked[s.rec.Home]; ever {
+		up = min(up, c.now-lacked)
+	}
+	w := c.wordOf(s.rec.Home)
+	if s.rec.Home == c.p.Node {
+		w = c.ownWord()
+	}
+	return rules.GoesHome(duty.Member{Node: s.rec.Home, Held: held[s.rec.Home], Lacks: w.Lacks}, up, tuning.HomeAfter)
+}
+
+// AdminReach asks what this controller reaches.
+type AdminReach struct{ Req uint64 }
+
+func (c *Core) onAdminReach(v AdminReach) {
+	view := wire.ReachView{Node: c.p.Node, Links: []wire.LinkView{}, Words: []wire.ReachWord{}}
+	j := c.ways.link.Judge(c.now)
+	view.Links = append(view.Links, wire.LinkView{To: "state", Level: j.Level.String(), ForS: (c.now - j.Since).Seconds(), Why: j.Why, Through: c.wayAround()})
+	for _, n := range sortedKeys(c.p.Nodes) {
+		if n == c.p.Node {
+			continue
+		}
+		l := wire.LinkView{To: "controller " + n, Level: reach.Unknown.String(), Why: "never answered"}
+		if at, ok := c.heard[n]; ok {
+			l.Level, l.ForS, l.Why = reach.Up.String(), (c.now - at).Seconds(), "answered a ping"
+			if !c.near(n) {
+				l.Level, l.Why = reach.Down.String(), "last answer to a ping"
+			}
+		}
+		view.Links = append(view.Links, l)
+	}
+	for _, i := range sortedInts(c.held) {
+		l := wire.LinkView{To: fmt.Sprintf("shard %d", i), Level: reach.Up.String(), Why: "its machines report"}
+		if s := c.reaching.workers.Silent(c.now, i); s > 0 {
+			l.Level, l.ForS, l.Why = reach.Down.String(), s.Seconds(), "all its machines are silent"
+		}
+		view.Links = append(view.Links, l)
+	}
+	if c.reaching.workers.Lacks() {
+		view.Links = append(view.Links, wire.LinkView{To: "workers", Level: reach.Down.String(), Why: "none reports, none that was called answers"})
+	}
+	for _, n := range sortedKeys(c.nodes) {
+		if w := c.wordOf(n); n != c.p.Node {
+			view.Words = append(view.Words, wire.ReachWord{Node: n, Lacks: w.Lacks, Seeks: w.Seeks, Hears: w.Hears, NoCloud: w.NoCloud})
+		}
+	}
+	c.answer(v.Req, 200, view)
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -11,7 +12,13 @@
 // onReport answers a worker. Only the holder of its block says 200.
 func (c *Core) onReport(v WorkerReport) {
 	r := &v.Report
+	c.addrs.Learn(r.Machine, r.Addr, r.Session)
 	m := c.machines[r.Machine]
+	if _, passed := c.relayed[v.Req]; !passed {
+		c.heardWorker(r.Machine)
+	} else if m != nil {
+		c.workers.HeardThrough(c.now, m.shard)
+	}
 	if m == nil {
 		c.redirect(v.Req, r)
 		return
@@ -23,12 +30,44 @@
 		return
 	}
 	token := c.tokenOf(m, b)
-	if r.Token > token || r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+	if r.Token > token || c.older(m, r) {
 		// A higher token: someone else is entitled and we have not heard yet.
 		// An older report: delayed on its way, its list is history.
 		c.answer(v.Req, 503, unavailable("report out of date"))
 		return
 	}
+	c.heardFrom(m, r)
+	c.takeStock(m, r)
+	if c.cordons[m.name].Drain {
+		c.cordonSeen(m.name)
+	}
+	if !m.accounted && r.Token >= m.takenToken {
+		c.account(m, "report")
+	}
+	if c.dirty { // a slot that this report frees is refilled in its answer
+		c.dirty = false
+		c.place()
+	}
+	reply := wire.ReportReply{Token: token, Commands: c.commands(m)}
+	m.lastOK = c.now
+	c.answer(v.Req, 200, reply)
+	c.desk.Forget(m)
+	for _, a := range m.attempts {
+		if !a.sent && a.status == "" {
+			c.wantReport(m, !a.lesser) // its start is still being written
+			break
+		}
+	}
+	c.flush()
+}
+
+// older tells whether a report is history: a later one of its worker is known.
+func (c *Core) older(m *machine, r *wire.Report) bool {
+	return r.Session < m.session || r.Session == m.session && r.Seq <= m.seq
+}
+
+// heardFrom takes what a machine's newest report says of the machine itself.
+func (c *Core) heardFrom(m *machine, r *wire.Report) {
 	if m.silent {
 		m.silent = false
 		c.noteMachine(trail.MachineBack, m, wire.TrailEvent{Count: len(r.Attempts), Why: fmt.Sprintf("silent for %.1f s", (c.now - m.lastReport).Seconds())})
@@ -56,28 +95,6 @@
 		c.noteMachine(trail.MachineNotice, m, wire.TrailEvent{Count: len(m.attempts), Why: fmt.Sprintf("in %.1f s", *r.NoticeS)})
 		c.log(1, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
 	}
-	c.takeStock(m, r)
-	if c.cordons[m.name].Drain {
-		c.cordonSeen(m.name)
-	}
-	if !m.accounted && r.Token >= m.takenToken {
-		c.account(m, "report")
-	}
-	if c.dirty { // a slot that this report frees is refilled in its answer
-		c.dirty = false
-		c.place()
-	}
-	reply := wire.ReportReply{Token: token, Commands: c.commands(m)}
-	m.lastOK = c.now
-	c.answer(v.Req, 200, reply)
-	c.desk.Forget(m)
-	for _, a := range m.attempts {
-		if !a.sent && a.status == "" {
-			c.wantReport(m, !a.lesser) // its start is still being written
-			break
-		}
-	}
-	c.flush()
 }
 
 // redirect answers a worker of a block this controller does not hold.
@@ -92,8 +109,17 @@
 			if to, ok := c.yielded[b.rec.Shard]; ok {
 				holder = to
 			}
+			// What we know of the holder is old: two controllers that a cut had left
+			// without news sent workers to each other until their leases were over.
+			if r.Token > c.rev || c.cutOff() {
+				holder = ""
+			}
 			if _, ours := c.relayed[req]; holder != "" && holder != c.p.Node && !ours {
-				if !c.relay(req, r, holder, s.ver) {
+				switch {
+				case c.relay(req, r, holder, s.ver):
+				case c.deaf(holder, b.rec.Shard): // it would wait there in vain
+					c.sendBeside(req, holder)
+				default:
 					c.answer(req, 421, wire.Redirect{Holder: holder})
 				}
 				return
@@ -110,6 +136,24 @@
 	c.answer(req, 503, unavailable("machine not known"))
 }
 
+// deaf tells whether a holder has said that workers do not reach it.
+func (c *Core) deaf(holder string, shard int) bool {
+	w := c.wordOf(holder)
+	return w.Lacks || slices.Contains(w.Seeks, shard)
+}
+
+// sendBeside sends a worker to a controller that passes its reports on to a holder whom
+// neither it nor we can reach, if there is one.
+func (c *Core) sendBeside(req uint64, holder string) {
+	for _, n := range sortedKeys(c.nodes) {
+		if n != c.p.Node && n != holder && !c.wordOf(n).Lacks && !slices.Contains(c.wordOf(n).Apart, holder) {
+			c.answer(req, 421, wire.Redirect{Holder: n})
+			return
+		}
+	}
+	c.answer(req, 503, unavailable("holder does not hear its workers"))
+}
+
 // takeStock brings the attempts of a machine in line with its newest report.
 func (c *Core) takeStock(m *machine, r *wire.Report) {
 	present := map[attemptKey]bool{}
--- a/internal/core/schedules_test.go
+++ b/internal/core/schedules_test.go
@@ -89,7 +89,8 @@
 	case 3:
 		n := fmt.Sprintf("c%d", w.rng.IntN(3))
 		w.cutFrom[n] = true
-		w.at(time.Duration(1+w.rng.IntN(30))*sec, func() { delete(w.cutFrom, n) })
+		w.silence(n, w.rng.IntN(2) == 0)
+		w.at(time.Duration(1+w.rng.IntN(30))*sec, func() { delete(w.cutFrom, n); w.silence(n, false) })
 	case 4:
 		w.apart[[2]string{"n", "s"}] = true
 		w.at(time.Duration(1+w.rng.IntN(25))*sec, func() { w.apart = map[[2]string]bool{} })
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -27,6 +27,7 @@
 		c.open[m.shard]--
 	}
 	m.accounted = true
+	c.roll.Drop(m)
 	c.touch(m)
 	c.settleOn(m)
 	c.settle()
@@ -74,6 +75,9 @@
 		for _, name := range e.rec.On {
 			if name != "" && !slices.Contains(c.waitsOn[name], e) {
 				c.waitsOn[name] = append(c.waitsOn[name], e)
+				if m := c.machines[name]; m != nil && m.inherited && !m.accounted && e.prio >= urgentRank {
+					c.roll.Add(m, true)
+				}
 			}
 		}
 	}
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -333,6 +333,7 @@
 // its workers for 25 s from the one that had been granted its shard.
 func TestYieldsToLaterToken(t *testing.T) {
 	w := newWorld(t, 10, 3)
+	w.noWays = true
 	name := w.addMachine("n", false, sec)
 	w.run(10 * sec)
 	old := w.holderOf(name)
@@ -417,6 +418,7 @@
 			holder = w.holderOf(n)
 		}
 	}
+	w.noWays = true
 	w.cutFrom[holder] = true
 	w.run(200 * time.Millisecond)
 	for _, n := range sortedKeys(w.nodes) {
--- a/internal/core/trailing.go
+++ b/internal/core/trailing.go
@@ -32,6 +32,22 @@
 	c.note(e)
 }
 
+// taking is a change of a shard's hands that we have sent to be written.
+type taking struct {
+	rec  wire.Shard
+	from string
+}
+
+// noteTaken notes a change of hands of ours once it stands in the state, whichever way
+// that is learned first: what follows from it is linked to it.
+func (c *Core) noteTaken(i int) {
+	x, ours := c.taking[i]
+	if s := c.shards[i]; ours && s.rec.Holder == x.rec.Holder && s.rec.Boot == x.rec.Boot {
+		delete(c.taking, i)
+		c.noteShard(trail.ShardTaken, i, wire.TrailEvent{Node: x.from, Token: s.ver, Why: "for " + x.rec.Holder})
+	}
+}
+
 // noteMachine is an event about a held machine.
 func (c *Core) noteMachine(kind string, m *machine, e wire.TrailEvent) {
 	e.Machine = m.name
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -107,6 +107,10 @@
 		c.answer(v.Req, 200, finalStatus(v.ID, f))
 		return
 	}
+	if c.cutOff() {
+		c.answer(v.Req, 503, unavailable("state service not reached"))
+		return
+	}
 	if !c.loaded || c.loading {
 		c.readFor(v)
 		return
@@ -188,7 +192,7 @@
 }
 
 func (c *Core) onReady(v Ready) {
-	if c.loaded && len(c.types) > 0 && c.confirmed() {
+	if c.loaded && len(c.types) > 0 && c.confirmed() && !c.cutOff() {
 		c.answer(v.Req, 200, map[string]string{"status": "ready"})
 		return
 	}
@@ -205,6 +209,10 @@
 		c.answer(v.Req, 200, finalStatus(id, f))
 		return
 	}
+	if c.cutOff() {
+		c.answer(v.Req, 503, unavailable("state service not reached"))
+		return
+	}
 	known := func(otherwise func()) {
 		c.look(id, func(j *wire.Job, _ uint64, fin *wire.Final, ok bool) {
 			switch {
@@ -286,6 +294,10 @@
 		c.answer(v.Req, 404, wire.Problem{Error: "no such job"})
 		return
 	}
+	if c.cutOff() {
+		c.answer(v.Req, 503, unavailable("state service not reached"))
+		return
+	}
 	c.abort(v, 5)
 }
 
--- /dev/null
+++ b/internal/core/ways.go
@@ -0,0 +1,286 @@
+package core
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/reach"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Controllers speak for each other with the state service. A peer on the way is like a
+// slow network: what it sends is what we sent, its answer is the service's answer to a
+// call made after we asked, and a call without an answer may be executed, or not, or late.
+type (
+	// PeerCall is a call of the state service that a peer is asked to make.
+	PeerCall struct {
+		ID       uint64           `msgpack:"id"`
+		Life     uint64           `msgpack:"life"` // of the one who asks: its next one counts anew
+		Hops     int              `msgpack:"hops"` // controllers it has passed
+		Op       int              `msgpack:"op"`
+		Lane     int              `msgpack:"lane,omitempty"`
+		Key      string           `msgpack:"key,omitempty"`
+		After    string           `msgpack:"after,omitempty"`
+		Lease    uint64           `msgpack:"lease,omitempty"`
+		Revision uint64           `msgpack:"revision,omitempty"`
+		HoldMS   int64            `msgpack:"hold_ms,omitempty"`
+		If       []wire.Condition `msgpack:"if,omitempty"`
+		Then     []PeerChange     `msgpack:"then,omitempty"`
+	}
+	// PeerChange is one change of it, its value encoded.
+	PeerChange struct {
+		Put    string `msgpack:"put,omitempty"`
+		Value  []byte `msgpack:"value,omitempty"`
+		Lease  uint64 `msgpack:"lease,omitempty"`
+		Delete string `msgpack:"delete,omitempty"`
+	}
+	// PeerResult is its outcome.
+	PeerResult struct {
+		ID    uint64     `msgpack:"id"`
+		Life  uint64     `msgpack:"life"`
+		Reply StateReply `msgpack:"reply"`
+	}
+)
+
+// ways is what is believed of the link to the state service, and the ways around it.
+type ways struct {
+	link    *reach.Link
+	routes  *reach.Routes
+	told    reach.Level // what the log was last told
+	probing bool
+	wayless map[string]Time // peers heard without a way of their own, and when
+	around  bool            // calls go through a peer
+}
+
+func newWays() ways {
+	return ways{wayless: map[string]Time{}, routes: reach.NewRoutes(tuning.WayKeep, tuning.WayHops),
+		link: reach.NewLink(reach.LinkLimits{Late: tuning.LinkLate, Down: tuning.LinkDown, Back: tuning.LinkBack, BackMax: tuning.LinkBackMax, Window: tuning.LinkWindow})}
+}
+
+// waiting is a call of the state service whose answer has not come.
+type waiting struct {
+	f     func(StateReply) // nil: given up, its answer changes nothing any more
+	op    int
+	sent  Time
+	via   string // the peer it went through
+	until Time   // of those: given up then
+}
+
+func (c *Core) state(call StateCall, f func(StateReply)) {
+	c.stateBy(call, f, 0, "")
+}
+
+// stateBy sends a call by the way that is open now. One that came from a peer is not
+// sent back to it.
+func (c *Core) stateBy(call StateCall, f func(StateReply), hops int, from string) {
+	c.seq++
+	call.ID = c.seq
+	w := &waiting{f: f, op: call.Op, sent: c.now}
+	c.stateWait[call.ID] = w
+	if via := c.wayAround(); via != "" && via != from && hops < tuning.WayHops {
+		w.via, w.until = via, c.now+tuning.StateTimeout+call.Hold
+		c.tell(via, PeerMessage{Call: call.forPeer(c.life, hops)})
+		return
+	}
+	c.sendDirect(call)
+}
+
+func (c *Core) sendDirect(call StateCall) {
+	if call.Op == OpExtend { // waits for none of our own limits, and its answer for no queue
+		c.ways.link.Sent(c.now, call.ID)
+	}
+	c.out = append(c.out, call)
+}
+
+// wayAround is the peer through whom calls go at present, or "".
+func (c *Core) wayAround() string {
+	if l := c.ways.link.Judge(c.now).Level; l == reach.Up || l == reach.Unknown {
+		return ""
+	}
+	peer, _ := c.ways.routes.Best(c.now)
+	return peer
+}
+
+// wayFor is what we offer to a peer: one more than the controllers between us and the
+// state service, 0 if there is no way that does not lead through the peer itself.
+func (c *Core) wayFor(to string) int {
+	if j := c.ways.link.Judge(c.now); j.Level == reach.Up && c.now-c.ways.link.LastOK() < tuning.WayFresh {
+		return 1
+	}
+	if peer, hops := c.ways.routes.Best(c.now); peer != "" && peer != to && c.ways.around {
+		return hops + 1
+	}
+	return 0
+}
+
+// cutOff tells whether the state service is out of our reach while others may have it: a
+// peer says so, or no peer can be heard either. In an outage that all share it is false.
+func (c *Core) cutOff() bool {
+	j := c.ways.link.Judge(c.now)
+	if j.Level == reach.Up || j.Level == reach.Unknown || c.wayAround() != "" || c.now-j.Since < tuning.CutAfter {
+		return false
+	}
+	for _, at := range c.ways.wayless {
+		if c.now-at < tuning.WayKeep {
+			return false
+		}
+	}
+	return len(c.p.Nodes) > 1
+}
+
+// keepWays notices that the link has changed, and gives up what hangs on it.
+func (c *Core) keepWays() {
+	j := c.ways.link.Judge(c.now)
+	var late []uint64
+	for id, w := range c.stateWait {
+		if w.via != "" && c.now > w.until {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		w := c.stateWait[id]
+		delete(c.stateWait, id)
+		c.ways.routes.Offer(c.now, w.via, -1)
+		w.f(StateReply{Err: "no answer through " + w.via})
+	}
+	via := c.wayAround()
+	if around := via != ""; around != c.ways.around {
+		c.ways.around = around
+		if around {
+			c.giveUpDirect()
+		}
+		c.note(wire.TrailEvent{Kind: trail.WayChanged, Node: via, Why: j.Level.String() + ": " + j.Why})
+		c.log(1, "calls of the state service", "through", via, "link", j.Level.String(), "why", j.Why)
+	}
+	if j.Level == reach.Doubt || j.Level == reach.Down {
+		c.probeState()
+	}
+}
+
+// giveUpDirect ends the waiting for calls that hang in the cut. Each may still be executed,
+// like any call without an answer; its answer, should it come, changes nothing.
+func (c *Core) giveUpDirect() {
+	var ids []uint64
+	for id, w := range c.stateWait {
+		if w.via == "" && w.f != nil && w.sent < c.now-tuning.LinkLate/2 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if w := c.stateWait[id]; w != nil && w.f != nil {
+			f := w.f
+			w.f = nil
+			f(StateReply{Err: "given up for another way"})
+		}
+	}
+}
+
+// probeState asks for a small key over the link itself, as long as calls go around it.
+func (c *Core) probeState() {
+	if c.ways.probing || !c.ways.around || !c.every("probe", tuning.RetryAfter) {
+		return
+	}
+	c.ways.probing = true
+	c.seq++
+	call := StateCall{ID: c.seq, Op: OpGet, Key: wire.KeyLeader}
+	c.stateWait[call.ID] = &waiting{op: OpGet, sent: c.now, f: func(r StateReply) {
+		c.ways.probing = false
+		c.learn(wire.KeyLeader, r)
+	}}
+	c.out = append(c.out, call)
+}
+
+func (c *Core) onStateDone(v StateDone) {
+	r := &v.Reply
+	c.knows(max(r.Txn.Revision, r.Events.Revision, r.List.Revision, r.Item.Version))
+	w := c.stateWait[v.ID]
+	if w == nil {
+		return
+	}
+	delete(c.stateWait, v.ID)
+	if w.via == "" && !r.Own {
+		o := reach.Answered
+		switch r.Status {
+		case 0:
+			o = reach.Silent
+		case http.StatusServiceUnavailable:
+			o = reach.Refused
+		}
+		c.ways.link.Done(c.now, v.ID, w.sent, o)
+	}
+	if w.f != nil {
+		w.f(*r)
+	}
+}
+
+// onPeerCall makes a call for a peer, if there is a way.
+func (c *Core) onPeerCall(from string, p *PeerCall) {
+	reply := func(r StateReply) {
+		if r.size() > tuning.PeerCarry {
+			r = StateReply{Err: "too large to pass on"}
+		}
+		c.tell(from, PeerMessage{Result: &PeerResult{p.ID, p.Life, r}})
+	}
+	if p.Op < OpGet || p.Op > OpWatch || c.wayFor(from) == 0 || p.Hops >= tuning.WayHops {
+		reply(StateReply{Status: http.StatusServiceUnavailable, Err: "no way to the state service here"})
+		return
+	}
+	c.stateBy(p.call(), reply, p.Hops+1, from)
+}
+
+// onPeerResult is the answer to a call that went through a peer.
+func (c *Core) onPeerResult(from string, p *PeerResult) {
+	w := c.stateWait[p.ID]
+	if w == nil || w.via != from || p.Life != c.life {
+		return
+	}
+	if s := p.Reply.Status; s == 0 || s == http.StatusServiceUnavailable {
+		c.ways.routes.Offer(c.now, from, -1) // until its next word
+	}
+	c.onStateDone(StateDone{p.ID, p.Reply})
+}
+
+func (s StateCall) forPeer(life uint64, hops int) *PeerCall {
+	p := &PeerCall{ID: s.ID, Life: life, Hops: hops, Op: s.Op, Lane: s.Lane, Key: s.Key, After: s.After, Lease: s.Lease, Revision: s.Revision, HoldMS: s.Hold.Milliseconds(), If: s.Txn.If}
+	for _, ch := range s.Txn.Then {
+		x := PeerChange{Put: ch.Put, Lease: ch.Lease, Delete: ch.Delete}
+		if ch.Put != "" {
+			raw, err := wire.Marshal(ch.Value)
+			if err != nil {
+				panic(err) // our own record: encoding it cannot depend on its content
+			}
+			x.Value = raw
+		}
+		p.Then = append(p.Then, x)
+	}
+	return p
+}
+
+func (p *PeerCall) call() StateCall {
+	s := StateCall{Op: p.Op, Lane: p.Lane, Key: p.Key, After: p.After, Lease: p.Lease, Revision: p.Revision, Hold: time.Duration(p.HoldMS) * time.Millisecond, Txn: wire.Txn{If: p.If}}
+	for _, ch := range p.Then {
+		x := wire.Change{Put: ch.Put, Lease: ch.Lease, Delete: ch.Delete}
+		if ch.Put != "" {
+			x.Value = wire.Raw(ch.Value)
+		}
+		s.Txn.Then = append(s.Txn.Then, x)
+	}
+	return s
+}
+
+// size is about how many bytes an answer takes.
+func (r *StateReply) size() int {
+	n := len(r.Item.Value)
+	for i := range r.List.Items {
+		n += len(r.List.Items[i].Key) + len(r.List.Items[i].Value)
+	}
+	for i := range r.Events.Events {
+		n += len(r.Events.Events[i].Put) + len(r.Events.Events[i].Value) + len(r.Events.Events[i].Delete)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/ways_test.go
@@ -0,0 +1,153 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// A holder that alone is cut off from the state service goes on through a peer: it keeps
+// its grant and its shard, starts and ends work, and answers users.
+func TestCutFromTheStateServiceGoesAround(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		w := newWorld(t, 31, 3)
+		for i := range 4 {
+			w.addMachine([]string{"n", "s"}[i%2], false, sec)
+		}
+		w.run(10 * sec)
+		before := w.shardRec("red")
+		if refused {
+			w.cutFrom[before.Holder] = true
+		} else {
+			w.hung[before.Holder] = true
+		}
+		w.run(3 * sec)
+		w.submit(spec("job-000001", "red", wire.ShapeBatch, 3))
+		w.pollAll()
+		w.run(30 * sec)
+		if after := w.shardRec("red"); after.Holder != before.Holder || after.Boot != before.Boot {
+			t.Errorf("refused %v: the shard went from %s to %s", refused, before.Holder, after.Holder)
+		}
+		if u := w.unfinished(); u != nil {
+			t.Errorf("refused %v: not done: %v", refused, u)
+		}
+		direct := w.reached[before.Holder]
+		delete(w.cutFrom, before.Holder)
+		delete(w.hung, before.Holder)
+		w.run(10 * sec)
+		if n := w.reached[before.Holder] - direct; n < 10 {
+			t.Errorf("refused %v: %d calls of its own in 10 s after the cut", refused, n)
+		}
+	}
+}
+
+// Between a controller and the state service may stand two others.
+func TestWayOverTwoPeers(t *testing.T) {
+	w := newWorld(t, 32, 3)
+	name := w.addMachine("n", false, sec)
+	w.run(10 * sec)
+	holder := w.holderOf(name)
+	var others []string
+	for _, n := range sortedKeys(w.nodes) {
+		if n != holder {
+			others = append(others, n)
+		}
+	}
+	w.hung[holder], w.hung[others[0]] = true, true
+	w.mute[[2]string{holder, others[1]}], w.mute[[2]string{others[1], holder}] = true, true
+	w.run(3 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeBatch, 3))
+	w.run(40 * sec)
+	c := w.nodes[holder].core
+	if via := c.wayAround(); via != others[0] || c.now-c.lastConfirmed() > 5*sec {
+		t.Errorf("%s goes through %q, confirmed %v ago", holder, via, c.now-c.lastConfirmed())
+	}
+	if w.check.Final("job-000001") == "" {
+		w.poll(holder, "job-000001")
+		w.run(sec)
+	}
+	if w.check.Final("job-000001") != wire.JobDone {
+		t.Error("not done")
+	}
+}
+
+// A user never waits at a controller that can't serve while others can; in an outage that
+// all share every controller stays ready.
+func TestReadyFollowsReach(t *testing.T) {
+	w := newWorld(t, 33, 3)
+	w.run(10 * sec)
+	ready := func(n string) int {
+		got := 0
+		w.ask(n, func(q uint64) any { return Ready{q} }, func(a Answer) { got = a.Status })
+		return got
+	}
+	w.outage(8 * sec)
+	w.run(4 * sec)
+	for _, n := range sortedKeys(w.nodes) {
+		if s := ready(n); s != 200 {
+			t.Errorf("%s says %d in an outage that all share", n, s)
+		}
+	}
+	w.run(15 * sec)
+	w.hung["c1"] = true
+	w.run(3 * sec)
+	if s := ready("c1"); s != 200 {
+		t.Errorf("c1 says %d with a way through its peers", s)
+	}
+	w.silence("c1", true)
+	w.run(3 * sec)
+	if s := ready("c1"); s != 503 {
+		t.Errorf("c1 says %d with no way left", s)
+	}
+	began, code := w.now, 0
+	w.ask("c1", func(q uint64) any { return Poll{q, "job-000001"} }, func(a Answer) { code = a.Status })
+	if code != 503 || w.now != began {
+		t.Errorf("a poll there: %d", code)
+	}
+	w.silence("c1", false)
+	delete(w.hung, "c1")
+	w.run(5 * sec)
+	if s := ready("c1"); s != 200 {
+		t.Errorf("c1 says %d after the cut", s)
+	}
+}
+
+// Found in a random schedule: a controller that had just started read a job for a poll; the
+// answer was late, the job was aborted meanwhile, and the list of all keys, read without
+// it, was there first. The job was live again in that controller for ever.
+func TestAReadOlderThanTheListDoesNotBringAJobBack(t *testing.T) {
+	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
+	job := spec("job-000001", "red", wire.ShapeService, 1)
+	rec, err := job.Validate()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := wire.Marshal(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := map[int]uint64{}
+	step := func(in any) {
+		for _, e := range c.Step(c.now+10*time.Millisecond, time.Unix(1, 0), in) {
+			if v, ok := e.(StateCall); ok {
+				calls[v.Op] = v.ID
+			}
+		}
+	}
+	step(Tick{})
+	step(StateDone{calls[OpGrant], StateReply{Status: 200, Lease: 1}})
+	step(Tick{})
+	step(Poll{1, "job-000001"})
+	if calls[OpGet] == 0 || calls[OpList] == 0 {
+		t.Fatalf("no read or no list: %v", calls)
+	}
+	step(StateDone{calls[OpList], StateReply{Status: 200, List: wire.ItemList{Revision: 60}}})
+	if !c.loaded {
+		t.Fatal("the list is read")
+	}
+	step(StateDone{calls[OpGet], StateReply{Status: 200, Item: wire.Item{Key: jobKey("job-000001"), Value: raw, Version: 40}}})
+	if c.jobs["job-000001"] != nil {
+		t.Error("a read from before the list has brought the job back")
+	}
+}
--- a/internal/core/world_orders_test.go
+++ b/internal/core/world_orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -15,6 +16,9 @@
 			w.t.Fatalf("%v: %s calls %s to %s", w.now, n.name, v.Machine, cmd.Verb)
 		}
 	}
+	if v.Look {
+		return
+	}
 	granted, shard := uint64(0), wire.Shard{}
 	w.store.Scan(wire.PrefixBlock, func(it wire.Item) {
 		var b wire.Block
@@ -44,9 +48,20 @@
 
 // deliver brings direct commands to a worker. Some are lost, some come late; those for a
 // machine that hangs are read when it goes on.
-func (w *world) deliver(v Order, lag time.Duration) {
+func (w *world) deliver(n *ctrl, v Order, lag time.Duration) {
+	life := n.life
+	told := func(status int, r wire.Report) {
+		if (v.Roll || v.Look) && n.life == life {
+			w.step(n, OrderDone{Machine: v.Machine, Token: v.Orders.Token, Session: v.Orders.Session, Look: v.Look, For: v.For, Status: status, Report: r})
+		}
+	}
+	if w.outOfReach(n.name, v.Machine) {
+		w.at(tuning.OrderTimeout, func() { told(0, wire.Report{}) })
+		return
+	}
 	if w.unsure > 0 && w.rng.IntN(100) < w.unsure {
 		if w.rng.IntN(2) == 0 {
+			w.at(tuning.OrderTimeout, func() { told(0, wire.Report{}) })
 			return
 		}
 		lag += time.Duration(w.rng.IntN(8000)) * time.Millisecond
@@ -54,13 +69,21 @@
 	w.at(lag, func() {
 		m := w.machines[v.Machine]
 		if m.gone || !m.up {
+			w.at(tuning.OrderTimeout, func() { told(0, wire.Report{}) })
 			return
 		}
 		if m.Fault.Hung {
-			w.deliver(v, 100*time.Millisecond)
+			w.deliver(n, v, 100*time.Millisecond)
+			return
+		}
+		if v.Look {
+			r, out := m.Inspect(w.now)
+			w.drive(m, out)
+			w.at(w.lag(), func() { told(200, r) })
 			return
 		}
-		_, _, out := m.Orders(w.now, v.Orders)
+		status, r, out := m.Orders(w.now, v.Orders)
 		w.drive(m, out)
+		w.at(w.lag(), func() { told(status, r) })
 	})
 }
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -41,6 +41,7 @@
 	order    []string
 	work     *worker.Work
 	reportS  time.Duration // workers report so often
+	lease    time.Duration
 	runS     time.Duration // tasks run so long, up to 4 s more
 
 	nodes   map[string]*ctrl
@@ -51,6 +52,9 @@
 	slow    time.Duration      // when machines and cancelled tasks are looked at next
 	apart   map[[2]string]bool // zone pairs that cannot reach each other
 	lost    map[string]bool    // controllers that no worker reaches
+	hung    map[string]bool    // controllers whose calls of the state service arrive nowhere
+	mute    map[[2]string]bool // controllers that cannot speak to each other, each pair both ways round
+	noWays  bool               // controllers make no calls for each other, as those of earlier versions
 	check   *checker.Checker
 }
 
@@ -97,13 +101,11 @@
 	return x
 }
 
-const lease = 10 * time.Second
-
 func newWorld(t testing.TB, seed uint64, nodes int, opts ...func(*world)) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second, reportS: 2 * time.Second,
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second, reportS: 2 * time.Second, lease: 10 * time.Second,
 		limits:   state.Limits{ValueBytes: 8192, TxnOps: 8, PageItems: 20}, // short pages, to be crossed
 		machines: map[string]*host{}, work: worker.NewWork(), cutFrom: map[string]bool{}, reached: map[string]int{},
-		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, cancelS: 40 * time.Second,
+		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, hung: map[string]bool{}, mute: map[[2]string]bool{}, cancelS: 40 * time.Second,
 		teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 12}, "blue": {CPUs: 8, CPUsMax: 12}, "green": {CPUs: 8, CPUsMax: 12}},
 	}
 	for _, o := range opts {
@@ -125,7 +127,7 @@
 		all[fmt.Sprintf("c%d", i)] = []string{"n", "s"}[i%2]
 	}
 	w.params = func(node string) Params {
-		return Params{Node: node, Zone: all[node], Nodes: all, Teams: w.teams, Lease: lease, Cancel: w.cancelS,
+		return Params{Node: node, Zone: all[node], Nodes: all, Teams: w.teams, Lease: w.lease, Cancel: w.cancelS,
 			Report: w.reportS, ListLag: 4 * time.Second, TxnOps: w.limits.TxnOps, ValueBytes: w.limits.ValueBytes}
 	}
 	for _, n := range sortedKeys(all) {
@@ -242,13 +244,21 @@
 		case CloudCall:
 			w.at(w.lag(), func() { r := w.callCloud(v); w.at(w.lag(), back(CloudDone{v.ID, r})) })
 		case Order:
-			w.checkOrder(n, v)
-			w.deliver(v, w.lag())
+			if v.For == "" {
+				w.checkOrder(n, v)
+			}
+			w.deliver(n, v, w.lag())
 		case PeerSend:
 			a, b := w.params(n.name).Zone, w.params(v.To).Zone
-			if a != b && (w.apart[[2]string{a, b}] || w.apart[[2]string{b, a}]) {
+			if a != b && (w.apart[[2]string{a, b}] || w.apart[[2]string{b, a}]) || w.mute[[2]string{n.name, v.To}] {
 				continue
 			}
+			if o := v.Msg.Order; o != nil {
+				w.checkOrder(n, *o)
+			}
+			if w.noWays {
+				v.Msg.Way = 0
+			}
 			w.at(w.lag(), func() { w.step(w.nodes[v.To], Peer{v.Msg}) })
 		case Log:
 			if v.Level == 0 || testing.Verbose() {
@@ -258,6 +268,13 @@
 	}
 }
 
+// silence cuts a controller from its peers, or joins it to them again.
+func (w *world) silence(name string, cut bool) {
+	for n := range w.nodes {
+		w.mute[[2]string{name, n}], w.mute[[2]string{n, name}] = cut, cut
+	}
+}
+
 // ask puts a request to a node; f gets its answer unless the node dies.
 func (w *world) ask(node string, in func(req uint64) any, f func(Answer)) {
 	n := w.nodes[node]
@@ -287,6 +304,10 @@
 // up, and a quarter answered so late that the watch has long gone on.
 func (w *world) reach(node string, v StateCall, reply func(StateReply)) {
 	lag := w.lag()
+	if w.hung[node] {
+		w.at(tuning.StateTimeout+v.Hold, func() { reply(StateReply{}) })
+		return
+	}
 	w.reached[node]++
 	if v.Op == OpWatch && v.Hold > 0 && w.watchLag > 0 {
 		late := w.watchLag
@@ -425,6 +446,7 @@
 func (w *world) newHost(i wire.MachineInfo) {
 	if w.machines[i.Name] == nil {
 		w.machines[i.Name] = &host{Worker: w.newWorker(i), info: i}
+		w.cloud.SetAddr(i.Name, i.Name+":1")
 		w.order = append(w.order, i.Name)
 	}
 }
@@ -439,7 +461,7 @@
 
 func (w *world) newWorker(i wire.MachineInfo) *worker.Worker {
 	i.Addr = i.Name + ":1"
-	return worker.New(w.now, i, worker.Params{Report: w.reportS, Lease: lease, Nodes: sortedKeys(w.nodes),
+	return worker.New(w.now, i, worker.Params{Report: w.reportS, Lease: w.lease, Nodes: sortedKeys(w.nodes),
 		Type: wire.MachineType{CPUs: 4, MemoryGB: 16, FetchGBps: 1}}, w.work, w.rng)
 }
 
@@ -486,8 +508,7 @@
 		w.at(w.lag(), back(worker.Outcome{})) // refused
 		return
 	}
-	zone := w.params(s.Node).Zone
-	if w.lost[s.Node] || w.apart[[2]string{m.info.Zone, zone}] || w.apart[[2]string{zone, m.info.Zone}] {
+	if w.outOfReach(s.Node, m.info.Name) {
 		return
 	}
 	w.at(w.lag(), func() {
@@ -504,6 +525,12 @@
 	})
 }
 
+// outOfReach tells whether a controller and a machine cannot speak to each other.
+func (w *world) outOfReach(node, machine string) bool {
+	a, b := w.params(node).Zone, w.machines[machine].info.Zone
+	return w.lost[node] || w.apart[[2]string{a, b}] || w.apart[[2]string{b, a}]
+}
+
 func (w *world) hang(m *host) { m.Fault.Hung = true }
 
 func (w *world) resume(m *host) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/statestore"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/internal/workers"
+	"github.com/barrowbridge/barrowbridge/wire"
 )
 
 // Params turns settings into what the core needs.
@@ -227,7 +228,17 @@
 			n.inbox <- core.CloudDone{ID: v.ID, Reply: rep}
 		}()
 	case core.Order:
-		n.orders.Send(v.Addr, v.Orders)
+		var answer func(int, wire.Report)
+		if v.Roll || v.Look {
+			answer = func(status int, r wire.Report) {
+				n.inbox <- core.OrderDone{Machine: v.Machine, Token: v.Orders.Token, Session: v.Orders.Session, Look: v.Look, For: v.For, Status: status, Report: r}
+			}
+		}
+		if v.Look {
+			n.orders.Inspect(v.Addr, answer)
+		} else {
+			n.orders.Send(v.Addr, v.Orders, answer)
+		}
 	case core.PeerSend:
 		n.peers.Send(v.To, v.Msg)
 	case core.Log:
--- /dev/null
+++ b/internal/reach/workers.go
@@ -0,0 +1,191 @@
+package reach
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// WorkerLimits are the times by which reach of the workers is judged.
+type WorkerLimits struct {
+	Crowd  CrowdLimits
+	Probe  time.Duration // between samples, where no report shows that workers are reached
+	Wait   time.Duration // a sample is over after this
+	Sample int           // machines in a sample
+	Again  time.Duration // a shard that is sought is sampled again after this
+}
+
+// Anywhere stands for all shards together, in a sample of what is not held.
+const Anywhere = -1
+
+// Workers is what one controller knows of its reach of the workers: by their reports if
+// it holds machines, else by calling a few now and then.
+type Workers struct {
+	limits  WorkerLimits
+	last    map[int]time.Duration // held shard -> when one of its machines was last heard
+	silent  map[int]bool          // held shards whose machines have all fallen silent
+	any     time.Duration         // when any worker was last heard
+	lacks   bool
+	misses  int // samples in a row that nobody answered
+	hits    int
+	samples map[int]*Sample
+	began   map[int]time.Duration // when a shard was last sampled
+	hears   map[int]wire.ShardReach
+	asking  map[int]bool // held shards so silent that some of their machines are called
+	own     map[int]called
+}
+
+// called is what the last sample of a held shard has shown, and when it began.
+type called struct {
+	at    time.Duration
+	heard int
+}
+
+// NewWorkers returns a judgement that knows nothing yet.
+func NewWorkers(l WorkerLimits) *Workers {
+	return &Workers{limits: l, last: map[int]time.Duration{}, silent: map[int]bool{}, samples: map[int]*Sample{},
+		began: map[int]time.Duration{}, hears: map[int]wire.ShardReach{}, asking: map[int]bool{}, own: map[int]called{}}
+}
+
+// HeardThrough notes a report that a peer passed on: the shard is served, and nothing is
+// shown of what is reached from here.
+func (w *Workers) HeardThrough(now time.Duration, shard int) {
+	if _, held := w.last[shard]; held {
+		w.last[shard] = now
+	}
+}
+
+// Heard notes that a worker has reported, or answered a call. shard is that of its
+// machine if it is held here, else Anywhere.
+func (w *Workers) Heard(now time.Duration, shard int, machine string) {
+	w.any = now
+	if _, held := w.last[shard]; held {
+		w.last[shard] = now
+	}
+	for _, s := range w.samples {
+		s.Answered(machine)
+	}
+}
+
+// Silent is for how long no machine of a held shard has been heard; 0 if that says
+// nothing yet.
+func (w *Workers) Silent(now time.Duration, shard int) time.Duration {
+	if !w.silent[shard] {
+		return 0
+	}
+	return now - w.last[shard]
+}
+
+// Lacks tells whether no workers are reached.
+func (w *Workers) Lacks() bool { return w.lacks }
+
+// Watch judges the held shards, by how many machines of each are expected and heard.
+func (w *Workers) Watch(now time.Duration, held map[int]Crowd) {
+	for i := range w.last {
+		if _, ok := held[i]; !ok {
+			delete(w.last, i)
+			delete(w.silent, i)
+		}
+	}
+	speaking := false
+	clear(w.asking)
+	for i, c := range held {
+		if _, known := w.last[i]; !known {
+			w.last[i] = now
+		}
+		c.Last = w.last[i]
+		level, _ := w.limits.Crowd.Judge(now, c)
+		// Calls that nobody answers make a silence that may be chance a certainty.
+		asked, called := w.own[i]
+		unanswered := called && asked.at > c.Last && asked.heard == 0
+		if level == Asking || level == Down {
+			w.asking[i] = true
+		} else {
+			delete(w.own, i)
+		}
+		delete(w.silent, i)
+		if level == Down || level == Asking && unanswered {
+			w.silent[i] = true
+			w.lacks = w.lacks || unanswered
+		}
+		speaking = speaking || level == Up || level == Doubt
+	}
+	if speaking && now-w.any <= w.limits.Probe {
+		w.lacks, w.misses, w.hits = false, 0, 0
+	}
+}
+
+// Probe names machines to call now: a few of each shard that another seeks, and a few of
+// any where nothing else shows whether workers are reached. pick names up to n machines
+// of a shard with known addresses.
+func (w *Workers) Probe(now time.Duration, sought map[int]bool, pick func(shard, n int) []string) (calls []string) {
+	w.results(now)
+	due := append(slices.Sorted(maps.Keys(w.asking)), slices.Sorted(maps.Keys(sought))...)
+	for i := range w.hears {
+		if !sought[i] {
+			delete(w.hears, i)
+		}
+	}
+	if now-w.any > w.limits.Probe || w.lacks {
+		due = append(due, Anywhere)
+	}
+	for _, i := range due {
+		every := w.limits.Again
+		if i == Anywhere && w.misses != 1 { // a first miss is looked into at once
+			every = w.limits.Probe
+		} else if i == Anywhere {
+			every = 0
+		}
+		if at, ok := w.began[i]; w.samples[i] != nil || ok && now-at < every {
+			continue
+		}
+		names := pick(i, w.limits.Sample)
+		if len(names) == 0 {
+			continue
+		}
+		w.began[i], w.samples[i] = now, NewSample(now, names)
+		calls = append(calls, names...)
+	}
+	return calls
+}
+
+// results takes the samples that are over.
+func (w *Workers) results(now time.Duration) {
+	for _, i := range slices.Sorted(maps.Keys(w.samples)) {
+		s := w.samples[i]
+		of, heard, ready := s.Result(now, w.limits.Wait)
+		if !ready {
+			continue
+		}
+		delete(w.samples, i)
+		if _, held := w.last[i]; held {
+			w.own[i] = called{s.began, heard}
+		} else if i != Anywhere {
+			w.hears[i] = wire.ShardReach{Shard: i, Of: of, Heard: heard}
+		}
+		if heard > 0 {
+			w.misses = 0
+			if w.hits++; w.hits >= 2 {
+				w.lacks = false
+			}
+			continue
+		}
+		w.hits = 0
+		// One machine may be dead, and one sample unlucky.
+		if w.misses++; w.misses >= 2 && of > 1 || w.misses >= 3 {
+			w.lacks = true
+		}
+	}
+}
+
+// Word is what the others should know. A shard that is sought by its holder is named as
+// reached only once machines of it have answered.
+func (w *Workers) Word() wire.Reach {
+	r := wire.Reach{Lacks: w.lacks, Seeks: slices.Sorted(maps.Keys(w.silent))}
+	for _, i := range slices.Sorted(maps.Keys(w.hears)) {
+		r.Hears = append(r.Hears, w.hears[i])
+	}
+	return r
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -107,7 +107,7 @@
 	awaited := call.Lane == core.LaneUser && len(call.Txn.Then) > 0
 	for tries := 0; ; tries++ {
 		if err := c.admit(ctx, &call); err != nil {
-			return core.StateReply{Status: http.StatusTooManyRequests, Err: err.Error()}
+			return core.StateReply{Status: http.StatusTooManyRequests, Err: err.Error(), Own: true}
 		}
 		rep := c.do(ctx, call)
 		if n := len(call.Txn.Then); n > 0 {
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -48,6 +48,8 @@
 	Rented          = "rented"           // Count machines were asked for; Why tells for which shard
 	RentRefused     = "rent_refused"     //
 	CloudFailed     = "cloud_failed"     //
+	ShardGiven      = "shard_given"      // its holder gives it to Node, which can serve it
+	WayChanged      = "way_changed"      // calls of the state service go through Node, or directly again; Why tells what is believed of the link
 	StateRefused    = "state_refused"    // a write of the holder was not taken
 )
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -136,7 +136,23 @@
 	OrderTimeout = 1500 * time.Millisecond
 	// OrderQueue and OrderCalls (calls): waiting and under way.
 	OrderQueue = 256
-	OrderCalls = 16
+	OrderCalls = 96
+	// RollPerSecond and RollBurst (calls a second, calls at once): to workers of machines
+	// that are not accounted for after a change of hands. Some hundred are to be heard of
+	// within three seconds; each call costs a third of a millisecond.
+	RollPerSecond = 300
+	RollBurst     = 60
+	// RollOpen (calls): under way at a time, fewer than are queued and made: those to dead
+	// machines take OrderTimeout each.
+	RollOpen = 128
+	// RollLook (machines): looked at in one turn.
+	RollLook = 1024
+	// RollPause and RollPauseMax (duration): before a machine is called again.
+	RollPause    = 500 * time.Millisecond
+	RollPauseMax = 4 * time.Second
+	// AddrsEvery (duration): between looks whether addresses of workers are lacking. The
+	// cloud's list lags by seconds anyway, and its calls are few.
+	AddrsEvery = 10 * time.Second
 	// PreemptEvery (duration): between looks for lesser work to stop; each looks at all
 	// machines once, for all urgent tasks that wait.
 	PreemptEvery = 100 * time.Millisecond
@@ -236,10 +252,60 @@
 	// AcceptPause (duration): after a connection could not be accepted, mostly for want
 	// of sockets; one frees up within moments.
 	AcceptPause = 100 * time.Millisecond
-	// PeerQueue (messages): waiting for one peer; advice only, more is dropped.
-	PeerQueue = 16
-	// PeerFrame (bytes): the largest message between controllers.
-	PeerFrame = 64 << 10
+	// PeerQueue (messages): waiting for one peer; more are dropped. A controller that is
+	// cut off from its workers and the state service has all its traffic there.
+	PeerQueue = 512
+	// PeerFrame (bytes): the largest message between controllers. PeerCarry (bytes): of an
+	// answer of the state service that is passed on: a page of a list and what is around it.
+	PeerFrame = 1 << 20
+	PeerCarry = 768 << 10
+	// LinkLate (duration): an answer of the state service that is late, though renewals
+	// wait for none of our limits; answers take 10 ms, now and then a few hundred. A
+	// renewal that is found late so still leaves half of GrantTTL for the way around.
+	LinkLate = 600 * time.Millisecond
+	// LinkDown (duration): a link in doubt for so long is taken for down.
+	LinkDown = 1500 * time.Millisecond
+	// LinkBack, LinkBackMax and LinkWindow (duration): a link that was down counts as up
+	// after answers for LinkBack, twice as long with each fall within LinkWindow.
+	LinkBack    = 1 * time.Second
+	LinkBackMax = 16 * time.Second
+	LinkWindow  = 60 * time.Second
+	// WayKeep (duration): a peer's word that it has a way to the state service counts for
+	// so long; it comes with every message. WayFresh (duration): since the last answer, for
+	// us to give that word. WayHops (controllers): most on a way.
+	WayKeep  = 1300 * time.Millisecond
+	WayFresh = 2500 * time.Millisecond
+	WayHops  = 2
+	// ReachEvery (duration): between judgements of what is reached.
+	ReachEvery = 200 * time.Millisecond
+	// SilenceLeast (duration) and SilenceGaps (expected gaps): all machines of a shard
+	// silent for longer are out of reach. Reports come at random: fifteen gaps without one
+	// are an accident once in three million.
+	SilenceLeast = 1 * time.Second
+	SilenceGaps  = 15
+	// AskGaps (expected gaps) and AskReports (report intervals): silence after which some
+	// of the machines are called. Intervals spread by a quarter.
+	AskGaps    = 5
+	AskReports = 1.3
+	// ProbeEvery, ProbeWait (duration), ProbeSample (machines), ProbeAgain (duration): a
+	// controller to whom no worker reports calls a few so often, to know whether it could
+	// serve them: three calls a second, a tenth of a percent of a core. A shard whose holder
+	// seeks it is sampled at once, and again after ProbeAgain.
+	ProbeEvery  = 1200 * time.Millisecond
+	ProbeWait   = 500 * time.Millisecond
+	ProbeSample = 4
+	ProbeAgain  = 3 * time.Second
+	// GiveAfter (duration): a shard's machines are silent for so long before it is given
+	// away; MoveGain (share): by how much more of them another must reach.
+	GiveAfter = 1200 * time.Millisecond
+	MoveGain  = 0.5
+	// ApartAfter (duration): a present controller that has not answered for so long is said
+	// to be out of reach; over GrantTTL, so that one that has died is not.
+	ApartAfter = 3500 * time.Millisecond
+	// TellReach (duration): between writes of a controller's word on what it reaches.
+	TellReach = 500 * time.Millisecond
+	// CutAfter (duration): without any way to the state service, before users are told.
+	CutAfter = 500 * time.Millisecond
 	// PeerPings (messages): unanswered pings remembered.
 	PeerPings = 16
 	// RelayReports (reports): passed on for a worker before it is sent to its
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -24,7 +24,8 @@
 
 type call struct {
 	addr   string
-	orders wire.Orders
+	orders *wire.Orders // nil: only the report is asked for
+	answer func(status int, r wire.Report)
 }
 
 // New returns a client that works until the context ends; done is called after each
@@ -40,10 +41,21 @@
 	return c
 }
 
-// Send queues a call; it says whether there was room.
-func (c *Client) Send(addr string, o wire.Orders) bool {
+// Send queues a call; it says whether there was room. answer, if given, gets the worker's
+// report as it stands after the call, or before one that was refused (409); status 0 means
+// that no report came. It is not called for a call that found no room.
+func (c *Client) Send(addr string, o wire.Orders, answer func(status int, r wire.Report)) bool {
+	return c.put(call{addr, &o, answer})
+}
+
+// Inspect queues a call that only asks for the worker's report, as Send does.
+func (c *Client) Inspect(addr string, answer func(status int, r wire.Report)) bool {
+	return c.put(call{addr, nil, answer})
+}
+
+func (c *Client) put(x call) bool {
 	select {
-	case c.queue <- call{addr, o}:
+	case c.queue <- x:
 		return true
 	default:
 		return false
@@ -58,12 +70,23 @@
 		case x := <-c.queue:
 			began := time.Now()
 			ctx, cancel := context.WithTimeout(ctx, tuning.OrderTimeout)
-			status, _, err := cborhttp.RoundTrip(ctx, c.http, http.MethodPost, "http://"+x.addr+"/orders", x.orders)
+			method, path, body := http.MethodGet, "/inspect", any(nil)
+			if x.orders != nil {
+				method, path, body = http.MethodPost, "/orders", *x.orders
+			}
+			status, raw, err := cborhttp.RoundTrip(ctx, c.http, method, "http://"+x.addr+path, body)
 			cancel()
 			if err != nil {
 				c.log.Debug("no answer to direct commands", "to", x.addr, "err", err.Error())
 			}
 			c.done(status, time.Since(began))
+			if x.answer != nil {
+				var r wire.Report
+				if wire.Unmarshal(raw, &r) != nil || r.Machine == "" {
+					status = 0
+				}
+				x.answer(status, r)
+			}
 		}
 	}
 }
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -22,6 +22,9 @@
 		var o wire.Orders
 		if r.URL.Path == "/orders" && wire.Unmarshal(b, &o) == nil {
 			got <- o
+			b, _ := wire.Marshal(wire.Report{Machine: "m", Session: 3, Seq: 8, Token: 9})
+			w.WriteHeader(409)
+			_, _ = w.Write(b)
 		}
 	}))
 	defer srv.Close()
@@ -31,7 +34,13 @@
 	defer close(stall)
 	ended := make(chan int, 4)
 	c := New(ctx, slog.New(slog.DiscardHandler), func(status int, _ time.Duration) { ended <- status })
-	if !c.Send(silent.Listener.Addr().String(), wire.Orders{Token: 1, Session: 1}) || !c.Send(srv.Listener.Addr().String(), wire.Orders{Token: 7, Session: 2}) {
+	type told struct {
+		status int
+		r      wire.Report
+	}
+	tells := make(chan told, 2)
+	tell := func(status int, r wire.Report) { tells <- told{status, r} }
+	if !c.Send(silent.Listener.Addr().String(), wire.Orders{Token: 1, Session: 1}, tell) || !c.Send(srv.Listener.Addr().String(), wire.Orders{Token: 7, Session: 2}, tell) {
 		t.Fatal("no room in an empty queue")
 	}
 	select {
@@ -42,15 +51,21 @@
 	case <-time.After(5 * time.Second):
 		t.Fatal("nothing arrived")
 	}
-	if s := <-ended; s != 200 {
+	if s := <-ended; s != 409 {
 		t.Errorf("status %d", s)
 	}
+	if x := <-tells; x.status != 409 || x.r.Session != 3 || x.r.Token != 9 {
+		t.Errorf("the report of a refusal: %+v", x)
+	}
 	select {
 	case s := <-ended:
 		if s != 0 {
 			t.Errorf("the silent one answered %d", s)
 		}
 	case <-time.After(tuning.OrderTimeout + 5*time.Second):
-		t.Error("a silent worker holds a call for ever")
+		t.Fatal("a silent worker holds a call for ever")
+	}
+	if x := <-tells; x.status != 0 {
+		t.Errorf("the silent one's report: %+v", x)
 	}
 }
