--- a/internal/core/ways.go
+++ b/internal/core/ways.go
@@ -52,7 +52,7 @@
 	told    reach.Level // what the log was last told
 	probing bool
 	wayless map[string]Time // peers heard without a way of their own, and when
-	around  bool            // calls go through a peer
+	through string          // the peer that calls go through
 }
 
 func newWays() ways {
@@ -110,7 +110,7 @@
 	if j := c.ways.link.Judge(c.now); j.Level == reach.Up && c.now-c.ways.link.LastOK() < tuning.WayFresh {
 		return 1
 	}
-	if peer, hops := c.ways.routes.Best(c.now); peer != "" && peer != to && c.ways.around {
+	if peer, hops := c.ways.routes.Best(c.now); peer != "" && peer != to && c.ways.through != "" {
 		return hops + 1
 	}
 	return 0
@@ -135,8 +135,10 @@
 func (c *Core) keepWays() {
 	j := c.ways.link.Judge(c.now)
 	var late []uint64
+	via := c.wayAround()
 	for id, w := range c.stateWait {
-		if w.via != "" && c.now > w.until {
+		// A way that is one no more, by its peer's silence or word, is not waited for.
+		if w.via != "" && (c.now > w.until || w.via != via && c.now-w.sent > tuning.WayGrace) {
 			late = append(late, id)
 		}
 	}
@@ -147,12 +149,13 @@
 		c.ways.routes.Offer(c.now, w.via, -1)
 		w.f(StateReply{Err: "no answer through " + w.via})
 	}
-	via := c.wayAround()
-	if around := via != ""; around != c.ways.around {
-		c.ways.around = around
-		if around {
+	if via = c.wayAround(); via != c.ways.through {
+		if c.ways.through == "" {
 			c.giveUpDirect()
 		}
+		if c.ways.through = via; via != "" {
+			c.extendAt = min(c.extendAt, c.now) // what a grant hangs on goes first
+		}
 		c.note(wire.TrailEvent{Kind: trail.WayChanged, Node: via, Why: j.Level.String() + ": " + j.Why})
 		c.log(1, "calls of the state service", "through", via, "link", j.Level.String(), "why", j.Why)
 	}
@@ -182,7 +185,7 @@
 
 // probeState asks for a small key over the link itself, as long as calls go around it.
 func (c *Core) probeState() {
-	if c.ways.probing || !c.ways.around || !c.every("probe", tuning.RetryAfter) {
+	if c.ways.probing || c.ways.through == "" || !c.every("probe", tuning.RetryAfter) {
 		return
 	}
 	c.ways.probing = true
--- a/internal/core/ways_test.go
+++ b/internal/core/ways_test.go
@@ -205,3 +205,85 @@
 		}
 	}
 }
+
+// After a change of hands a worker that no report brings to its new holder is called; its
+// answer accounts for the machine, whatever session it is in, and the former holder, who
+// still answers it, starts nothing more there.
+func TestCallAccountsForAMachine(t *testing.T) {
+	w := newWorld(t, 36, 3, func(w *world) { w.reportS = 8 * sec; w.lease = 26 * sec; w.cancelS = 60 * sec })
+	for i := range 6 {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(20 * sec)
+	s := spec("job-000001", "red", wire.ShapeService, 2)
+	s.DueS = nil
+	w.submit(s)
+	w.run(15 * sec)
+	old := w.shardRec("red").Holder
+	w.hung[old] = true
+	w.silence(old, true)
+	began := w.now
+	for w.now < began+10*sec && (w.shardRec("red").Holder == old || !w.shardRec("red").Settled) {
+		w.run(50 * time.Millisecond)
+	}
+	if took := w.now - began; took > 5*sec {
+		t.Errorf("settled %v after the cut; a report every 8 s, a grant of 3 s", took)
+	}
+	next := w.nodes[w.shardRec("red").Holder].core
+	var m *machine
+	for _, x := range next.heldMachines() {
+		if len(x.attempts) > 0 {
+			m = x
+		}
+	}
+	if m == nil || m.lastOK == 0 {
+		t.Fatalf("the replicas are not known to %s", next.p.Node)
+	}
+	// What is not its report, or of another's token, accounts for nothing.
+	m.inherited, m.accounted = true, false
+	next.open[m.shard]++
+	next.roll.Add(m, false)
+	r, _ := w.machines[m.name].Inspect(w.now)
+	for what, d := range map[string]OrderDone{
+		"another machine's":  {Machine: m.name, Status: 200, Report: wire.Report{Machine: "other", Session: r.Session, Seq: r.Seq + 9, Token: r.Token}},
+		"refused":            {Machine: m.name, Status: 409, Report: wire.Report{Machine: m.name, Session: r.Session, Seq: r.Seq + 9, Token: r.Token}},
+		"without our token":  {Machine: m.name, Status: 200, Report: wire.Report{Machine: m.name, Session: r.Session, Seq: r.Seq + 9, Token: m.takenToken - 1}},
+		"with a later token": {Machine: m.name, Status: 200, Report: wire.Report{Machine: m.name, Session: r.Session, Seq: r.Seq + 9, Token: 1 << 40}},
+		"only looked at":     {Machine: m.name, Status: 200, Look: true, Report: wire.Report{Machine: m.name, Session: r.Session, Seq: r.Seq + 9, Token: r.Token}},
+		"older":              {Machine: m.name, Status: 200, Report: wire.Report{Machine: m.name, Session: r.Session, Seq: 1, Token: r.Token}},
+	} {
+		if next.onOrderDone(d); m.accounted {
+			t.Fatalf("%s: accounts for the machine", what)
+		}
+	}
+}
+
+// Neither a cut nor its end makes a storm of calls, with a way around or without one.
+func TestNoStormOfCalls(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		w := maskedWorld(t, 37)
+		most := func(d time.Duration) (n int) {
+			for end := w.now + d; w.now < end; {
+				before := w.tried["c0"]
+				w.run(sec)
+				n = max(n, w.tried["c0"]-before)
+			}
+			return n
+		}
+		w.pollAll()
+		quiet := most(10 * sec)
+		w.hung["c0"] = true
+		w.silence("c0", alone)
+		cut := most(60 * sec)
+		if h := w.holders()[1]; !alone && h != "c0" {
+			t.Errorf("the shard went to %s, though peers were in reach", h)
+		}
+		delete(w.hung, "c0")
+		w.silence("c0", false)
+		if healed := most(20 * sec); cut > quiet+10 || healed > 2*quiet+20 {
+			t.Errorf("alone %v: %d calls a second at the most on a quiet day, %d in the cut, %d after it", alone, quiet, cut, healed)
+		} else {
+			t.Logf("alone %v: %d calls a second at the most on a quiet day, %d in the cut, %d after it", alone, quiet, cut, healed)
+		}
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -29,7 +29,8 @@
 	calls    map[uint64]func(StateReply)
 	callID   uint64
 	limits   state.Limits
-	reached  map[string]int      // calls of the state service, by node
+	reached  map[string]int      // calls of the state service that arrived, by node
+	tried    map[string]int      // and that were made
 	spent    func(time.Duration) // told what each input of a core took of real time; nil: nobody
 	watchLag time.Duration       // answers to held watches come so much later
 	cutFrom  map[string]bool     // nodes alone without the state service
@@ -106,7 +107,7 @@
 func newWorld(t testing.TB, seed uint64, nodes int, opts ...func(*world)) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second, reportS: 2 * time.Second, lease: 10 * time.Second,
 		limits:   state.Limits{ValueBytes: 8192, TxnOps: 8, PageItems: 20}, // short pages, to be crossed
-		machines: map[string]*host{}, work: worker.NewWork(), cutFrom: map[string]bool{}, reached: map[string]int{},
+		machines: map[string]*host{}, work: worker.NewWork(), cutFrom: map[string]bool{}, reached: map[string]int{}, tried: map[string]int{},
 		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, hung: map[string]bool{}, noCloud: map[string]bool{}, oneWay: map[string]string{}, mute: map[[2]string]bool{}, cancelS: 40 * time.Second,
 		teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 12}, "blue": {CPUs: 8, CPUsMax: 12}, "green": {CPUs: 8, CPUsMax: 12}},
 	}
@@ -310,6 +311,7 @@
 // up, and a quarter answered so late that the watch has long gone on.
 func (w *world) reach(node string, v StateCall, reply func(StateReply)) {
 	lag := w.lag()
+	w.tried[node]++
 	if w.hung[node] {
 		w.at(tuning.StateTimeout+v.Hold, func() { reply(StateReply{}) })
 		return
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -52,13 +52,18 @@
 
 // Links holds the connections to the other controllers.
 type Links struct {
-	log *slog.Logger
-	out map[string]chan core.PeerMessage
+	log  *slog.Logger
+	out  map[string]chan core.PeerMessage
+	dial func(addr string) (net.Conn, error)
 }
 
 // Dial starts a link to each address. Links connect, and connect again, by themselves.
 func Dial(ctx context.Context, addrs map[string]string, log *slog.Logger) *Links {
-	l := &Links{log: log, out: map[string]chan core.PeerMessage{}}
+	return start(ctx, addrs, log, func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, tuning.PeerTimeout) })
+}
+
+func start(ctx context.Context, addrs map[string]string, log *slog.Logger, dial func(string) (net.Conn, error)) *Links {
+	l := &Links{log: log, out: map[string]chan core.PeerMessage{}, dial: dial}
 	for name, addr := range addrs {
 		ch := make(chan core.PeerMessage, tuning.PeerQueue)
 		l.out[name] = ch
@@ -85,9 +90,10 @@
 		case m = <-ch:
 		}
 		if conn == nil {
-			c, err := net.DialTimeout("tcp", addr, tuning.PeerTimeout)
+			c, err := l.dial(addr)
 			if err != nil {
 				l.log.Debug("peer not reached", "peer", name, "err", err.Error())
+				drop(ch) // what has waited meanwhile is old, and would come all at once
 				continue
 			}
 			conn = c
@@ -101,6 +107,17 @@
 	}
 }
 
+// drop empties a queue.
+func drop(ch chan core.PeerMessage) {
+	for {
+		select {
+		case <-ch:
+		default:
+			return
+		}
+	}
+}
+
 // Serve takes connections and hands their messages on until the listener is closed.
 // For want of a file or socket it pauses: a moment's shortage must not end the process.
 func Serve(ln net.Listener, deliver func(core.PeerMessage), log *slog.Logger) error {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/core"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
 )
 
 // faulty fails to accept at first, as a process does that has no free file or socket.
@@ -59,7 +60,12 @@
 }
 
 func TestFrames(t *testing.T) {
-	in := core.PeerMessage{From: "a", Boot: 7, Nonce: 3, Revision: 1200, UpMS: 5, Jobs: []core.JobCount{{ID: "job-000001", Running: 2, Done: 1}}}
+	in := core.PeerMessage{From: "a", Boot: 7, Nonce: 3, Revision: 1200, UpMS: 5, Jobs: []core.JobCount{{ID: "job-000001", Running: 2, Done: 1}}, Way: 2, Word: &wire.Reach{Boot: 7, Lacks: true, Seeks: []int{1}, Hears: []wire.ShardReach{{Shard: 1, Of: 4, Heard: 3}}, Apart: []string{"b"}},
+		Call: &core.PeerCall{ID: 9, Life: 4, Hops: 1, Op: core.OpCommit, Key: "live/x", If: []wire.Condition{{Key: "live/x", Version: 3}}, Then: []core.PeerChange{{Put: "live/x", Value: []byte{0xa0}, Lease: 8}}},
+		Result: &core.PeerResult{ID: 9, Life: 4, Reply: core.StateReply{Status: 200, Item: wire.Item{Key: "live/x", Value: wire.Raw{0xa0}, Version: 4},
+			List: wire.ItemList{Items: []wire.Item{{Key: "live/y", Value: wire.Raw{0x01}, Version: 2}}, Revision: 9}, Events: wire.Events{Revision: 9, Events: []wire.Event{{Delete: "live/z", Version: 9}}}}},
+		Order:   &core.Order{Machine: "m", Addr: "1:1", Orders: wire.Orders{Token: 5, Session: 2}, Roll: true},
+		Ordered: &core.OrderDone{Machine: "m", Token: 5, Session: 2, Status: 409, Report: wire.Report{Machine: "m", Session: 3, Seq: 8}}}
 	var b bytes.Buffer
 	if err := Write(&b, in); err != nil {
 		t.Fatal(err)
@@ -87,3 +93,41 @@
 		}
 	}
 }
+
+// While a peer cannot be connected to, what waits for it grows old; when it is back it gets
+// what is said from then on, and no flood.
+func TestNothingOldAfterACut(t *testing.T) {
+	began, cut := make(chan bool, 1), make(chan bool)
+	near, far := net.Pipe()
+	first := true
+	dial := func(string) (net.Conn, error) {
+		if first {
+			first = false
+			began <- true
+			<-cut
+			return nil, syscall.ETIMEDOUT
+		}
+		return near, nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := start(ctx, map[string]string{"b": "x"}, slog.New(slog.DiscardHandler), dial)
+	l.Send("b", core.PeerMessage{From: "a", Nonce: 1})
+	<-began
+	for n := range uint64(50) {
+		l.Send("b", core.PeerMessage{From: "a", Nonce: 2 + n})
+	}
+	close(cut)
+	for len(l.out["b"]) > 0 { // dropped, or sent: then the pipe holds the first of them
+		time.Sleep(time.Millisecond)
+		if len(l.out["b"]) == 49 {
+			break
+		}
+	}
+	l.Send("b", core.PeerMessage{From: "a", Nonce: 100})
+	_ = far.SetReadDeadline(time.Now().Add(10 * time.Second))
+	m, err := Read(far)
+	if err != nil || m.Nonce != 100 {
+		t.Errorf("message %d, %v", m.Nonce, err)
+	}
+}
--- a/internal/reach/link.go
+++ b/internal/reach/link.go
@@ -48,6 +48,7 @@
 	open    map[uint64]time.Duration // calls under way by id, and when they were sent
 	reasons int                      // for doubt, since the last answer
 	lastOK  time.Duration            // when the last answered call was sent
+	badSent time.Duration            // when the last call was sent that gave a reason for doubt
 	backAt  time.Duration            // first answer after the link was down; 0: none yet
 	back    time.Duration
 	fellAt  time.Duration // when it was last judged down
@@ -70,10 +71,13 @@
 		if sent < l.lastOK {
 			return // older than an answer: it was lost on its own
 		}
-		l.doubt(now, [...]string{"", "refused", "no answer"}[o])
+		l.doubt(now, sent, [...]string{"", "refused", "no answer"}[o])
 		return
 	}
 	l.lastOK = max(l.lastOK, sent)
+	if sent < l.badSent {
+		return // as old as that: a watch held open from before says nothing of now
+	}
 	l.reasons = 0
 	switch l.level {
 	case Down:
@@ -88,8 +92,9 @@
 	}
 }
 
-func (l *Link) doubt(now time.Duration, why string) {
+func (l *Link) doubt(now, sent time.Duration, why string) {
 	l.reasons++
+	l.badSent = max(l.badSent, sent)
 	l.backAt = 0
 	if l.level != Down && l.level != Doubt {
 		l.set(now, Doubt, why)
@@ -121,7 +126,7 @@
 	for id, at := range l.open {
 		if now-at >= l.limits.Late && at >= l.lastOK {
 			delete(l.open, id) // counts once
-			l.doubt(now, "an answer is late")
+			l.doubt(now, at, "an answer is late")
 		}
 	}
 	if l.level == Doubt && now-l.since >= l.limits.Down && l.reasons >= 2 {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -34,6 +34,8 @@
 	l.Done(9500*ms, 3, 500*ms, Silent)
 	want(9500*ms, Up, "answers")
 	l.Done(10*time.Second, 4, 9900*ms, Refused)
+	// An answer to a call from before the refusal does not speak against it.
+	l.Done(10100*ms, 8, 9800*ms, Answered)
 	want(10*time.Second, Doubt, "refused")
 	l.Done(11*time.Second, 5, 10*time.Second, Silent)
 	want(11400*ms, Doubt, "refused")
--- a/internal/reach/workers.go
+++ b/internal/reach/workers.go
@@ -127,7 +127,8 @@
 		delete(w.silent, i)
 		// Those that answer calls may be on their way here, but not for ever.
 		coming := w.answered[i] > c.Last && now-c.Last <= time.Duration(w.limits.Crowd.Most*float64(w.limits.Crowd.Every))
-		if level == Down && !coming || level == Asking && unanswered {
+		cutOff := w.lacks && now-c.Last > w.limits.Crowd.Least // known from calls to others already
+		if level == Down && !coming || level == Asking && unanswered || cutOff {
 			w.silent[i] = true
 			w.lacks = w.lacks || unanswered
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -283,6 +283,9 @@
 	WayKeep  = 1300 * time.Millisecond
 	WayFresh = 2500 * time.Millisecond
 	WayHops  = 2
+	// WayGrace (duration): after which a call through a peer that is no way any more is given
+	// up; its answer may be on its way.
+	WayGrace = 200 * time.Millisecond
 	// ReachEvery (duration): between judgements of what is reached.
 	ReachEvery = 200 * time.Millisecond
 	// SilenceLeast (duration) and SilenceGaps (expected gaps): all machines of a shard
