Cuts: a process that slept takes nothing for silence; rehearsals say when a cut is noticed

Need: a controller that had stood still judged its machines by the time it slept through, and the trail named a shard given away five times a second while its write was under way. Rehearsals of cuts showed no step.

--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -149,7 +149,7 @@
 			}
 		}
 		to := rules.GiveTo(duty.Reach{Of: held[i].Of}, silent, c.shards[i].rec.Home, c.p.Nodes, others)
-		if to == "" {
+		if to == "" || c.now < c.retryAt["take:"+shardKey(i)] {
 			continue
 		}
 		c.noteShard(trail.ShardGiven, i, wire.TrailEvent{Node: to, Why: fmt.Sprintf("its machines silent for %.1f s here, heard there", silent.Seconds())})
--- a/internal/reach/workers.go
+++ b/internal/reach/workers.go
@@ -29,6 +29,7 @@
 	last           map[int]time.Duration // held shard -> when one of its machines last reported
 	answered       map[int]time.Duration // and when one last answered a call
 	silent         map[int]bool          // held shards whose machines have all fallen silent
+	watched        time.Duration         // when the held shards were last judged
 	any            time.Duration         // when any worker was last heard
 	lacks          bool
 	deaf, deafTill time.Duration // after a shard was given away: for how long, and until when
@@ -108,6 +109,13 @@
 			delete(w.answered, i)
 		}
 	}
+	// Who has stood still has heard nobody meanwhile, and it says nothing of them.
+	if now-w.watched >= w.limits.Crowd.Least {
+		for i := range w.last {
+			w.last[i] = now
+		}
+	}
+	w.watched = now
 	speaking := false
 	clear(w.asking)
 	for i, c := range held {
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -106,6 +106,7 @@
 	{"machine_silent", hitsMachine}, {"lease_over", hitsMachine}, {"machine_notice", hitsMachine}, {"machine_gone", hitsMachine},
 	{"task_failed", hitsMachine}, {"machine_faulty", hitsMachine}, {"machine_returned", hitsMachine},
 	{"node_gone", hitsController}, {"shard_taken", hitsController}, {"shard_yielded", hitsController},
+	{"way_changed", byController}, {"shard_given", byController}, {"lead_given", byController},
 	{"unconfirmed", func(i *Incident, o *Observation) bool { return i.Services || slices.Contains(i.Controllers, o.By) }},
 	{"cloud_failed", func(i *Incident, _ *Observation) bool { return i.Services }},
 	{"rent_refused", func(i *Incident, _ *Observation) bool { return i.Services }},
@@ -123,6 +124,8 @@
 
 func hitsController(i *Incident, o *Observation) bool { return slices.Contains(i.Controllers, o.Node) }
 
+func byController(i *Incident, o *Observation) bool { return slices.Contains(i.Controllers, o.By) }
+
 // Analyze derives the steps of one incident. Steps that did not come, or that this
 // fault does not need, are left out.
 func Analyze(p Params, inc Incident, seen []Observation) []Step {
