--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -264,6 +264,16 @@
 		if read(&r) {
 			c.putType(r)
 		}
+	default:
+		c.putWork(key, ver, read, fail)
+	}
+	c.ver[key] = ver
+	delete(c.tombs, key)
+}
+
+// putWork applies a write of a job, a shard, or what hangs on one.
+func (c *Core) putWork(key string, ver uint64, read func(any) bool, fail func(error)) {
+	switch {
 	case strings.HasPrefix(key, wire.PrefixJob):
 		var r wire.Job
 		if read(&r) {
@@ -311,8 +321,6 @@
 			c.blockSeen(id, old)
 		}
 	}
-	c.ver[key] = ver
-	delete(c.tombs, key)
 }
 
 func (c *Core) putJob(r wire.Job, ver uint64) {
--- a/internal/reach/crowd.go
+++ b/internal/reach/crowd.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// Result is what the sample has shown, once half have answered or its time is over.
+// Result is what the sample has shown, once all have answered or its time is over.
 func (s *Sample) Result(now, wait time.Duration) (of, heard int, ready bool) {
 	of, heard = len(s.asked), s.answered
 	return of, heard, heard == of || now-s.began >= wait
