--- a/internal/core/masks_test.go
+++ b/internal/core/masks_test.go
@@ -315,3 +315,40 @@
 		})
 	}
 }
+
+// A controller that no worker reaches calls workers through a peer, which makes the very
+// call and sends the answer back.
+func TestOrdersGoThroughAPeer(t *testing.T) {
+	w := newWorld(t, 38, 3)
+	for i := range 6 {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(10 * sec)
+	w.lost["c2"] = true
+	w.run(5 * sec)
+	c := w.nodes["c2"].core
+	if !c.workers.Lacks(c.now) {
+		t.Fatal("c2 should know that no worker reaches it")
+	}
+	name := w.order[0]
+	before, _ := w.machines[name].Inspect(w.now)
+	c.out = nil
+	c.callWorker(Order{Machine: name, Addr: name + ":1", Orders: wire.Orders{Token: before.Token, Session: before.Session, Commands: []wire.Command{}}, Roll: true})
+	if len(c.out) != 1 {
+		t.Fatalf("%d effects", len(c.out))
+	}
+	sent, ok := c.out[0].(PeerSend)
+	if !ok || sent.Msg.Order == nil || sent.Msg.Order.For != "c2" {
+		t.Fatalf("not through a peer: %+v", c.out[0])
+	}
+	sent.Msg.From = "c2"
+	n := w.nodes[sent.To]
+	out := n.core.Step(w.now-n.began, time.UnixMilli(1e12), Peer{sent.Msg})
+	if o, ok := out[len(out)-1].(Order); !ok || o.Machine != name || o.For != "c2" || o.Orders.Token != before.Token {
+		t.Fatalf("the peer makes another call: %+v", out)
+	}
+	out = n.core.Step(w.now-n.began, time.UnixMilli(1e12), OrderDone{Machine: name, For: "c2", Status: 200, Report: before})
+	if back, ok := out[len(out)-1].(PeerSend); !ok || back.To != "c2" || back.Msg.Ordered == nil || back.Msg.Ordered.Status != 200 {
+		t.Fatalf("the answer does not come back: %+v", out)
+	}
+}
--- a/internal/reach/crowd.go
+++ b/internal/reach/crowd.go
@@ -23,23 +23,23 @@
 
 // Judge tells whether the machines are reached. All of them silent at once is a cut, or
 // their end; who of the two it is, only others can tell.
-func (l CrowdLimits) Judge(now time.Duration, c Crowd) (Level, time.Duration) {
+func (l CrowdLimits) Judge(now time.Duration, c Crowd) Level {
 	if c.Of == 0 {
-		return Unknown, now
+		return Unknown
 	}
 	patience := func(gaps, most float64) time.Duration {
 		return max(l.Least, min(time.Duration(gaps*float64(l.Every)/float64(c.Of)), time.Duration(most*float64(l.Every))))
 	}
 	switch {
 	case now-c.Last > patience(l.Gaps, l.Most):
-		return Down, c.Last
+		return Down
 	case now-c.Last > patience(l.Ask, l.Asked):
-		return Asking, c.Last
+		return Asking
 	}
 	if 2*c.Heard < c.Of {
-		return Doubt, c.Last
+		return Doubt
 	}
-	return Up, c.Last
+	return Up
 }
 
 // Sample counts how many of a few machines that were called have answered.
--- a/internal/reach/link.go
+++ b/internal/reach/link.go
@@ -137,6 +137,3 @@
 
 // LastOK is when the last call was sent that has been answered.
 func (l *Link) LastOK() time.Duration { return l.lastOK }
-
-// Idle tells whether nothing is under way that could show more.
-func (l *Link) Idle() bool { return len(l.open) == 0 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -47,8 +47,9 @@
 	want(13*time.Second, Up, "answers again")
 }
 
-// A link that is up for three seconds and down for three is down once, and stays so.
-func TestFlappingLinkFallsOnce(t *testing.T) {
+// A link that is up for three seconds and down for three falls a few times, each time for
+// longer, and then stays down.
+func TestFlappingLinkStaysDown(t *testing.T) {
 	l := NewLink(linkLimits)
 	falls, id := 0, uint64(0)
 	was := Up
@@ -137,7 +138,7 @@
 		{"one machine, silent for two and a half reports", 13 * time.Second, Crowd{1, 0, 0}, Down},
 		{"most of them away", 100 * ms, Crowd{100, 30, 0}, Doubt},
 	} {
-		if got, _ := l.Judge(c.now, c.c); got != c.want {
+		if got := l.Judge(c.now, c.c); got != c.want {
 			t.Errorf("%s: %v, want %v", c.what, got, c.want)
 		}
 	}
--- a/internal/reach/workers.go
+++ b/internal/reach/workers.go
@@ -123,7 +123,7 @@
 			w.last[i] = now
 		}
 		c.Last = w.last[i]
-		level, _ := w.limits.Crowd.Judge(now, c)
+		level := w.limits.Crowd.Judge(now, c)
 		// Calls that nobody answers make a silence that may be chance a certainty.
 		asked, called := w.own[i]
 		unanswered := called && asked.at > c.Last && asked.heard == 0
