Guest teams: a limit of 0 is no limit; their jobs were all refused with 422

DEPLOY says of guarantee and limit that 0 means none. Taken for a limit of nothing, every job of a guest team could never run. A team with a limit on CPUs and 0 GPUs keeps 0 GPUs.

--- a/cmd/barrowbridge/client.go
+++ b/cmd/barrowbridge/client.go
@@ -301,7 +301,11 @@
 	}
 	for _, t := range o.Teams {
 		if t.Known {
-			fmt.Fprintf(&b, "team %s: %g cpus used, %g guaranteed, %g at most, %d tasks wait\n", t.Team, t.UsedCPU, t.CPUs, t.CPUsMax, t.Waiting)
+			most := "no limit"
+			if t.CPUsMax > 0 {
+				most = fmt.Sprintf("%g at most", t.CPUsMax)
+			}
+			fmt.Fprintf(&b, "team %s: %g cpus used, %g guaranteed, %s, %d tasks wait\n", t.Team, t.UsedCPU, t.CPUs, most, t.Waiting)
 		}
 	}
 	for _, k := range o.Blocks {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -62,3 +63,20 @@
 		}
 	}
 }
+
+// A guest team's settings say 0 for everything: no guarantee and no limit.
+func TestNoLimit(t *testing.T) {
+	for _, x := range []struct{ team, cpus, gpus string }{
+		{"cpus = 0.0\ncpus_max = 0.0", "+Inf", "+Inf"},
+		{"cpus = 8.0\ncpus_max = 16.0", "16", "0"},
+		{"cpus = 8.0\ncpus_max = 0.0\ngpus_max = 2.0", "+Inf", "2"},
+	} {
+		c, err := Parse([]byte(strings.Replace(good, "cpus = 8.0\ncpus_max = 16.0", x.team, 1)))
+		if err != nil {
+			t.Fatalf("%q: %v", x.team, err)
+		}
+		if cpus, gpus := c.Params.Teams[0].Most(); fmt.Sprint(cpus) != x.cpus || fmt.Sprint(gpus) != x.gpus {
+			t.Errorf("%q: at most %v cpus, %v gpus", x.team, cpus, gpus)
+		}
+	}
+}
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
@@ -149,8 +150,11 @@
 	c.order.Walk(anyRoom, func(p *queue.Place[*jobEntry]) bool { waiting[p.Job.Team] += p.Job.Pending; return true })
 	for _, t := range sortedKeys(c.p.Teams) {
 		i := c.shardOf(t)
-		o.Teams = append(o.Teams, wire.TeamView{Team: t, Shard: i, Known: c.mine(i), UsedCPU: c.room.Used(t, i).CPUs,
-			CPUs: c.p.Teams[t].CPUs, CPUsMax: c.p.Teams[t].CPUsMax, Waiting: waiting[t]})
+		v := wire.TeamView{Team: t, Shard: i, Known: c.mine(i), UsedCPU: c.room.Used(t, i).CPUs, CPUs: c.p.Teams[t].CPUs, Waiting: waiting[t]}
+		if most := c.p.Teams[t].CPUsMax; !math.IsInf(most, 1) {
+			v.CPUsMax = most
+		}
+		o.Teams = append(o.Teams, v)
 	}
 	c.answer(v.Req, 200, o)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,7 +34,7 @@
 	ValueBytes            int
 }
 
-// Team is a team's guarantee and limit.
+// Team is a team's guarantee and limit; +Inf: no limit.
 type Team struct {
 	CPUs, CPUsMax, GPUs, GPUsMax float64
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,7 +38,8 @@
 		p.Nodes[n.Node] = n.Zone
 	}
 	for _, t := range cfg.Params.Teams {
-		p.Teams[t.Name] = core.Team{CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax}
+		cpus, gpus := t.Most()
+		p.Teams[t.Name] = core.Team{CPUs: t.CPUs, CPUsMax: cpus, GPUs: t.GPUs, GPUsMax: gpus}
 	}
 	return p
 }
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -92,8 +92,8 @@
 	Tasks    []string `cbor:"tasks,omitempty" json:"tasks,omitempty"`
 }
 
-// TeamView tells a team's use against its guarantee and limit; Known is false
-// on controllers that do not hold it.
+// TeamView tells a team's use against its guarantee and limit, in CPUs; a CPUsMax of 0 is
+// no limit. Known is false on controllers that do not hold it.
 type TeamView struct {
 	Team    string  `cbor:"team" json:"team"`
 	Shard   int     `cbor:"shard" json:"shard"`
