--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -7,6 +7,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/internal/wants"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -21,7 +22,8 @@
 	flushing, flushingLater, telling bool
 	tryNo                            uint64
 	wantSent                         map[int]wire.Want
-	wantBusy                         bool
+	tellers                          map[int]*wants.Teller // of held shards
+	lacks                            *wants.Board          // what other holders lack
 	checking                         bool
 	learned                          map[int]bool    // shards whose machines have fetched images since that was written
 	cachePart                        map[int]int     // which record of that is to be written next
@@ -129,7 +131,7 @@
 }
 
 func newHolder() holder {
-	return holder{taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{},
+	return holder{taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
 		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
@@ -301,6 +303,7 @@
 func (c *Core) leaveShard(i int) {
 	delete(c.held, i)
 	delete(c.unsettle, i)
+	delete(c.tellers, i)
 	for _, m := range c.heldMachines() {
 		if m.shard == i {
 			c.dropMachine(m)
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -23,9 +23,9 @@
 		return false
 	}
 	asked := false
-	for i, w := range c.wants {
-		if i != b.rec.Shard && len(w.Needs) > 0 {
-			for _, n := range w.Needs {
+	for _, i := range c.shardIDs() {
+		if i != b.rec.Shard {
+			for _, n := range c.wantOf(i).Needs {
 				asked = asked || c.serves(b, n)
 			}
 		}
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -3,12 +3,12 @@
 import (
 	"math"
 	"sort"
-	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/internal/wants"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -170,7 +170,7 @@
 // a few of another shard's blocks would have held them all.
 func addNeed(out []wire.Need, n wire.Need) []wire.Need {
 	for i := range out {
-		if sameKind(out[i], n) {
+		if wants.SameKind(out[i], n) {
 			out[i].Tasks += n.Tasks
 			return out
 		}
@@ -181,11 +181,14 @@
 	return out
 }
 
-// tellWants writes what each held shard lacks, for the leader to read.
+var wantPace = wants.Pace{Again: tuning.WantAgain, Write: tuning.WantWrite, Keep: tuning.WantKeep}
+
+// tellWants tells what each held shard lacks, for the leader and the other holders.
 func (c *Core) tellWants() {
-	if c.wantBusy || !c.confirmed() || !c.every("want", 300*time.Millisecond) {
+	if !c.confirmed() || !c.every("want", tuning.WantEvery) {
 		return
 	}
+	var told []wants.Told
 	for _, i := range c.shardIDs() {
 		if !c.mine(i) {
 			continue
@@ -195,19 +198,42 @@
 		if len(w.Needs) == 0 {
 			c.moveOff(i)
 		}
-		old := c.wants[i]
-		if sameNeeds(old.Needs, w.Needs) && (len(w.Needs) == 0 || old.Seen == w.Seen) {
-			c.wantSent[i] = old
-			continue
+		if c.tellers[i] == nil {
+			c.tellers[i] = wants.NewTeller(wantPace)
 		}
-		c.wantBusy = true
 		c.wantSent[i] = w
-		c.log(2, "asking the leader for machines", "shard", i, "needs", len(w.Needs))
-		c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: wantKey(i), Value: w}}, func(r StateReply) {
-			c.wantBusy = false
-			c.retryAt["want"] = c.now + 300*time.Millisecond
-			c.changed()
-		})
-		return
+		n, tell, write := c.tellers[i].Next(c.now, w, c.wants[i], c.hears(c.chief.Node))
+		if tell {
+			told = append(told, wants.Told{Shard: i, Token: c.shards[i].ver, N: n, Want: w})
+		}
+		if write {
+			c.log(2, "asking the leader for machines", "shard", i, "needs", len(w.Needs))
+			c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: wantKey(i), Value: w}}, func(StateReply) { c.changed() })
+		}
+	}
+	if told != nil {
+		for _, n := range sortedKeys(c.p.Nodes) {
+			if n != c.p.Node {
+				c.tell(n, PeerMessage{Wants: told})
+			}
+		}
+	}
+}
+
+// hears tells whether messages between us and a controller get through.
+func (c *Core) hears(node string) bool {
+	at, ok := c.heard[node]
+	return node == c.p.Node || ok && c.now-at < 3*tuning.PeerEvery
+}
+
+// wantOf is what a shard lacks, as far as we know.
+func (c *Core) wantOf(i int) wire.Want {
+	s := c.shards[i]
+	switch {
+	case s == nil:
+		return wire.Want{}
+	case c.mine(i):
+		return c.wantSent[i]
 	}
+	return c.lacks.Of(c.now, i, s.ver, c.wants[i])
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/internal/wants"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -36,6 +37,8 @@
 	Call    *PeerCall    `msgpack:"call,omitempty"`
 	Result  *PeerResult  `msgpack:"result,omitempty"`
 	Answer  *RelayAnswer `msgpack:"answer,omitempty"`
+	// Wants are of shards that the sender holds.
+	Wants []wants.Told `msgpack:"wants,omitempty"`
 }
 
 // HeldShard is a shard and the revision that granted it.
@@ -194,6 +197,14 @@
 	case m.Result != nil:
 		c.onPeerResult(m.From, m.Result)
 		return
+	case m.Wants != nil:
+		for _, t := range m.Wants {
+			c.lacks.Hear(c.now, t)
+		}
+		if c.loaded && c.leading() {
+			c.lead()
+		}
+		return
 	case m.Relay != nil:
 		c.seq++
 		req := 1<<63 | c.seq
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -354,12 +354,3 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// sameKind tells whether two needs differ by the number of tasks at most.
-func sameKind(x, y wire.Need) bool {
-	return x.Zone == y.Zone && x.Spot == y.Spot && needSize(x) == needSize(y) && x.Dire == y.Dire && x.Booting == y.Booting && slices.Equal(x.Types, y.Types)
-}
-
-func sameNeeds(a, b []wire.Need) bool {
-	return slices.EqualFunc(a, b, func(x, y wire.Need) bool { return x.Tasks == y.Tasks && sameKind(x, y) })
-}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -131,8 +131,8 @@
 		return
 	}
 	dire := false
-	for _, i := range sortedInts(c.wants) {
-		for _, n := range c.wants[i].Needs {
+	for _, i := range c.shardIDs() {
+		for _, n := range c.wantOf(i).Needs {
 			if !n.Dire {
 				continue
 			}
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -103,21 +103,57 @@
 		return
 	}
 	for _, i := range c.shardIDs() {
-		w, ok := c.wants[i]
-		if !ok || len(w.Needs) == 0 || l.renting[i] || c.shards[i] == nil {
+		w := c.wantOf(i)
+		if len(w.Needs) == 0 || l.renting[i] {
 			continue
 		}
 		if w.Seen < c.newestBlock(i) {
 			continue // asked before it knew of what it has
 		}
+		// Rented and not yet in a block: the holder does not know of them. To wait for
+		// their blocks before renting more took ten seconds where changes were short.
+		coming := c.coverage(i)
 		for _, n := range w.Needs {
-			if c.moveIdle(i, n) || (!n.Booting && c.rent(i, n)) {
+			if !n.Booting {
+				n.Tasks -= coming.take(n)
+			}
+			if n.Tasks > 0 && (c.moveIdle(i, n) || (!n.Booting && c.rent(i, n))) {
 				return
 			}
 		}
 	}
 }
 
+// coverage is the room of a shard's machines that are rented and stand in no block yet.
+type coverage []supply
+
+func (c *Core) coverage(shard int) *coverage {
+	var x coverage
+	for _, info := range c.leader.booked[shard] {
+		if full, ok := c.sizeOf(info.Type); ok && c.blockOf(info.Name) == nil {
+			x = append(x, supply{&machine{typ: info.Type, zone: info.Zone, spot: info.Spot}, full})
+		}
+	}
+	return &x
+}
+
+// take uses up room for a need, and says for how many of its tasks there is some.
+func (x *coverage) take(n wire.Need) (got int) {
+	ask := needSize(n)
+	for k := range *x {
+		s := &(*x)[k]
+		if !allowsType(n.Types, s.m.typ) || n.Zone != "" && n.Zone != s.m.zone || s.m.spot && !n.Spot {
+			continue
+		}
+		fit := min(n.Tasks-got, placement.Beta(s.free, ask)+1)
+		if fit > 0 {
+			got += fit
+			s.free = s.free.Sub(placement.Size{CPUs: float64(fit) * ask.CPUs, GPUs: float64(fit) * ask.GPUs, MemGB: float64(fit) * ask.MemGB})
+		}
+	}
+	return got
+}
+
 // moveIdle moves an idle block, which its holder has promised to keep empty.
 func (c *Core) moveIdle(shard int, n wire.Need) bool {
 	l := &c.leader
@@ -228,7 +264,8 @@
 				delete(l.renting, shard)
 				return
 			}
-			l.booked[shard] = infos
+			l.booked[shard] = append(l.booked[shard], infos...)
+			delete(l.renting, shard)
 			c.lead()
 		case r.Status == 503 && r.Err == "no capacity":
 			l.pause[key] = c.now + tuning.NoCapacityPause
@@ -272,7 +309,6 @@
 		l.booked[shard] = rest
 		if len(rest) == 0 {
 			delete(l.booked, shard)
-			delete(l.renting, shard)
 			continue
 		}
 		to := shard
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -110,6 +110,13 @@
 	// CachesEvery (duration): between records of which images a shard's machines
 	// have; each is one change of several KB.
 	CachesEvery = 15 * time.Second
+	// WantEvery (duration): between looks at what a shard lacks. WantAgain: a standing want is
+	// told again after this; WantKeep: it counts for so long, three messages. WantWrite:
+	// between writes of its record, which only counts where messages do not get through.
+	WantEvery = 300 * time.Millisecond
+	WantAgain = 1 * time.Second
+	WantKeep  = 3 * time.Second
+	WantWrite = 3 * time.Second
 	// NeedsMax (needs): kinds of machines a shard asks for at a time; those beyond
 	// come once the first are served.
 	NeedsMax = 24
