--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -216,6 +216,7 @@
 	c.trail = trail.New(trail.Limits{Events: tuning.TrailEvents, Bytes: min(tuning.TrailBytes, p.ValueBytes/2), Every: tuning.TrailEvery})
 	c.mirror = newMirror()
 	c.holder = newHolder()
+	c.started = newStarts(p)
 	c.books = newBooks(p.Teams)
 	c.desk = newDesk(p)
 	c.roll, c.addrs = newRoll(), takeover.NewBook()
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -17,6 +17,7 @@
 	if !c.every("flush", tuning.Tick) {
 		return
 	}
+	c.flushStarts()
 	c.flushJobs()
 	c.flushLater()
 	c.tellCaches()
@@ -62,17 +63,10 @@
 	b.add(rec.Shard, &wire.Condition{Key: blockKey(x.id), Version: x.ver}, wire.Change{Put: blockKey(x.id), Value: rec})
 }
 
-// addProgress adds a job's starts and progress as they stand now.
-func (b *batch) addProgress(e *jobEntry, started int) {
+// addProgress adds a job's progress as it stands now. Its starts are written apart.
+func (b *batch) addProgress(e *jobEntry) {
 	rec := e.rec
-	rec.Started, rec.Done = started, e.run.done.clone()
-	if tracked(&rec) {
-		rec.On = make([]string, rec.Tasks)
-		copy(rec.On, e.rec.On)
-		for k, a := range e.run.active {
-			rec.On[k] = a.m.name
-		}
-	}
+	rec.Done = e.run.done.clone()
 	raw, err := wire.Marshal(rec)
 	for err == nil && len(rec.Done) > 0 && !wire.FitsIn(raw, b.c.p.ValueBytes) {
 		// Too scattered to keep: what is left out would only run again.
@@ -109,7 +103,7 @@
 	})
 }
 
-// flushJobs writes starts, before they are made, and ends of jobs, urgent ones first.
+// flushJobs writes ends of jobs, urgent ones first, and blocks that cannot wait.
 func (c *Core) flushJobs() {
 	if c.flushing || c.now < c.retryAt["flushJobs"] {
 		return
@@ -124,9 +118,7 @@
 		if e.run.writing {
 			continue
 		}
-		started, ended, _ := c.owes(e)
-		if !ended {
-			b.addProgress(e, started)
+		if _, ended, _ := c.owes(e); !ended {
 			continue
 		}
 		id, f := e.rec.ID, wire.Final{Status: wire.JobDone, Done: e.rec.Tasks}
@@ -171,9 +163,7 @@
 		if m == nil {
 			continue
 		}
-		if bm.Fresh && m.reported {
-			bm.Fresh, change = false, true
-		}
+		bm.Fresh = m.fresh // written among the starts; no change by itself
 		if m.drop {
 			if empty := m.accounted && len(m.attempts) == 0; !bm.Drop || empty && !bm.Empty {
 				bm.Drop, bm.Empty, change = true, bm.Empty || empty, true
@@ -273,7 +263,7 @@
 			continue
 		}
 		e.run.wrote = c.now
-		b.addProgress(e, max(e.rec.Started, e.run.next))
+		b.addProgress(e)
 	}
 	b.send(LaneLater, &c.flushingLater, "flushLater", func() {})
 }
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -25,6 +25,9 @@
 	tellers                          map[int]*wants.Teller // of held shards
 	lacks                            *wants.Board          // what other holders lack
 	checking                         bool
+	startsBusy                       map[int]bool    // shards whose starts are being written
+	startsAt                         map[int]Time    // when a shard's starts may be written next
+	warm                             map[string]bool // machines that are up, and fresh in the state
 	learned                          map[int]bool    // shards whose machines have fetched images since that was written
 	cachePart                        map[int]int     // which record of that is to be written next
 	used                             map[string]bool // blocks with fresh machines that are up
@@ -131,7 +134,7 @@
 }
 
 func newHolder() holder {
-	return holder{taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
+	return holder{startsBusy: map[int]bool{}, startsAt: map[int]Time{}, warm: map[string]bool{}, taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
 		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
@@ -362,7 +365,7 @@
 		m := c.machines[bm.Name]
 		if m == nil {
 			m = &machine{name: bm.Name, block: b.id, typ: b.rec.Type, zone: b.rec.Zone, spot: b.rec.Spot,
-				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty && !bm.Fresh,
+				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty && (!bm.Fresh || c.everUsed(bm.Name)),
 				attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, badJobs: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
 			for _, image := range c.cached[bm.Name] {
@@ -378,7 +381,7 @@
 			c.open[m.shard]--
 			c.open[b.rec.Shard]++
 		}
-		m.fresh = bm.Fresh
+		m.fresh = bm.Fresh && !c.everUsed(bm.Name)
 		// A block may move between two shards of one holder: a machine left in
 		// its old shard would take that shard's tasks, and lose them from sight
 		// with the next change of hands.
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -24,6 +25,7 @@
 	chief    wire.Leader
 	settings wire.Settings
 	cordons  map[string]wire.Cordon
+	started  *starts.Book
 
 	// Kept up with the records, so that a report or a poll costs the same
 	// however many machines there are; the tests count them afresh.
@@ -293,6 +295,14 @@
 			c.indexTeams()
 			c.shardSeen(i, old)
 		}
+	case strings.HasPrefix(key, wire.PrefixStart):
+		var r wire.Starts
+		if read(&r) {
+			c.ver[key] = ver
+			if err := c.putStarts(key, ver, r); err != nil {
+				fail(err)
+			}
+		}
 	case strings.HasPrefix(key, wire.PrefixWant):
 		var r wire.Want
 		i, err := strconv.Atoi(key[len(wire.PrefixWant):])
@@ -332,6 +342,7 @@
 	} else if e.rec.AcceptedMS != r.AcceptedMS {
 		c.jobList = nil
 	}
+	c.overlay(&r)
 	e.rec, e.ver, e.prio = r, ver, wire.PriorityRank(r.Priority)
 	c.jobSeen(e)
 }
@@ -382,6 +393,7 @@
 		if e := c.jobs[id]; e != nil {
 			delete(c.jobs, id)
 			delete(c.counts, id)
+			c.started.Trim(id)
 			c.listJob(e, false)
 			c.jobGone(e)
 		}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -83,7 +83,7 @@
 	if !m.reported {
 		m.reported = true
 		if m.fresh {
-			c.used[m.block] = true
+			c.warm[m.name] = true
 		}
 		m.idleSince = c.now
 		c.touch(m)
--- /dev/null
+++ b/internal/core/starting.go
@@ -0,0 +1,144 @@
+package core
+
+import (
+	"strings"
+
+	"github.com/barrowbridge/barrowbridge/internal/starts"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// machineEntry names a machine among the starts.
+const machineEntry = "m:"
+
+func newStarts(p Params) *starts.Book {
+	return starts.New(starts.Limits{Entries: tuning.StartEntries, Bytes: p.ValueBytes - 512})
+}
+
+// overlay brings a job's record up to what has been written of its starts apart from it.
+func (c *Core) overlay(r *wire.Job) {
+	if s, ok := c.started.Of(r.ID); ok {
+		r.Started = max(r.Started, s.Started)
+		if s.On != nil {
+			r.On = s.On
+		}
+	}
+}
+
+// putStarts takes a new record of starts.
+func (c *Core) putStarts(key string, ver uint64, r wire.Starts) error {
+	changed, err := c.started.Put(key, ver, r)
+	for _, name := range changed {
+		if e := c.jobs[name]; e != nil {
+			c.overlay(&e.rec)
+			c.jobSeen(e)
+		} else if m := c.machines[strings.TrimPrefix(name, machineEntry)]; m != nil {
+			m.fresh = false
+			c.touch(m)
+		}
+	}
+	return err
+}
+
+// everUsed tells whether it has been written that a fresh machine is one no longer.
+func (c *Core) everUsed(machine string) bool {
+	_, ok := c.started.Of(machineEntry + machine)
+	return ok
+}
+
+// stillCounts tells whether an entry of the starts is still needed.
+func (c *Core) stillCounts(name string) bool {
+	machine, is := strings.CutPrefix(name, machineEntry)
+	if !is {
+		return c.jobs[name] != nil
+	}
+	if b := c.blockOf(machine); b != nil {
+		for _, bm := range b.rec.Machines {
+			if bm.Name == machine {
+				return bm.Fresh
+			}
+		}
+	}
+	return false
+}
+
+// flushStarts writes starts before they are made: for each shard one record with the
+// starts of many jobs, urgent ones first, compared with the shard, the record and each
+// job, so that nothing is started of a job that has ended or been aborted.
+func (c *Core) flushStarts() {
+	if len(c.owed) == 0 && len(c.warm) == 0 {
+		return
+	}
+	c.update()
+	jobs := sortedJobs(c.owed)
+	for _, i := range c.shardIDs() {
+		if !c.mine(i) || c.startsBusy[i] || c.now < c.startsAt[i] {
+			continue
+		}
+		var entries []starts.Entry
+		for _, name := range sortedKeys(c.warm) {
+			if m := c.machines[name]; m == nil || !m.fresh {
+				delete(c.warm, name)
+			} else if m.shard == i {
+				entries = append(entries, starts.Entry{Name: machineEntry + name, Start: wire.Start{}})
+			}
+		}
+		of := map[string]*jobEntry{}
+		for _, e := range jobs {
+			if len(of) >= 4*c.p.TxnOps-2 {
+				break // conditions in one call
+			}
+			started, ended, owes := c.owes(e)
+			if e.run == nil || e.run.writing || ended || !owes || c.shardOf(e.rec.Team) != i {
+				continue
+			}
+			of[e.rec.ID] = e
+			entries = append(entries, starts.Entry{Name: e.rec.ID, Start: c.startOf(e, started)})
+		}
+		if len(entries) > 0 {
+			c.writeStarts(i, entries, of)
+		}
+	}
+}
+
+// startOf is what is to be written of a job's starts.
+func (c *Core) startOf(e *jobEntry, started int) wire.Start {
+	s := wire.Start{Started: max(started, e.rec.Started)}
+	if tracked(&e.rec) {
+		s.On = make([]string, e.rec.Tasks)
+		copy(s.On, e.rec.On)
+		for k, a := range e.run.active {
+			s.On[k] = a.m.name
+		}
+	}
+	return s
+}
+
+func (c *Core) writeStarts(i int, entries []starts.Entry, of map[string]*jobEntry) {
+	w := c.started.Plan(i, entries, c.stillCounts)
+	when := []wire.Condition{c.shardCond(i), {Key: w.Key, Version: w.Ver}}
+	var busy []*jobEntry
+	for _, x := range entries[:w.Taken] {
+		if e := of[x.Name]; e != nil {
+			when = append(when, wire.Condition{Key: jobKey(x.Name), Version: e.ver})
+			e.run.writing = true
+			busy = append(busy, e)
+		}
+	}
+	c.startsBusy[i] = true
+	c.startsAt[i] = c.now + tuning.StartsEvery
+	c.commit(LaneUser, when, []wire.Change{{Put: w.Key, Value: w.Record}}, func(r StateReply) {
+		delete(c.startsBusy, i)
+		for _, e := range busy {
+			if e.run != nil {
+				e.run.writing = false
+			}
+		}
+		if r.Status != 200 {
+			c.startsAt[i] = max(c.startsAt[i], c.now+tuning.StartsAgain)
+			c.log(2, "not written", "starts", w.Taken, "status", r.Status, "err", r.Err, "failed", strings.Join(r.Txn.Failed, " "))
+		}
+		c.dirty = true
+		c.hold()
+	})
+}
--- /dev/null
+++ b/internal/core/starting_test.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/starts"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// startWritten tells whether the state says that a job may have been started.
+func (w *world) startWritten(id string) bool {
+	for slot := 0; ; slot++ {
+		it, ok := w.store.Peek(starts.Key(0, slot))
+		if !ok {
+			return false
+		}
+		var r wire.Starts
+		if err := wire.Unmarshal(it.Value, &r); err != nil {
+			w.t.Fatal(err)
+		}
+		if r.Entries[id].Started > 0 {
+			return true
+		}
+	}
+}
+
+// Services that come together are started with few changes, and a successor knows on
+// which machine each of them may be: it waits for that machine alone, and starts none twice.
+func TestStartsOfManyJobsInOneChange(t *testing.T) {
+	w := newWorld(t, 21, 2, func(w *world) {
+		w.teams = map[string]Team{"red": {CPUs: 80, CPUsMax: 80}, "blue": {CPUs: 8, CPUsMax: 8}}
+		w.capacity = 40
+	})
+	for range 12 {
+		w.addMachine("n", false, sec)
+	}
+	w.run(4 * sec)
+	before := w.changes()
+	for i := range 20 {
+		s := spec(fmt.Sprintf("job-%06d", i), "red", wire.ShapeService, 1)
+		s.Priority, s.DueS = ptr("urgent"), nil
+		w.submit(s)
+	}
+	w.run(10 * sec)
+	if n := w.changes() - before; n > 20+15 { // 20 acceptances; one change for each start would be 40
+		t.Errorf("%d changes for 20 services", n)
+	}
+	holder := ""
+	for _, n := range sortedKeys(w.nodes) {
+		if w.nodes[n].core.mine(w.nodes[n].core.shardOf("red")) {
+			holder = n
+		}
+	}
+	w.kill(holder)
+	var hung *host
+	for _, name := range w.order {
+		if m := w.machines[name]; len(m.tasks()) > 0 && hung == nil {
+			hung = m
+			w.hang(m)
+		}
+	}
+	w.run(6 * sec) // taken over, all but one machine known, its lease still running
+	for _, n := range sortedKeys(w.nodes) {
+		c := w.nodes[n].core
+		if c == nil || !c.mine(c.shardOf("red")) {
+			continue
+		}
+		for _, id := range sortedKeys(c.jobs) {
+			if e := c.jobs[id]; onOf(&e.rec, 0) == "" {
+				t.Errorf("%s: the successor does not know where it was started", id)
+			} else if onOf(&e.rec, 0) != hung.info.Name && e.run.held > 0 {
+				t.Errorf("%s waits, though %s has been heard of", id, onOf(&e.rec, 0))
+			}
+		}
+	}
+	w.resume(hung)
+	w.run(30 * sec)
+	running := 0
+	for _, name := range w.order {
+		running += len(w.machines[name].tasks())
+	}
+	if running != 20 {
+		t.Errorf("%d of 20 services run", running)
+	}
+}
+
+// changes counts the changes of the state so far.
+func (w *world) changes() uint64 {
+	rev := uint64(0)
+	for _, n := range w.nodes {
+		if n.core != nil {
+			rev = max(rev, n.core.rev)
+		}
+	}
+	return rev
+}
+
+// A machine that has been used is waited for after a takeover, though its block's record
+// still calls it fresh: that it is not fresh stands among the starts.
+func TestAUsedMachineIsNotFresh(t *testing.T) {
+	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 8}}, Lease: 10 * sec, Cancel: 40 * sec, TxnOps: 8, ValueBytes: 8192})
+	c.Step(0, time.UnixMilli(1e12), Tick{})
+	c.boot, c.loaded = 7, true
+	put := func(key string, v any, ver uint64) {
+		raw, err := wire.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.put(key, raw, ver)
+	}
+	put(blockKey("x"), wire.Block{Shard: 0, Type: "std", Zone: "n", Machines: []wire.BlockMachine{{Name: "n-1", Fresh: true}, {Name: "n-2", Fresh: true}}}, 60)
+	put(starts.Key(0, 0), wire.Starts{Entries: map[string]wire.Start{machineEntry + "n-1": {N: 1}}}, 70)
+	put(shardKey(0), wire.Shard{Holder: "a", Boot: 7, Teams: []string{"red"}}, 100)
+	c.rev = 100
+	c.enterShards()
+	if !c.machines["n-1"].inherited || c.machines["n-1"].fresh || c.machines["n-2"].inherited || !c.machines["n-2"].fresh {
+		t.Fatalf("n-1 %+v, n-2 %+v", c.machines["n-1"], c.machines["n-2"])
+	}
+}
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -478,7 +478,7 @@
 			_ = wire.Unmarshal(it.Value, &j)
 		}
 		for _, m := range w.machines {
-			if len(m.tasks()) > 0 && j.ID != "" && j.Started == 0 {
+			if len(m.tasks()) > 0 && j.ID != "" && !w.startWritten(j.ID) {
 				t.Fatal("started before it was written")
 			}
 			if w.check.DoneTasks("job-000001") == 1 && len(m.tasks()) == 0 && !m.gone && m.up && j.ID != "" {
--- /dev/null
+++ b/internal/starts/starts.go
@@ -0,0 +1,179 @@
+// Package starts keeps what is written of starts: which tasks of which jobs may have been
+// started, and where. Each start has to be written before it is made, and one change of
+// the state service for each was what a deployment waited for when it began, after an
+// outage and after a takeover. A record here holds the starts of many jobs, so one change
+// writes all that have come together.
+//
+// Records are slots of a shard. An entry stands in the slot where it was last written;
+// older ones of the same job elsewhere are superseded, and go when their slot is next
+// written. Package core argues what is compared with each write (docs/design.md).
+//
+// Pure: no clock, no I/O; not for concurrent use.
+package starts
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Limits bound one record.
+type Limits struct {
+	Entries int
+	Bytes   int // in JSON form
+}
+
+// Book is a copy of all slots of all shards.
+type Book struct {
+	limits Limits
+	slots  map[string]*slot // by key
+	latest map[string]where // entry -> its newest place
+}
+
+type slot struct {
+	shard, number int
+	ver           uint64
+	entries       map[string]wire.Start
+}
+
+type where struct {
+	key   string
+	start wire.Start
+}
+
+// New returns an empty book.
+func New(l Limits) *Book {
+	return &Book{limits: l, slots: map[string]*slot{}, latest: map[string]where{}}
+}
+
+// Key is where a slot stands in the state service.
+func Key(shard, number int) string {
+	return fmt.Sprintf("%s%d.%d", wire.PrefixStart, shard, number)
+}
+
+func parse(key string) (shard, number int, err error) {
+	a, b, ok := strings.Cut(strings.TrimPrefix(key, wire.PrefixStart), ".")
+	shard, err = strconv.Atoi(a)
+	if err == nil {
+		number, err = strconv.Atoi(b)
+	}
+	if !ok || err != nil {
+		return 0, 0, fmt.Errorf("no slot of starts: %q", key)
+	}
+	return shard, number, nil
+}
+
+// Put takes a slot's new record, and returns the names whose entry has changed, in order.
+func (b *Book) Put(key string, ver uint64, r wire.Starts) ([]string, error) {
+	shard, number, err := parse(key)
+	if err != nil {
+		return nil, err
+	}
+	b.slots[key] = &slot{shard, number, ver, r.Entries}
+	var changed []string
+	for name, s := range r.Entries {
+		if old, ok := b.latest[name]; !ok || s.N > old.start.N || old.key == key {
+			b.latest[name] = where{key, s}
+			if !ok || s.N != old.start.N {
+				changed = append(changed, name)
+			}
+		}
+	}
+	slices.Sort(changed)
+	return changed, nil
+}
+
+// Of is the newest entry of a name.
+func (b *Book) Of(name string) (wire.Start, bool) {
+	w, ok := b.latest[name]
+	return w.start, ok
+}
+
+// Entry is a start to be written.
+type Entry struct {
+	Name  string
+	Start wire.Start
+}
+
+// Write is one slot's record with new entries in it, to be put if the slot still has the
+// version Ver.
+type Write struct {
+	Key    string
+	Ver    uint64
+	Record wire.Starts
+	Taken  int // of the entries, from the first
+}
+
+// Plan finds the slot of a shard for new entries, the emptiest, and its record with as
+// many of them as it holds, at least one. Entries of names that are no longer live, and
+// those superseded, are left out. Numbers of entries rise by one with each write of a name.
+func (b *Book) Plan(shard int, entries []Entry, live func(name string) bool) Write {
+	var best *slot
+	var kept map[string]wire.Start
+	next := 0
+	for _, s := range b.slots {
+		if s.shard != shard {
+			continue
+		}
+		next = max(next, s.number+1)
+		k := b.keep(s, live)
+		if best == nil || len(k) < len(kept) || len(k) == len(kept) && s.number < best.number {
+			best, kept = s, k
+		}
+	}
+	if best == nil || len(kept)*4 > b.limits.Entries*3 {
+		best, kept = &slot{shard: shard, number: next}, map[string]wire.Start{}
+	}
+	w := Write{Key: Key(shard, best.number), Ver: best.ver, Record: wire.Starts{Entries: kept}}
+	size := 0
+	for name, s := range kept {
+		size += sizeOf(name, s)
+	}
+	for _, e := range entries {
+		_, again := kept[e.Name]
+		size += sizeOf(e.Name, e.Start)
+		if w.Taken > 0 && (size > b.limits.Bytes || len(kept) >= b.limits.Entries && !again) {
+			break
+		}
+		s := e.Start
+		s.N = b.highest(e.Name) + 1
+		kept[e.Name] = s
+		w.Taken++
+	}
+	return w
+}
+
+// highest is the largest number of a name's entries, forgotten ones included.
+func (b *Book) highest(name string) (n uint64) {
+	for _, s := range b.slots {
+		n = max(n, s.entries[name].N)
+	}
+	return n
+}
+
+// keep is what of a slot still counts.
+func (b *Book) keep(s *slot, live func(string) bool) map[string]wire.Start {
+	kept := make(map[string]wire.Start, len(s.entries)+8)
+	key := Key(s.shard, s.number)
+	for name, x := range s.entries {
+		if b.latest[name].key == key && live(name) {
+			kept[name] = x
+		}
+	}
+	return kept
+}
+
+// Trim forgets names that are no longer live; what slots still say of them counts for nobody.
+func (b *Book) Trim(name string) { delete(b.latest, name) }
+
+// sizeOf bounds an entry in JSON form.
+func sizeOf(name string, s wire.Start) int {
+	n := len(name) + 48
+	for _, m := range s.On {
+		n += len(m) + 3
+	}
+	return n
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -193,6 +193,14 @@
 	// write serves many starts: at 4, starts were half of all writes. What is
 	// written and not started waits, after a takeover, until that is known.
 	StartAhead = 16
+	// StartEntries (jobs and machines): in one record of starts. A record is written whole
+	// with each start in it, and read by every controller.
+	StartEntries = 96
+	// StartsEvery (duration): between writes of one shard's starts; those that come meanwhile
+	// go together. The first waits for nothing, and fetching an image takes seconds.
+	StartsEvery = 200 * time.Millisecond
+	// StartsAgain (duration): before starts that could not be written are tried again.
+	StartsAgain = 100 * time.Millisecond
 	// AheadTimes (multiple of the running tasks): starts written ahead, if that is more.
 	// While the state service is away none can be written; at one time the running
 	// tasks, half of a fleet's slots stood empty by the end of 25 s.
--- a/wire/records.go
+++ b/wire/records.go
@@ -13,6 +13,7 @@
 	PrefixType  = "live/type/"
 	PrefixJob   = "live/job/"
 	PrefixCache = "live/cache/"
+	PrefixStart = "live/start/"
 	PrefixFinal = "final/"
 )
 
@@ -49,6 +50,20 @@
 	Done [][2]int `cbor:"done,omitempty"`
 }
 
+// Starts is what has been written of the starts of many jobs, by job, and of machines that
+// are no longer fresh, by "m:" and their name. The entry of a name with the largest N
+// counts, in whichever slot it stands; beside it what the job's own record says.
+type Starts struct {
+	Entries map[string]Start `cbor:"e"`
+}
+
+// Start says of a job what Job.Started and Job.On say.
+type Start struct {
+	N       uint64   `cbor:"n"`
+	Started int      `cbor:"s,omitempty"`
+	On      []string `cbor:"on,omitempty"`
+}
+
 // Final is a job's last word.
 type Final struct {
 	Status string `cbor:"status"`
