--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -140,9 +140,11 @@
 		q.Due = float64(j.AcceptedMS)/1000 + j.DueS
 	}
 	c.order.Put(e, q)
-	if _, _, owes := c.owes(e); owes {
+	_, ended, owes := c.owes(e)
+	if owes {
 		c.owed[e] = true
-	} else if run.done.count() > countRanges(j.Done) {
+	}
+	if !ended && run.done.count() > countRanges(j.Done) {
 		c.behind[e] = true
 	}
 }
