--- /dev/null
+++ b/internal/aims/aims.go
@@ -0,0 +1,63 @@
+// Package aims decides by when a job should be done, and how many places it deserves for
+// that: by its own deadline, or by what the operators' settings say of its class, or, if
+// nobody says anything, by its size. Pure.
+package aims
+
+import "math"
+
+// Aims are what the settings say of classes.
+type Aims struct {
+	// Finished: a job of the class should be done so many seconds after it was accepted.
+	Finished map[string]float64
+}
+
+// Limits bound what work that nobody waits for urgently is given.
+type Limits struct {
+	CPUs     float64 // see Turn
+	Horizon  float64 // seconds: work without an aim is to be done within so long
+	Least    float64 // seconds: and none sooner than this, however late it is
+	Headroom float64 // share of the time that is left, for boots, fetches and failures
+}
+
+// Work is a job as far as this hangs on it. Times are seconds of the day's time.
+type Work struct {
+	Class    string
+	Accepted float64
+	DueS     float64 // after acceptance; 0: no deadline of its own
+	CPUs     float64 // of a task
+	Tasks    int
+	Estimate float64 // seconds of a task; 0 of a service
+}
+
+// Due is by when a job should be done; +Inf: nobody has said.
+func (a Aims) Due(w Work) float64 {
+	if w.DueS > 0 {
+		return w.Accepted + w.DueS
+	}
+	if s := a.Finished[w.Class]; s > 0 && w.Estimate > 0 {
+		return w.Accepted + s
+	}
+	return math.Inf(1)
+}
+
+// Turn orders jobs that nobody has said anything of: as if each were given time by its
+// work, at so many CPUs. By age alone hundreds of single tasks waited for minutes behind
+// arrays that nobody needed soon; by work alone a large job might wait for ever.
+func (l Limits) Turn(w Work) float64 {
+	return w.Accepted + float64(w.Tasks)*w.Estimate*w.CPUs/l.CPUs
+}
+
+// Places is for how many tasks at a time machines should be paid so that rest tasks, each
+// of estimate seconds, are done by their due time: not one for each task. An array of
+// fifteen thousand tasks of four seconds would otherwise rent all there is for a minute,
+// most of it boots.
+func (l Limits) Places(rest int, estimate, due, now float64) int {
+	if estimate <= 0 {
+		return rest
+	}
+	left := l.Horizon
+	if !math.IsInf(due, 1) {
+		left = min(left, max(l.Least, (due-now)*l.Headroom))
+	}
+	return min(rest, int(math.Ceil(float64(rest)*estimate/max(left, estimate))))
+}
--- /dev/null
+++ b/internal/aims/aims_test.go
@@ -0,0 +1,56 @@
+package aims
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var limits = Limits{CPUs: 10, Horizon: 300, Least: 60, Headroom: 0.5}
+
+func TestDue(t *testing.T) {
+	a := Aims{Finished: map[string]float64{"tag": 400}}
+	for _, x := range []struct {
+		w    Work
+		want float64
+	}{
+		{Work{Class: "tag", Accepted: 100, DueS: 30, Estimate: 4}, 130}, // its own word counts
+		{Work{Class: "tag", Accepted: 100, Estimate: 4}, 500},
+		{Work{Class: "tag", Accepted: 100}, math.Inf(1)}, // a service is never done
+		{Work{Class: "other", Accepted: 100, Estimate: 4}, math.Inf(1)},
+	} {
+		if got := a.Due(x.w); got != x.want {
+			t.Errorf("%+v: due %v, want %v", x.w, got, x.want)
+		}
+	}
+}
+
+// A single task goes before an array of an hour that came a minute sooner, and the array
+// before a single task that comes long after it.
+func TestNobodyWaitsForEver(t *testing.T) {
+	array := Work{Accepted: 0, Tasks: 900, Estimate: 40, CPUs: 1}
+	if limits.Turn(Work{Accepted: 60, Tasks: 1, Estimate: 150, CPUs: 0.25}) >= limits.Turn(array) {
+		t.Error("the single task waits behind the array")
+	}
+	if limits.Turn(Work{Accepted: 3700, Tasks: 1, Estimate: 150, CPUs: 0.25}) <= limits.Turn(array) {
+		t.Error("the array still waits after an hour")
+	}
+}
+
+// Never more places than tasks, never none while there is work, and with as many places
+// the work is done in the time that is left, if one task is.
+func TestPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rest, estimate := rapid.IntRange(1, 30000).Draw(t, "rest"), rapid.Float64Range(0.5, 500).Draw(t, "estimate")
+		due := rapid.SampledFrom([]float64{math.Inf(1), 100, 400, 10000}).Draw(t, "due")
+		n := limits.Places(rest, estimate, due, 50)
+		if n < 1 || n > rest {
+			t.Fatalf("%d places for %d tasks", n, rest)
+		}
+		left := min(limits.Horizon, max(limits.Least, (due-50)*limits.Headroom))
+		if took := float64(rest) / float64(n) * estimate; took > max(left, estimate)*1.0001 {
+			t.Fatalf("%d places take %v s of %v", n, took, left)
+		}
+	})
+}
--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"github.com/barrowbridge/barrowbridge/internal/aims"
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
@@ -14,6 +15,7 @@
 // change. Whoever changes a machine or a job says so with touch or touchJob; update
 // puts what was touched anew. Nothing here is decided, all of it can be counted afresh.
 type books struct {
+	aims      aims.Aims
 	room      *ledger.Book[*machine]
 	order     *queue.Queue[*jobEntry]
 	found     []ledger.Found[*machine] // kept for the next choice, as is cands
@@ -23,6 +25,7 @@
 	coming    map[*machine]bool      // held and not up, or not accounted for: may have room soon
 	owed      map[*jobEntry]bool     // jobs with starts or their end to write
 	behind    map[*jobEntry]bool     // jobs with progress to write
+	idlers    map[*machine]int       // machines with work that gives way to all other, and how many
 	open      map[int]int            // by shard: inherited machines not accounted for
 	waitsOn   map[string][]*jobEntry // machine -> jobs whose tasks may be on it, after a takeover
 }
@@ -33,7 +36,7 @@
 		guarantees[n] = placement.Size{CPUs: t.CPUs, GPUs: t.GPUs}
 	}
 	return books{room: ledger.New[*machine](), order: queue.New[*jobEntry](guarantees), coming: map[*machine]bool{}, owed: map[*jobEntry]bool{},
-		behind: map[*jobEntry]bool{}, open: map[int]int{}, waitsOn: map[string][]*jobEntry{}}
+		behind: map[*jobEntry]bool{}, idlers: map[*machine]int{}, open: map[int]int{}, waitsOn: map[string][]*jobEntry{}}
 }
 
 // touch has a machine's facts put anew before they are next asked for.
@@ -135,10 +138,7 @@
 	}
 	j, run := &e.rec, e.run
 	q := queue.Job{ID: j.ID, Team: j.Team, Accepted: j.AcceptedMS, Rank: e.prio, Strict: j.Zone != "" || j.OneZone, Service: j.Shape == wire.ShapeService,
-		Due: inf, Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.count(), Pending: run.pending(j)}
-	if j.DueS > 0 {
-		q.Due = float64(j.AcceptedMS)/1000 + j.DueS
-	}
+		Due: c.aims.Due(workOf(j)), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.count(), Pending: run.pending(j)}
 	c.order.Put(e, q)
 	_, ended, owes := c.owes(e)
 	if owes {
@@ -149,6 +149,12 @@
 	}
 }
 
+var aimLimits = aims.Limits{CPUs: tuning.TurnCPUs, Horizon: tuning.IdleHorizon.Seconds(), Least: tuning.IdleLeast.Seconds(), Headroom: tuning.IdleHeadroom}
+
+func workOf(j *wire.Job) aims.Work {
+	return aims.Work{Class: j.Class, Accepted: float64(j.AcceptedMS) / 1000, DueS: j.DueS, CPUs: j.CPUs, Tasks: j.Tasks, Estimate: j.EstimateS}
+}
+
 // pending is how many tasks are to be started.
 func (r *jobRun) pending(j *wire.Job) int { return len(r.retry) + j.Tasks - r.next }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/aims"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
@@ -30,6 +31,7 @@
 	// Lease, Cancel and Report are the workers' times.
 	Lease, Cancel, Report time.Duration
 	ListLag               time.Duration
+	Aims                  aims.Aims
 	TxnOps                int
 	ValueBytes            int
 }
@@ -218,6 +220,7 @@
 	c.holder = newHolder()
 	c.started = newStarts(p)
 	c.books = newBooks(p.Teams)
+	c.aims = p.Aims
 	c.desk = newDesk(p)
 	c.roll, c.addrs = newRoll(), takeover.NewBook()
 	c.users = newUsers()
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -107,6 +107,7 @@
 	size             placement.Size
 	known            bool // size and team are known
 	lesser           bool // gives way to urgent work
+	idle             bool // gives way to all other work
 	m                *machine
 	status           string // "" until reported
 	cause            string
@@ -229,12 +230,20 @@
 // addAttempt and dropAttempt are the only ones to change what is on a machine.
 func (c *Core) addAttempt(a *attempt) {
 	a.m.attempts[a.key] = a
+	if a.idle {
+		c.idlers[a.m]++
+	}
 	a.m.sum.ok = false
 	c.touch(a.m)
 	c.onTask[a.key.task] = append(c.onTask[a.key.task], a)
 }
 
 func (c *Core) dropAttempt(a *attempt) {
+	if a.m.attempts[a.key] == a && a.idle {
+		if c.idlers[a.m]--; c.idlers[a.m] == 0 {
+			delete(c.idlers, a.m)
+		}
+	}
 	delete(a.m.attempts, a.key)
 	a.m.sum.ok = false
 	c.touch(a.m)
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -19,6 +19,7 @@
 type supply struct {
 	m    *machine
 	free placement.Size
+	idle placement.Size // of that, taken by work that gives way to all other
 }
 
 // supplies lists the machines of a shard that may take waiting tasks: those that come
@@ -31,7 +32,7 @@
 			// What is on a machine not accounted for is not known: it may be empty,
 			// so only what finds no room even then is asked for.
 			full, _ := c.sizeOf(m.typ)
-			list = append(list, supply{m, full})
+			list = append(list, supply{m: m, free: full})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].m.name < list[j].m.name })
@@ -52,12 +53,32 @@
 	})
 	if least != nil {
 		c.room.Each(shard, *least, func(ledger.Kind) bool { return true }, func(m *machine, _ ledger.Kind, free placement.Size) {
-			list = append(list, supply{m, free})
+			if c.idlers[m] == 0 {
+				list = append(list, supply{m: m, free: free})
+			}
 		})
 	}
+	n := len(list)
+	for m := range c.idlers {
+		if f, ok := c.room.Of(m); ok && f.Usable && m.shard == shard {
+			list = append(list, supply{m, f.Free, placement.Size{}}.withIdle())
+		}
+	}
+	sort.Slice(list[n:], func(i, j int) bool { return list[n+i].m.name < list[n+j].m.name })
 	return list
 }
 
+// withIdle counts what work on a machine that gives way to all other takes as room too.
+func (s supply) withIdle() supply {
+	for _, a := range s.m.attempts {
+		if a.idle && a.status != wire.TaskEnded {
+			s.idle = s.idle.Add(a.size)
+		}
+	}
+	s.free = s.free.Add(s.idle)
+	return s
+}
+
 // spareNeed is the room for the next urgent tasks that a shard lacks, so that they do
 // not wait for a boot.
 func (c *Core) spareNeed(shard int) (wire.Need, bool) {
@@ -126,7 +147,7 @@
 		if _, ok := used[j.Team]; !ok {
 			used[j.Team] = c.room.Used(j.Team, shard)
 		}
-		want := team.underLimit(used[j.Team], size, p.Job.Pending)
+		want := team.underLimit(used[j.Team], size, c.deserves(p))
 		used[j.Team] = used[j.Team].Add(placement.Size{CPUs: float64(want) * size.CPUs, GPUs: float64(want) * size.GPUs, MemGB: float64(want) * size.MemGB})
 		left := want
 		for k := range in {
@@ -134,7 +155,11 @@
 				break
 			}
 			x := &in[k]
-			if n := min(left, placement.Beta(x.free, size)+1); n > 0 && allows(j, x.m) && (zone == "" || x.m.zone == zone) {
+			free := x.free
+			if e.prio <= idleRank {
+				free = free.Sub(x.idle)
+			}
+			if n := min(left, placement.Beta(free, size)+1); n > 0 && allows(j, x.m) && (zone == "" || x.m.zone == zone) {
 				left -= n
 				x.free = x.free.Sub(placement.Size{CPUs: float64(n) * size.CPUs, GPUs: float64(n) * size.GPUs, MemGB: float64(n) * size.MemGB})
 			}
@@ -165,6 +190,16 @@
 	return out
 }
 
+// deserves is for how many of a job's waiting tasks machines are asked for. Of work that
+// is run when there is nothing else to do it is as many as are needed in time.
+func (c *Core) deserves(p *queue.Place[*jobEntry]) int {
+	if p.Handle.prio > idleRank {
+		return p.Job.Pending
+	}
+	n := aimLimits.Places(p.Job.Rest, p.Job.Estimate, p.Job.Due, float64(c.wall.UnixMilli())/1000)
+	return max(0, min(p.Job.Pending, n-len(p.Handle.run.active)))
+}
+
 // addNeed joins needs of the same kind. Many jobs of one task each used to be as
 // many needs, and got a machine each, one after the other, where one rental or
 // a few of another shard's blocks would have held them all.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -76,6 +76,9 @@
 // urgentRank is the lowest priority that is served ahead of room and cost.
 var urgentRank = wire.PriorityRank("urgent")
 
+// idleRank is the priority of work that is run when there is nothing else to do.
+var idleRank = wire.PriorityRank("idle")
+
 // inf is the deadline of a job without one.
 var inf = math.Inf(1)
 
@@ -197,7 +200,7 @@
 			c.tryNo++
 		}
 		a := &attempt{key: attemptKey{wire.TaskName(j.ID, idx), c.boot<<24 | c.tryNo}, job: j.ID, idx: idx, team: j.Team,
-			size: size, known: true, lesser: e.prio < urgentRank, m: m, created: c.now, running: c.now}
+			size: size, known: true, lesser: e.prio < urgentRank, idle: e.prio <= idleRank, m: m, created: c.now, running: c.now}
 		c.addAttempt(a)
 		c.touchJob(e)
 		run.active[idx] = a
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -22,7 +22,8 @@
 	victims []*attempt
 }
 
-// preempt stops lesser work for urgent tasks that find no room. All that wait are
+// preempt stops lesser work for urgent tasks that find no room, and work that is run when
+// there is nothing else to do for all that lies within a guarantee. All that wait are
 // served together, each on a machine of its own choice where the least running time is
 // lost: served one by one, each waited until the one before had its machine.
 func (c *Core) preempt() {
@@ -32,8 +33,11 @@
 	var list []*jobEntry
 	c.order.Walk(anyRoom, func(p *queue.Place[*jobEntry]) bool {
 		e := p.Handle
-		if e.prio < urgentRank {
-			return false // the order begins with urgent jobs
+		if e.prio <= idleRank || e.prio < urgentRank && len(c.idlers) == 0 {
+			return false // nothing gives way to it; the order begins with urgent jobs
+		}
+		if e.prio < urgentRank && !p.Within {
+			return true
 		}
 		// For a part of a gang no work is stopped: the rest may find no room.
 		if !c.barred(e, c.shardOf(e.rec.Team)) && e.rec.Shape != wire.ShapeGang && c.now-e.run.since > tuning.PreemptAfter && len(list) < tuning.PreemptJobs {
@@ -74,7 +78,12 @@
 			x.victims = append(x.victims, a)
 		}
 	}
-	sort.SliceStable(x.victims, func(i, j int) bool { return x.victims[i].running > x.victims[j].running })
+	sort.SliceStable(x.victims, func(i, j int) bool {
+		if a, b := x.victims[i], x.victims[j]; a.idle != b.idle {
+			return a.idle
+		}
+		return x.victims[i].running > x.victims[j].running
+	})
 	return x
 }
 
@@ -89,7 +98,7 @@
 			continue
 		}
 		f, lost, k := x.free, time.Duration(0), 0
-		for ; k < len(x.victims) && !placement.Fits(f, size) && lost < loss; k++ {
+		for ; k < len(x.victims) && !placement.Fits(f, size) && lost < loss && (e.prio >= urgentRank || x.victims[k].idle); k++ {
 			f = f.Add(x.victims[k].size)
 			lost += c.now - x.victims[k].running
 		}
@@ -106,8 +115,8 @@
 	for _, a := range best.victims[:n] {
 		best.free = best.free.Add(a.size)
 		c.stopAttempt(a)
-		c.noteTask(trail.TaskStopped, a, "for "+e.rec.ID+", which is urgent")
-		c.log(1, "stopping a task for urgent work", "task", a.key.task, "machine", a.m.name, "for", e.rec.ID)
+		c.noteTask(trail.TaskStopped, a, "for "+e.rec.ID+", which goes before it")
+		c.log(1, "stopping a task for work that goes before it", "task", a.key.task, "machine", a.m.name, "for", e.rec.ID)
 	}
 	best.victims = best.victims[n:]
 	best.free = best.free.Sub(size)
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -131,7 +131,7 @@
 	var x coverage
 	for _, info := range c.leader.booked[shard] {
 		if full, ok := c.sizeOf(info.Type); ok && c.blockOf(info.Name) == nil {
-			x = append(x, supply{&machine{typ: info.Type, zone: info.Zone, spot: info.Spot}, full})
+			x = append(x, supply{m: &machine{typ: info.Type, zone: info.Zone, spot: info.Spot}, free: full})
 		}
 	}
 	return &x
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -169,7 +169,7 @@
 			}
 			a = &attempt{key: k, job: job, idx: idx, m: m, sent: true, created: c.now, running: c.now}
 			if e := c.jobs[job]; e != nil {
-				a.size, a.team, a.known, a.lesser = jobSize(&e.rec), e.rec.Team, true, e.prio < urgentRank
+				a.size, a.team, a.known, a.lesser, a.idle = jobSize(&e.rec), e.rec.Team, true, e.prio < urgentRank, e.prio <= idleRank
 				c.touchJob(e)
 				if e.run != nil && t.Status != wire.TaskEnded {
 					if o := e.run.active[idx]; o != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,12 @@
 		cpus, gpus := t.Most()
 		p.Teams[t.Name] = core.Team{CPUs: t.CPUs, CPUsMax: cpus, GPUs: t.GPUs, GPUsMax: gpus}
 	}
+	p.Aims.Finished = map[string]float64{}
+	for _, o := range cfg.Params.Objectives {
+		if o.Kind == "finished" {
+			p.Aims.Finished[o.Class] = o.WithinS
+		}
+	}
 	return p
 }
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -25,6 +25,7 @@
 	Strict   bool  // bound to one zone
 	Service  bool
 	Due      float64        // seconds of the day's time; +Inf without a deadline
+	Turn     float64        // orders those that are due at the same time, or never; lower first
 	Estimate float64        // seconds of one task
 	Ask      placement.Size // of one task
 	Rest     int            // tasks not done
@@ -86,6 +87,9 @@
 	if a.Job.Due != b.Job.Due {
 		return a.Job.Due < b.Job.Due
 	}
+	if a.Job.Turn != b.Job.Turn {
+		return a.Job.Turn < b.Job.Turn
+	}
 	return older(a, b)
 }
 
@@ -123,7 +127,7 @@
 		if p.Job == j {
 			return
 		}
-		if p.Job.Team == j.Team && p.Job.Accepted == j.Accepted && p.Job.Due == j.Due && p.Job.Service == j.Service {
+		if p.Job.Team == j.Team && p.Job.Accepted == j.Accepted && p.Job.Due == j.Due && p.Job.Turn == j.Turn && p.Job.Service == j.Service {
 			q.amend(p, j)
 			return
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -117,6 +117,15 @@
 	WantAgain = 1 * time.Second
 	WantKeep  = 3 * time.Second
 	WantWrite = 3 * time.Second
+	// TurnCPUs (CPUs): among jobs that nobody has said anything of, one lets later ones go
+	// first for as long as so many CPUs take for the difference of their work.
+	TurnCPUs = 10
+	// IdleHorizon, IdleLeast (duration), IdleHeadroom (share): machines for work of the lowest
+	// priority are asked for as if all of it had so long, or that share of the time until it
+	// is due. A rented machine costs a minute at least, and a boot before that.
+	IdleHorizon  = 300 * time.Second
+	IdleLeast    = 60 * time.Second
+	IdleHeadroom = 0.5
 	// NeedsMax (needs): kinds of machines a shard asks for at a time; those beyond
 	// come once the first are served.
 	NeedsMax = 24
