--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -138,7 +138,10 @@
 	}
 	j, run := &e.rec, e.run
 	q := queue.Job{ID: j.ID, Team: j.Team, Accepted: j.AcceptedMS, Rank: e.prio, Strict: j.Zone != "" || j.OneZone, Service: j.Shape == wire.ShapeService,
-		Due: c.aims.Due(workOf(j)), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.count(), Pending: run.pending(j)}
+		Due: c.aims.Due(workOf(j)), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.count(), Pending: c.trials(e)}
+	if c.health.Trial(j.ID) {
+		q.Rest = min(q.Rest, 1) // it keeps no place of others
+	}
 	c.order.Put(e, q)
 	_, ended, owes := c.owes(e)
 	if owes {
@@ -168,7 +171,7 @@
 	if ahead := max(tuning.StartAhead, tuning.AheadTimes*len(run.active)); e.rec.Started-run.next < ahead/2 && run.next > 0 {
 		started = max(started, min(e.rec.Tasks, run.next+ahead))
 	}
-	return started, false, started > e.rec.Started || c.movedOn(e)
+	return started, false, started > e.rec.Started || c.movedOn(e) || c.badNews(e)
 }
 
 // judge decides anew, now and then, which jobs are late.
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"github.com/barrowbridge/barrowbridge/internal/health"
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
@@ -27,6 +28,7 @@
 	checking                         bool
 	startsBusy                       map[int]bool    // shards whose starts are being written
 	startsAt                         map[int]Time    // when a shard's starts may be written next
+	health                           *health.Book
 	warm                             map[string]bool // machines that are up, and fresh in the state
 	learned                          map[int]bool    // shards whose machines have fetched images since that was written
 	cachePart                        map[int]int     // which record of that is to be written next
@@ -73,8 +75,6 @@
 	notice                 bool
 	noticeAt               Time
 	attempts               map[attemptKey]*attempt
-	errs                   int
-	badJobs                map[string]bool
 	idleSince              Time
 	images                 map[string]bool
 	sum                    machineSum
@@ -107,6 +107,7 @@
 	size             placement.Size
 	known            bool // size and team are known
 	lesser           bool // gives way to urgent work
+	proved           bool // a replica that has run for long
 	idle             bool // gives way to all other work
 	m                *machine
 	status           string // "" until reported
@@ -135,7 +136,7 @@
 }
 
 func newHolder() holder {
-	return holder{startsBusy: map[int]bool{}, startsAt: map[int]Time{}, warm: map[string]bool{}, taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
+	return holder{health: newHealth(), startsBusy: map[int]bool{}, startsAt: map[int]Time{}, warm: map[string]bool{}, taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
 		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
@@ -152,6 +153,11 @@
 		e.run = &jobRun{since: c.now, active: map[int]*attempt{}, next: e.rec.Started, done: ranges(e.rec.Done).clone()}
 		if e.rec.Started > 0 {
 			e.run.held = e.rec.Started
+			if s, _ := c.started.Of(e.rec.ID); s.Bad && len(e.rec.Done) == 0 {
+				// Otherwise a whole array that fails everywhere starts anew with each takeover.
+				c.health.Condemn(c.now, e.rec.ID)
+				e.run.notYet = c.health.NotBefore(e.rec.ID)
+			}
 			c.settleJob(e, i, true)
 			c.awaitOn(e)
 			c.noteHeld(e, i)
@@ -186,6 +192,7 @@
 // of it is still on machines is stopped there and counts until it is gone.
 func (c *Core) jobGone(e *jobEntry) {
 	c.touchJob(e)
+	c.health.ForgetJob(e.rec.ID)
 	if e.run == nil {
 		return
 	}
@@ -221,6 +228,7 @@
 	}
 	delete(c.machines, m.name)
 	delete(c.coming, m)
+	c.health.ForgetMachine(m.name)
 	c.room.Drop(m)
 	c.desk.Forget(m)
 	c.roll.Drop(m)
@@ -375,7 +383,7 @@
 		if m == nil {
 			m = &machine{name: bm.Name, block: b.id, typ: b.rec.Type, zone: b.rec.Zone, spot: b.rec.Spot,
 				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty && (!bm.Fresh || c.everUsed(bm.Name)),
-				attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, badJobs: map[string]bool{},
+				attempts: map[attemptKey]*attempt{}, images: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
 			for _, image := range c.cached[bm.Name] {
 				m.images[image] = true
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -140,9 +140,6 @@
 	}
 }
 
-// avoids tells whether a job keeps off a machine where its tasks have failed.
-func (r *jobRun) avoids(m *machine, id string) bool { return m.badJobs[id] && r.fails > 0 }
-
 // unseen counts a job's tasks that may run on machines of an earlier holder: they count
 // against the team's limit.
 func (r *jobRun) unseen() int {
@@ -181,7 +178,7 @@
 		}
 		c.tryNo++ // workers let a gang run when all of it is there under one attempt number
 	}
-	for run.pending(j) > 0 {
+	for c.trials(e) > 0 {
 		if team.exceeds(c.room.Used(j.Team, shard).Add(placement.Size{CPUs: size.CPUs * maybe, GPUs: size.GPUs * maybe})) {
 			return placed
 		}
@@ -228,7 +225,7 @@
 		// already. After an outage hundreds start again at once.
 		if m := c.machines[onOf(j, run.retry[0])]; m != nil {
 			f, ok := c.room.Of(m)
-			if ok && f.Usable && f.Shard == shard && kinds(f.Kind) && placement.Fits(f.Free, size) && !run.avoids(m, j.ID) {
+			if ok && f.Usable && f.Shard == shard && kinds(f.Kind) && placement.Fits(f.Free, size) && !c.avoids(e, m) {
 				return m, placement.Beta(f.Free, size)
 			}
 		}
@@ -267,7 +264,7 @@
 			return false
 		}
 		found = o != p && e.prio == p.Handle.prio && o.Within == p.Within && o.Late == p.Late && !c.barred(e, m.shard) && e.rec.Shape != wire.ShapeGang &&
-			e.run.pending(&e.rec) > 0 && m.images[e.rec.Image] && allows(&e.rec, m) && zonesOf(e) == nil && !e.run.avoids(m, e.rec.ID)
+			e.run.pending(&e.rec) > 0 && m.images[e.rec.Image] && allows(&e.rec, m) && zonesOf(e) == nil && !c.avoids(e, m)
 		return !found
 	})
 	if found && run.passedOver == 0 {
@@ -278,8 +275,8 @@
 
 // pick is the heuristic's choice among the machines that the ledger proposes, some apart.
 func (c *Core) pick(e *jobEntry, shard int, size placement.Size, anchor bool, zones map[string]int, kinds func(ledger.Kind) bool, apart []*machine) (*machine, int) {
-	j, run := &e.rec, e.run
-	c.found = c.room.Find(shard, size, anchor, tuning.LookAt, kinds, func(m *machine) bool { return !run.avoids(m, j.ID) && !slices.Contains(apart, m) },
+	j := &e.rec
+	c.found = c.room.Find(shard, size, anchor, tuning.LookAt, kinds, func(m *machine) bool { return !c.avoids(e, m) && !slices.Contains(apart, m) },
 		func(m *machine) bool { return m.images[j.Image] }, c.found[:0])
 	c.cands = c.cands[:0]
 	for _, f := range c.found {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -36,7 +36,7 @@
 		if e.prio <= idleRank || e.prio < urgentRank && len(c.idlers) == 0 {
 			return false // nothing gives way to it; the order begins with urgent jobs
 		}
-		if e.prio < urgentRank && !p.Within {
+		if e.prio < urgentRank && !p.Within || c.health.Trial(e.rec.ID) {
 			return true
 		}
 		// For a part of a gang no work is stopped: the rest may find no room.
@@ -94,7 +94,7 @@
 	var best *clearing
 	n, loss := 0, time.Duration(math.MaxInt64)
 	for _, x := range in {
-		if !kinds(ledger.Kind{Shard: x.m.shard, Type: x.m.typ, Zone: x.m.zone, Spot: x.m.spot}) || e.run.avoids(x.m, e.rec.ID) {
+		if !kinds(ledger.Kind{Shard: x.m.shard, Type: x.m.typ, Zone: x.m.zone, Spot: x.m.spot}) || c.avoids(e, x.m) {
 			continue
 		}
 		f, lost, k := x.free, time.Duration(0), 0
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -186,6 +186,7 @@
 			c.addAttempt(a)
 		}
 		if a.status == t.Status {
+			c.hasProved(a)
 			continue
 		}
 		was := a.status
@@ -247,7 +248,7 @@
 	if a.cause == wire.CauseDone {
 		e.run.done = e.run.done.add(a.idx)
 		e.run.fails = 0
-		a.m.errs, a.m.badJobs = 0, map[string]bool{}
+		c.sicken(c.health.Completed(a.job, a.m.name))
 		if o := e.run.active[a.idx]; o == a {
 			delete(e.run.active, a.idx)
 		}
@@ -266,25 +267,12 @@
 	}
 	c.noteTask(trail.TaskFailed, a, a.cause)
 	c.log(1, "task ended", "task", a.key.task, "machine", a.m.name, "cause", a.cause, "was", was)
-	e.run.fails++
-	pause := min(tuning.ErrorBackoff<<min(e.run.fails-1, 10), tuning.ErrorBackoffMax)
 	if a.cause == wire.CauseError {
-		// A faulty machine fails whatever it starts; a faulty job fails
-		// wherever it starts. A machine is suspect when tasks of two jobs failed
-		// there in a row, or of one job that completes elsewhere.
-		a.m.errs++
-		a.m.badJobs[a.job] = true
-		if len(a.m.badJobs) >= 2 || e.run.done.count() > 0 && a.m.errs >= tuning.SickErrors {
-			if a.m.errs >= tuning.SickErrors {
-				c.noteMachine(trail.MachineFaulty, a.m, wire.TrailEvent{Count: a.m.errs, Why: "tasks failed there in a row"})
-				c.log(1, "machine looks faulty, returning it", "machine", a.m.name, "errors", a.m.errs)
-				a.m.drop = true
-				c.touch(a.m)
-			}
-			pause = tuning.ErrorBackoff / 2
-		}
+		c.taskFailed(e, a)
+		return
 	}
-	e.run.notYet = c.now + pause
+	e.run.fails++
+	e.run.notYet = c.now + min(tuning.ErrorBackoff<<min(e.run.fails-1, 10), tuning.ErrorBackoffMax)
 }
 
 // commands for a machine, in answer to its report.
--- a/internal/core/starting.go
+++ b/internal/core/starting.go
@@ -103,7 +103,7 @@
 
 // startOf is what is to be written of a job's starts.
 func (c *Core) startOf(e *jobEntry, started int) wire.Start {
-	s := wire.Start{Started: max(started, e.rec.Started)}
+	s := wire.Start{Started: max(started, e.rec.Started), Bad: c.health.Mistaken(e.rec.ID)}
 	if tracked(&e.rec) {
 		s.On = make([]string, e.rec.Tasks)
 		copy(s.On, e.rec.On)
@@ -114,6 +114,15 @@
 	return s
 }
 
+// badNews tells whether it is still to be written that a job fails everywhere.
+func (c *Core) badNews(e *jobEntry) bool {
+	if !c.health.Mistaken(e.rec.ID) {
+		return false
+	}
+	s, _ := c.started.Of(e.rec.ID)
+	return !s.Bad
+}
+
 func (c *Core) writeStarts(i int, entries []starts.Entry, of map[string]*jobEntry) {
 	w := c.started.Plan(i, entries, c.stillCounts)
 	when := []wire.Condition{c.shardCond(i), {Key: w.Key, Version: w.Ver}}
--- a/internal/core/trailing.go
+++ b/internal/core/trailing.go
@@ -167,7 +167,8 @@
 // believe fills in what only the holder knows.
 func (c *Core) believe(out *wire.Believed, m *machine) {
 	out.Held, out.State, out.Session, out.Inherited, out.Accounted = true, m.state(), m.session, m.inherited, m.accounted
-	out.FreeCPUs, out.Errors, out.Images = c.free(m).CPUs, m.errs, sortedKeys(m.images)
+	out.FreeCPUs, out.Images = c.free(m).CPUs, sortedKeys(m.images)
+	_, out.Errors = c.health.Machine(m.name)
 	if m.reported {
 		ago, left := (c.now - m.lastReport).Seconds(), (m.lastOK + c.leaseOver() - c.now).Seconds()
 		out.ReportedS, out.LeaseLeftS = &ago, &left
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,127 @@
+package health
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var params = Params{SoundJob: 0.9, NewJob: 0.3, FailsElsewhere: 0.05, Suspect: 0.5, Sick: 0.85,
+	SoundMachine: 1, NewMachine: 0.6, TroubledMachine: 0.3, Mistaken: 1.5,
+	Pause: time.Second, PauseMax: 30 * time.Second, MistakenMax: 4 * time.Minute}
+
+// play runs jobs of several tasks on machines at random: mistaken jobs fail everywhere,
+// faulty machines fail everything. It keeps off sick machines and obeys trials.
+func play(b *Book, rng *rand.Rand, jobs, machines, steps int, badJob, badMachine func(int) bool) (starts map[string]int) {
+	starts = map[string]int{}
+	now := time.Duration(0)
+	for range steps {
+		now += 500 * time.Millisecond
+		j, m := rng.IntN(jobs), rng.IntN(machines)
+		jn, mn := fmt.Sprint("j", j), fmt.Sprint("m", m)
+		if v, _ := b.Machine(mn); v == Sick || now < b.NotBefore(jn) || b.Avoids(jn, mn) {
+			continue
+		}
+		starts[jn]++
+		if badJob(j) || badMachine(m) {
+			b.Failed(now, jn, mn)
+		} else {
+			b.Completed(jn, mn)
+		}
+	}
+	return starts
+}
+
+// Blame lands rightly in nine of ten random runs with one to three bad parties, and on
+// nobody where nothing is bad.
+func TestBlame(t *testing.T) {
+	right, runs := 0, 200
+	for seed := range uint64(runs) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		bad := rng.IntN(4)
+		badJobs := rng.IntN(bad + 1)
+		jobs, machines := 8+rng.IntN(20), 6+rng.IntN(30)
+		b := New(params)
+		mistaken, faulty := func(j int) bool { return j < badJobs }, func(m int) bool { return m < bad-badJobs }
+		play(b, rng, jobs, machines, 1500, mistaken, faulty)
+		ok := true
+		for j := range jobs {
+			ok = ok && b.Mistaken(fmt.Sprint("j", j)) == mistaken(j)
+		}
+		for m := range machines {
+			v, _ := b.Machine(fmt.Sprint("m", m))
+			ok = ok && (v == Sick) == faulty(m)
+		}
+		if ok {
+			right++
+		} else if bad == 0 {
+			t.Fatalf("seed %d: somebody is blamed, and nothing is bad", seed)
+		}
+	}
+	if right < runs*9/10 {
+		t.Errorf("%d of %d runs blamed rightly", right, runs)
+	}
+}
+
+// However many mistaken jobs meet on however few machines, no healthy machine is given
+// back, as long as each of them fails on two machines at least, and each job is tried
+// rarely: no more than some thirty times in an hour.
+func TestMistakenJobsCondemnNoMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		jobs, machines := rapid.IntRange(1, 12).Draw(t, "jobs"), rapid.IntRange(2, 8).Draw(t, "machines")
+		b := New(params)
+		starts := play(b, rand.New(rand.NewPCG(seed, 5)), jobs, machines, 7200, func(j int) bool { return j > 0 || jobs == 1 }, func(int) bool { return false })
+		for m := range machines {
+			if v, n := b.Machine(fmt.Sprint("m", m)); v == Sick {
+				t.Fatalf("m%d is condemned, %d failures", m, n)
+			}
+		}
+		for j := range jobs {
+			if n := starts[fmt.Sprint("j", j)]; (j > 0 || jobs == 1) && n > 35 {
+				t.Fatalf("j%d was started %d times in an hour", j, n)
+			}
+		}
+	})
+}
+
+// Half of all machines turn faulty: they are found, and no job is given up for it.
+func TestHalfOfTheMachinesFaulty(t *testing.T) {
+	b, rng := New(params), rand.New(rand.NewPCG(9, 9))
+	play(b, rng, 20, 12, 400, func(int) bool { return false }, func(int) bool { return false })
+	play(b, rng, 20, 12, 1500, func(int) bool { return false }, func(m int) bool { return m%2 == 0 })
+	for m := range 12 {
+		if v, _ := b.Machine(fmt.Sprint("m", m)); (v == Sick) != (m%2 == 0) {
+			t.Errorf("m%d: verdict %d", m, v)
+		}
+	}
+	for j := range 20 {
+		if b.Trial(fmt.Sprint("j", j)) {
+			t.Errorf("j%d is held back", j)
+		}
+	}
+}
+
+// A completion clears a job at once, and turns its failures against the machines.
+func TestACompletionClears(t *testing.T) {
+	b := New(params)
+	b.Failed(0, "j", "m1")
+	b.Failed(time.Second, "j", "m1")
+	b.Failed(2*time.Second, "j", "m2")
+	b.Failed(3*time.Second, "j", "m3")
+	if !b.Trial("j") || !b.Mistaken("j") {
+		t.Fatal("failed on three machines and is not on trial")
+	}
+	if sick := b.Completed("j", "m4"); len(sick) != 1 || sick[0] != "m1" {
+		t.Errorf("sick: %v, m1 failed twice", sick)
+	}
+	if b.Trial("j") || b.Mistaken("j") || b.NotBefore("j") != 0 {
+		t.Error("it has completed and is still held back")
+	}
+	if v, _ := b.Machine("m2"); v != Suspect {
+		t.Errorf("m2: verdict %d", v)
+	}
+}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -35,6 +35,7 @@
 	MachineGone     = "machine_gone"     // it has left its block: deleted, or moved empty
 	MachineNotice   = "machine_notice"   // the cloud will take it
 	MachineFaulty   = "machine_faulty"   // it fails what it is given
+	JobMistaken     = "job_mistaken"     // it fails wherever it is started
 	MachineReturned = "machine_returned" // it is to be given back
 	Accounted       = "accounted"        // what is on an inherited machine is known; Why tells by what
 	TaskHeld        = "task_held"        // Count started tasks of a job may be on machines not accounted for
@@ -58,7 +59,7 @@
 // they are worth a write. Task by task it can be told only while the controller
 // lives: hundreds come at once, and the machine's own event says what befell them.
 var lasting = map[string]bool{Began: true, Confirmed: true, Unconfirmed: true, Leading: true, NoLongerLeading: true, NodeGone: true,
-	ShardTaken: true, ShardHeld: true, ShardLost: true, ShardYielded: true, ShardGiven: true, LeadGiven: true, WayChanged: true, Settled: true, LeaseOver: true, MachineFaulty: true,
+	ShardTaken: true, ShardHeld: true, ShardLost: true, ShardYielded: true, ShardGiven: true, LeadGiven: true, WayChanged: true, Settled: true, LeaseOver: true, MachineFaulty: true, JobMistaken: true,
 	MachineBack: true, BlockEmptied: true}
 
 // link names a kind that may have led to an event, by the subject both share.
@@ -98,6 +99,7 @@
 	MachineReturned: {{LeaseOver, byMachine}, {MachineFaulty, byMachine}, {MachineNotice, byMachine}},
 	MachineGone:     {{MachineReturned, byMachine}, {MachineNotice, byMachine}, {LeaseOver, byMachine}},
 	MachineFaulty:   {{TaskFailed, byMachine}},
+	JobMistaken:     {{TaskFailed, byTask}},
 	TaskLost:        {{LeaseOver, byMachine}, {MachineGone, byMachine}, {MachineBack, byMachine}, {TaskStopped, byTask}, {TaskFailed, byTask}},
 	TaskStopped:     {{BlockEmptied, byBlock}, {MachineNotice, byMachine}},
 	TaskAgain:       {{TaskLost, byTask}, {Settled, byShard}, {Accounted, byMachine}},
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -245,8 +245,29 @@
 	ErrorBackoff = 1 * time.Second
 	// ErrorBackoffMax (duration): the longest such pause.
 	ErrorBackoffMax = 30 * time.Second
-	// SickErrors (tasks): failures in a row that make a machine suspect.
-	SickErrors = 2
+	// MistakenMax (duration): the longest pause of a job that fails everywhere: some twenty
+	// tries in an hour, until its user cancels it.
+	MistakenMax = 4 * time.Minute
+	// MistakenFetch (duration): such a job waits so long for a machine with its image.
+	MistakenFetch = 60 * time.Second
+	// ProvedAfter (duration): a replica that has run so long speaks for its machine and job.
+	ProvedAfter = 20 * time.Second
+	// BlameSoundJob, BlameNewJob, BlameElsewhere (certainty): how sure a failure makes that
+	// the machine is faulty, by whether its job has completed tasks, is new, or fails on
+	// other machines too. BlameSuspect and BlameSick (certainty): a machine gets no urgent
+	// work, is given back; two failures of sound jobs do, or a dozen new jobs.
+	BlameSoundJob  = 0.9
+	BlameNewJob    = 0.3
+	BlameElsewhere = 0.05
+	BlameSuspect   = 0.5
+	BlameSick      = 0.85
+	// BlameSoundMachine, BlameNewMachine, BlameTroubled (weight): of a machine where a job
+	// fails, against the job, by whether other work has completed there, none has yet, or
+	// sound work fails there too. BlameMistaken (sum of these): the job fails everywhere.
+	BlameSoundMachine = 1.0
+	BlameNewMachine   = 0.6
+	BlameTroubled     = 0.3
+	BlameMistaken     = 1.5
 	// SurpriseGrace (duration): a listed machine in no block is adopted after
 	// this; the block of a fresh rental may still be on its way.
 	SurpriseGrace = 4 * time.Second
--- a/wire/records.go
+++ b/wire/records.go
@@ -62,6 +62,8 @@
 	N       uint64   `cbor:"n"`
 	Started int      `cbor:"s,omitempty"`
 	On      []string `cbor:"on,omitempty"`
+	// Bad: the job fails on every machine, as far as its holder knows; for successors.
+	Bad bool `cbor:"bad,omitempty"`
 }
 
 // Final is a job's last word.
