--- /dev/null
+++ b/internal/core/blame_test.go
@@ -0,0 +1,108 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// countErrors samples how often tasks of a job fail on machines for a while.
+func (w *world) countErrors(id string, d time.Duration) (errors int) {
+	seen := map[string]bool{}
+	for end := w.now + d; w.now < end; {
+		w.run(200 * time.Millisecond)
+		for _, name := range w.order {
+			for _, t := range w.machines[name].tasks() {
+				if job, _, _ := wire.ParseTask(t.Task); job == id && t.Status == wire.TaskEnded && t.Cause == wire.CauseError {
+					if k := name + t.Task + time.Duration(t.Attempt).String(); !seen[k] {
+						seen[k] = true
+						errors++
+					}
+				}
+			}
+		}
+	}
+	return errors
+}
+
+// An array of 400 tasks and an urgent service, both mistaken, and a gang: after the first
+// wave each is tried a few times in ten minutes, no machine is given back or rented for
+// them, others' work goes on, and a successor does not begin anew.
+func TestMistakenJobsAreTriedRarely(t *testing.T) {
+	w := newWorld(t, 41, 2, func(w *world) {
+		w.teams = map[string]Team{"red": {CPUs: 12, CPUsMax: 40}, "blue": {CPUs: 4, CPUsMax: 8}}
+		w.capacity = 20
+	})
+	for range 6 {
+		w.addMachine("n", false, sec)
+	}
+	w.run(4 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeBatch, 12)) // sound work on all machines
+	w.pollAll()
+	w.run(20 * sec)
+	for id, s := range map[string]wire.JobSpec{"job-000002": spec("job-000002", "red", wire.ShapeBatch, 400),
+		"job-000003": spec("job-000003", "red", wire.ShapeService, 1), "job-000004": spec("job-000004", "red", wire.ShapeGang, 3)} {
+		w.fails[id] = true
+		s.DueS = nil
+		if id == "job-000003" {
+			s.Priority = ptr("urgent")
+		}
+		w.submit(s)
+	}
+	w.run(30 * sec) // the first wave
+	w.submit(spec("job-000005", "red", wire.ShapeBatch, 20))
+	if n := w.countErrors("job-000002", 60*sec); n > 6 {
+		t.Errorf("the array failed %d times in a minute", n)
+	}
+	if w.check.Final("job-000005") != wire.JobDone {
+		t.Error("a sound job waits for the mistaken ones")
+	}
+	before := len(w.order)
+	for _, n := range sortedKeys(w.nodes) {
+		if c := w.nodes[n].core; c.mine(c.shardOf("red")) {
+			w.kill(n)
+			break
+		}
+	}
+	if n := w.countErrors("job-000002", 60*sec); n > 4 {
+		t.Errorf("after the takeover the array failed %d times in a minute", n)
+	}
+	if n := w.countErrors("job-000003", 600*sec); n > 8 {
+		t.Errorf("the urgent service failed %d times in ten minutes", n)
+	}
+	if len(w.order) > before {
+		t.Errorf("%d machines were rented meanwhile", len(w.order)-before)
+	}
+	for _, name := range w.order[:6] { // the others were rented for sound work, and are given back when idle
+		if w.machines[name].gone {
+			t.Errorf("%s was given back", name)
+		}
+	}
+	for _, id := range []string{"job-000002", "job-000003", "job-000004"} {
+		w.abort(id)
+	}
+	w.run(10 * sec)
+}
+
+// A machine that fails everything and is given mistaken jobs first is found all the same,
+// once sound ones have failed there.
+func TestFaultyMachineAmongMistakenJobs(t *testing.T) {
+	w := newWorld(t, 42, 1, func(w *world) { w.teams = map[string]Team{"red": {CPUs: 40, CPUsMax: 40}} })
+	sick := w.addMachine("n", false, sec)
+	w.machines[sick].sick = true
+	for range 3 {
+		w.addMachine("n", false, sec)
+	}
+	w.run(4 * sec)
+	w.fails["job-000001"] = true
+	w.submit(spec("job-000001", "red", wire.ShapeBatch, 4))
+	w.submit(spec("job-000002", "red", wire.ShapeBatch, 30))
+	w.pollAll()
+	w.run(90 * sec)
+	if !w.machines[sick].gone || w.check.Final("job-000002") != wire.JobDone {
+		t.Errorf("faulty machine gone: %v, sound job: %q", w.machines[sick].gone, w.check.Final("job-000002"))
+	}
+	w.abort("job-000001")
+	w.run(5 * sec)
+}
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -26,8 +26,8 @@
 	tellers                          map[int]*wants.Teller // of held shards
 	lacks                            *wants.Board          // what other holders lack
 	checking                         bool
-	startsBusy                       map[int]bool    // shards whose starts are being written
-	startsAt                         map[int]Time    // when a shard's starts may be written next
+	startsBusy                       map[int]bool // shards whose starts are being written
+	startsAt                         map[int]Time // when a shard's starts may be written next
 	health                           *health.Book
 	warm                             map[string]bool // machines that are up, and fresh in the state
 	learned                          map[int]bool    // shards whose machines have fetched images since that was written
--- a/internal/core/recount_test.go
+++ b/internal/core/recount_test.go
@@ -11,6 +11,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -235,12 +236,19 @@
 			continue
 		}
 		rest := e.rec.Tasks - e.run.done.count()
+		pending := len(e.run.retry) + e.rec.Tasks - e.run.next
+		if c.health.Trial(e.rec.ID) { // counts as one task, of which one is tried at a time
+			rest = min(rest, 1)
+			if e.rec.Shape != wire.ShapeGang {
+				pending = min(pending, max(0, 1-len(e.run.active)))
+			}
+		}
 		team := c.p.Teams[e.rec.Team]
 		d := demand[e.rec.Team]
 		s := jobSize(&e.rec)
 		d = d.Add(placement.Size{CPUs: s.CPUs * float64(rest), GPUs: s.GPUs * float64(rest)})
 		demand[e.rec.Team] = d
-		p := placing{e: e, pending: len(e.run.retry) + e.rec.Tasks - e.run.next, due: math.Inf(1)}
+		p := placing{e: e, pending: pending, due: math.Inf(1)}
 		p.within = d.CPUs <= team.CPUs+1e-6 && d.GPUs <= team.GPUs+1e-6
 		p.work = float64(rest) * e.rec.EstimateS * s.CPUs
 		if e.rec.DueS > 0 {
@@ -291,18 +299,30 @@
 			return a.work < b.work
 		case a.due != b.due:
 			return a.due < b.due
+		case turn(a.e) != turn(b.e):
+			return turn(a.e) < turn(b.e)
 		}
 		return false // by age already
 	})
 	return q
 }
 
+// turn orders jobs due at the same time: those with less work need not wait for long.
+func turn(e *jobEntry) float64 {
+	return float64(e.rec.AcceptedMS)/1000 + float64(e.rec.Tasks)*e.rec.EstimateS*e.rec.CPUs/tuning.TurnCPUs
+}
+
 // markLate finds the jobs of one team to give up being on time for, so that as
 // many others as possible are (Moore and Hodgson): in order of deadline, and
 // whenever one would be late, the largest so far is left out. Plain order of
 // deadline lets one hopeless job make all after it late.
 func markLate(ps []*placing, now, cpus float64) {
-	sort.SliceStable(ps, func(i, j int) bool { return ps[i].due < ps[j].due })
+	sort.SliceStable(ps, func(i, j int) bool {
+		if ps[i].due != ps[j].due {
+			return ps[i].due < ps[j].due
+		}
+		return turn(ps[i].e) < turn(ps[j].e)
+	})
 	var kept []*placing
 	t := now
 	for _, p := range ps {
--- a/internal/core/schedules_test.go
+++ b/internal/core/schedules_test.go
@@ -30,7 +30,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			w := newWorld(t, seed, 3)
+			w := newWorld(t, seed, 3, func(w *world) { w.teams["guest"] = Team{CPUsMax: inf, GPUsMax: inf} })
 			for i := range 5 {
 				w.addMachine([]string{"n", "s"}[i%2], false, sec)
 			}
@@ -45,7 +45,7 @@
 			// Services are cancelled while others ask for them, and answers come late.
 			w.unsure = 30
 			for _, id := range sortedKeys(w.jobs) {
-				if j := w.jobs[id]; *j.spec.Shape == wire.ShapeService {
+				if j := w.jobs[id]; *j.spec.Shape == wire.ShapeService || w.fails[id] {
 					for _, n := range sortedKeys(w.nodes) {
 						w.poll(n, id)
 					}
@@ -99,6 +99,9 @@
 			w.abort(fmt.Sprintf("job-%06d", w.rng.IntN(id)))
 		}
 	case 6:
+		// Machines come late, at once or never while the cloud is in trouble, and after.
+		w.bootS, w.absent = []time.Duration{200 * time.Millisecond, 3 * sec, 25 * sec}[id%3], []int{0, 30, 90}[id/3%3]
+		w.at(40*sec, func() { w.bootS, w.absent = 3*sec, 0 })
 		w.cloud.Trouble.Down = true
 		w.at(time.Duration(1+w.rng.IntN(15))*sec, func() { w.cloud.Trouble.Down = false })
 	default:
@@ -108,10 +111,15 @@
 		}
 		s := spec(fmt.Sprintf("job-%06d", id), []string{"red", "blue", "green"}[w.rng.IntN(3)], shape, 1+w.rng.IntN(10))
 		s.Spot = ptr(w.rng.IntN(2) == 0)
-		if shape == wire.ShapeService {
+		switch {
+		case shape == wire.ShapeService:
 			s.Priority = ptr("urgent")
 			s.DueS = nil
+		case id%5 == 3: // a guest's
+			s.Priority, s.DueS, s.Team = ptr("idle"), nil, ptr("guest")
+			s.Tasks = ptr(int64(1 + id%40))
 		}
+		w.fails[*s.ID] = id%7 == 4
 		w.submit(s)
 		id++
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -43,7 +43,10 @@
 	work     *worker.Work
 	reportS  time.Duration // workers report so often
 	lease    time.Duration
-	runS     time.Duration // tasks run so long, up to 4 s more
+	runS     time.Duration   // tasks run so long, up to 4 s more
+	bootS    time.Duration   // machines boot so long
+	absent   int             // of a hundred rented machines, so many never come up
+	fails    map[string]bool // jobs submitted with a mistake
 
 	nodes   map[string]*ctrl
 	params  func(node string) Params
@@ -105,7 +108,7 @@
 }
 
 func newWorld(t testing.TB, seed uint64, nodes int, opts ...func(*world)) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second, reportS: 2 * time.Second, lease: 10 * time.Second,
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second, bootS: 3 * time.Second, fails: map[string]bool{}, reportS: 2 * time.Second, lease: 10 * time.Second,
 		limits:   state.Limits{ValueBytes: 8192, TxnOps: 8, PageItems: 20}, // short pages, to be crossed
 		machines: map[string]*host{}, work: worker.NewWork(), cutFrom: map[string]bool{}, reached: map[string]int{}, tried: map[string]int{},
 		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, hung: map[string]bool{}, noCloud: map[string]bool{}, oneWay: map[string]string{}, mute: map[[2]string]bool{}, cancelS: 40 * time.Second,
@@ -118,7 +121,12 @@
 	w.store.Trouble.Refused = w.cutFrom
 	w.cloud = cloud.New(cloud.Params{ListLag: 4 * time.Second, Otherwise: w.capacity, Types: []wire.MachineType{
 		{Name: "std", CPUs: 4, MemoryGB: 16, FetchGBps: 1, Price: 0.2, SpotPrice: 0.05, BootS: 5, Zones: []string{"n", "s"}}},
-		Boot: func(wire.MachineType, *rand.Rand) time.Duration { return 3 * time.Second }}, w.rng)
+		Boot: func(wire.MachineType, *rand.Rand) time.Duration {
+			if w.absent > 0 && w.rng.IntN(100) < w.absent {
+				return 24 * time.Hour
+			}
+			return w.bootS
+		}}, w.rng)
 	limits := map[string]checker.Limit{}
 	for n, t := range w.teams {
 		limits[n] = checker.Limit{CPUs: t.CPUsMax, GPUs: t.GPUsMax}
--- a/internal/core/world_users_test.go
+++ b/internal/core/world_users_test.go
@@ -23,9 +23,11 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.work.Upload(*s.ID, worker.FromRecord(rec, func(i int) time.Duration {
+	job := worker.FromRecord(rec, func(i int) time.Duration {
 		return w.runS + time.Duration(i*977%4000)*time.Millisecond
-	}))
+	})
+	job.Fails = w.fails[*s.ID]
+	w.work.Upload(*s.ID, job)
 }
 
 // submit repeats a submission, from node to node, until it is answered.
