--- /dev/null
+++ b/internal/boot/boot_test.go
@@ -0,0 +1,130 @@
+package boot
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var params = Params{Prior: []Seen{{Ratio: 0.6, Weight: 2}, {Ratio: 0.9, Weight: 3}, {Ratio: 1.2, Weight: 3}, {Ratio: 1.5, Weight: 1.3}, {Ratio: 2.5, Weight: 0.25}, {Ratio: 4, Weight: 0.25}, {Ratio: math.Inf(1), Weight: 0.2}},
+	Keep: 24, Memory: 10 * time.Minute, Horizon: 1.6, Enough: 0.8, GiveUp: 0.15, Trust: 0.5, Ahead: 0.5}
+
+var (
+	kind  = Kind{Type: "std", Zone: "n", Spot: true}
+	other = Kind{Type: "std", Zone: "s", Spot: true}
+	ready = 20 * time.Second
+)
+
+// Without evidence a machine counts until its usual time is over, is replaced then, and
+// given up when the longest that is known of is over.
+func TestWithoutEvidence(t *testing.T) {
+	b := New(params)
+	b.Booked(0, "m", kind, ready)
+	for _, x := range []struct {
+		ratio             float64
+		doubted, hopeless bool
+	}{{0, false, false}, {1, false, false}, {1.4, false, false}, {1.7, true, false}, {3, true, false}, {4.1, true, true}} {
+		now := time.Duration(x.ratio * float64(ready))
+		if d, h := b.Doubted(now, []string{"m"})["m"], b.Hopeless(now, "m"); d != x.doubted || h != x.hopeless {
+			t.Errorf("after %v: doubted %v, hopeless %v", x.ratio, d, h)
+		}
+	}
+}
+
+// A kind whose machines do not come is asked for one at a time, others are not; once its
+// machines come again, it is asked for in full.
+func TestAKindThatFails(t *testing.T) {
+	b := New(params)
+	now := time.Duration(0)
+	if n := b.Ask(now, kind, 10); n != 10 {
+		t.Fatalf("asked for %d of 10 without evidence", n)
+	}
+	for i := range 12 {
+		b.Booked(now, fmt.Sprint("m", i), kind, ready)
+	}
+	now += 35 * time.Second // all wait beyond the horizon
+	if n := b.Ask(now, kind, 10); n != 1 {
+		t.Errorf("asked for %d of a kind that fails", n)
+	}
+	if n := b.Ask(now, other, 10); n != 10 {
+		t.Errorf("asked for %d of another kind", n)
+	}
+	b.Booked(now, "probe", kind, ready)
+	if n := b.Ask(now, kind, 10); n != 0 {
+		t.Errorf("asked for %d beside a probe", n)
+	}
+	for i := range 12 {
+		b.Gone(now, fmt.Sprint("m", i))
+	}
+	b.Up(now+ready, "probe")
+	for i := range 8 {
+		b.Booked(now, fmt.Sprint("p", i), kind, ready)
+		b.Up(now+ready, fmt.Sprint("p", i))
+	}
+	if n := b.Ask(now+ready, kind, 10); n != 10 {
+		t.Errorf("asked for %d once they come again", n)
+	}
+	if n := b.Ask(now+20*time.Minute, kind, 10); n != 10 {
+		t.Errorf("asked for %d long after", n)
+	}
+}
+
+// Where boots never come for a while, machines are given up sooner; where all take four
+// times as long, they are not given up before that.
+func TestEvidenceMovesGivingUp(t *testing.T) {
+	never, slow := New(params), New(params)
+	for i := range 10 {
+		n := fmt.Sprint("m", i)
+		never.Booked(0, n, kind, ready)
+		never.Gone(2*ready, n)
+		slow.Booked(0, n, kind, ready)
+		slow.Up(4*ready, n)
+	}
+	never.Booked(4*ready, "x", kind, ready)
+	slow.Booked(4*ready, "x", kind, ready)
+	if !never.Hopeless(6*ready, "x") {
+		t.Error("not given up though none has come")
+	}
+	if slow.Hopeless(4*ready+3*ready, "x") {
+		t.Error("given up though all have come, late")
+	}
+}
+
+// Whatever is seen, at most the stated share of booting machines is doubted, chances lie
+// between 0 and 1, and what has come or gone is neither late nor hopeless.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now, names := New(params), time.Duration(0), []string{}
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "wait")) * time.Second
+			k := []Kind{kind, other}[rapid.IntRange(0, 1).Draw(t, "kind")]
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				n := fmt.Sprint("m", i)
+				b.Booked(now, n, k, ready)
+				names = append(names, n)
+			case 2:
+				if len(names) > 0 {
+					n := rapid.SampledFrom(names).Draw(t, "up")
+					b.Up(now, n)
+					if b.Hopeless(now, n) || b.Late(now, n) {
+						t.Fatal("a machine that is up is doubted")
+					}
+				}
+			case 3:
+				if len(names) > 0 {
+					b.Gone(now, rapid.SampledFrom(names).Draw(t, "gone"))
+				}
+			}
+			if p := b.Fresh(now, k); !(p >= 0 && p <= 1) {
+				t.Fatalf("chance %v", p)
+			}
+			if n := len(b.Doubted(now, names)); n > max(1, len(names)/2) {
+				t.Fatalf("%d of %d doubted", n, len(names))
+			}
+		}
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -218,7 +218,7 @@
 	c.trail = trail.New(trail.Limits{Events: tuning.TrailEvents, Bytes: min(tuning.TrailBytes, p.ValueBytes/2), Every: tuning.TrailEvery})
 	c.mirror = newMirror()
 	c.holder = newHolder()
-	c.started = newStarts(p)
+	c.started, c.boots = newStarts(p), newBoots()
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -175,11 +175,9 @@
 		if m.shard != shard || m.drop {
 			continue
 		}
-		boot := max(seconds(c.types[m.typ].BootS*tuning.BootGiveUp), tuning.BootGiveUpMin)
-		why := ""
+		why := c.neverComes(m, busy)
 		switch {
-		case !m.reported && c.now-m.since > boot:
-			why = "never came up"
+		case why != "":
 		case m.over && !m.base, m.reported && c.now-m.lastReport > seconds(c.settings.SilentDropS):
 			// A rented machine that was lost costs as much as another; one that
 			// stands here anyway may come back.
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/barrowbridge/barrowbridge/internal/boot"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -26,6 +27,7 @@
 	settings wire.Settings
 	cordons  map[string]wire.Cordon
 	started  *starts.Book
+	boots    *boot.Book
 
 	// Kept up with the records, so that a report or a poll costs the same
 	// however many machines there are; the tests count them afresh.
@@ -328,6 +330,7 @@
 			old := c.blocks[id]
 			c.blocks[id] = &blockEntry{id, r, ver}
 			c.indexBlock(id, old, c.blocks[id])
+			c.followBoots(old, c.blocks[id])
 			c.blockSeen(id, old)
 		}
 	}
@@ -406,6 +409,7 @@
 		old := c.blocks[id]
 		delete(c.blocks, id)
 		c.indexBlock(id, old, nil)
+		c.followBoots(old, nil)
 		c.blockSeen(id, old)
 	case strings.HasPrefix(key, wire.PrefixShard):
 		c.log(0, "a shard record was removed", "key", key)
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -20,6 +20,9 @@
 	m    *machine
 	free placement.Size
 	idle placement.Size // of that, taken by work that gives way to all other
+	// doubted: it boots and is late. Urgent work has another rented in its place; for work
+	// that can wait that cost more than it brought (docs/rounds.md).
+	doubted bool
 }
 
 // supplies lists the machines of a shard that may take waiting tasks: those that come
@@ -27,12 +30,13 @@
 // have room now.
 func (c *Core) supplies(shard int) []supply {
 	var list []supply
+	doubted := c.doubted(shard)
 	for m := range c.coming {
 		if m.shard == shard {
 			// What is on a machine not accounted for is not known: it may be empty,
 			// so only what finds no room even then is asked for.
 			full, _ := c.sizeOf(m.typ)
-			list = append(list, supply{m: m, free: full})
+			list = append(list, supply{m: m, free: full, doubted: doubted[m.name]})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].m.name < list[j].m.name })
@@ -61,7 +65,7 @@
 	n := len(list)
 	for m := range c.idlers {
 		if f, ok := c.room.Of(m); ok && f.Usable && m.shard == shard {
-			list = append(list, supply{m, f.Free, placement.Size{}}.withIdle())
+			list = append(list, supply{m: m, free: f.Free}.withIdle())
 		}
 	}
 	sort.Slice(list[n:], func(i, j int) bool { return list[n+i].m.name < list[n+j].m.name })
@@ -88,8 +92,9 @@
 	}
 	left -= c.room.Spare(shard)
 	u := c.urgent[shard].size
+	doubted := c.doubted(shard)
 	for m := range c.coming {
-		if m.shard != shard || m.spot {
+		if m.shard != shard || m.spot || doubted[m.name] {
 			continue
 		}
 		if m.reported {
@@ -156,6 +161,9 @@
 			}
 			x := &in[k]
 			free := x.free
+			if x.doubted && e.prio >= urgentRank {
+				continue
+			}
 			if e.prio <= idleRank {
 				free = free.Sub(x.idle)
 			}
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/boot"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -222,23 +223,49 @@
 		}
 		return !offers[i].away && offers[j].away
 	})
-	for _, o := range offers {
-		key := fmt.Sprintf("%s|%s|%v", o.typ, o.zone, o.spot)
-		if c.now < l.pause[key] {
+	var best *offering
+	chance := 0.0
+	for k := range offers {
+		o := &offers[k]
+		if c.now < l.pause[o.key()] {
 			continue
 		}
-		full, _ := c.sizeOf(o.typ)
-		per := placement.Beta(full, ask) + 1
-		count := min((n.Tasks+per-1)/per, tuning.RentMax)
-		l.bookings++
-		req := wire.RentRequest{Request: fmt.Sprintf("%s-%d-%d", c.p.Node, c.boot, l.bookings), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: count}
-		l.renting[shard] = true
-		c.noteShard(trail.Rented, shard, wire.TrailEvent{Count: count, Why: fmt.Sprintf("%d tasks of %g cpus find no machine", n.Tasks, n.CPUs)})
-		c.log(1, "renting", "shard", shard, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", count, "booking", req.Request)
-		c.book(shard, key, req, 0)
-		return true
+		if count := c.askable(o, c.machinesFor(o, n)); count > 0 {
+			c.rentOf(shard, o, count, n)
+			return true
+		}
+		if p := c.boots.Fresh(c.now, o.kind()); p > chance {
+			best, chance = o, p
+		}
 	}
-	return false
+	if best == nil {
+		return false
+	}
+	// No kind can be trusted, and one of each is on its way: what is needed is asked for
+	// all the same, half of it at a time. It may be late everywhere.
+	c.rentOf(shard, best, (c.machinesFor(best, n)+1)/2, n)
+	return true
+}
+
+func (o *offering) kind() boot.Kind { return boot.Kind{Type: o.typ, Zone: o.zone, Spot: o.spot} }
+
+func (o *offering) key() string { return fmt.Sprintf("%s|%s|%v", o.typ, o.zone, o.spot) }
+
+// machinesFor is how many machines of an offering a need takes.
+func (c *Core) machinesFor(o *offering, n wire.Need) int {
+	full, _ := c.sizeOf(o.typ)
+	per := placement.Beta(full, needSize(n)) + 1
+	return min((n.Tasks+per-1)/per, tuning.RentMax)
+}
+
+func (c *Core) rentOf(shard int, o *offering, count int, n wire.Need) {
+	l := &c.leader
+	l.bookings++
+	req := wire.RentRequest{Request: fmt.Sprintf("%s-%d-%d", c.p.Node, c.boot, l.bookings), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: count}
+	l.renting[shard] = true
+	c.noteShard(trail.Rented, shard, wire.TrailEvent{Count: count, Why: fmt.Sprintf("%d tasks of %g cpus find no machine", n.Tasks, n.CPUs)})
+	c.log(1, "renting", "shard", shard, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", count, "booking", req.Request)
+	c.book(shard, o.key(), req, 0)
 }
 
 // book sends a rental until it has a definite answer: the same name yields the
@@ -265,6 +292,7 @@
 				return
 			}
 			l.booked[shard] = append(l.booked[shard], infos...)
+			c.bookedOf(infos)
 			delete(l.renting, shard)
 			c.lead()
 		case r.Status == 503 && r.Err == "no capacity":
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -82,6 +82,7 @@
 	}
 	if !m.reported {
 		m.reported = true
+		c.boots.Up(c.now, m.name)
 		if m.fresh {
 			c.warm[m.name] = true
 		}
--- a/internal/core/starting.go
+++ b/internal/core/starting.go
@@ -36,6 +36,9 @@
 			m.fresh = false
 			c.touch(m)
 		}
+		if machine, is := strings.CutPrefix(name, machineEntry); is {
+			c.boots.Up(c.now, machine)
+		}
 	}
 	return err
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -214,6 +214,22 @@
 	// While the state service is away none can be written; at one time the running
 	// tasks, half of a fleet's slots stood empty by the end of 25 s.
 	AheadTimes = 2
+	// BootKeep (boots) and BootMemory (duration): remembered of a type, zone and kind.
+	BootKeep   = 24
+	BootMemory = 10 * time.Minute
+	// BootHorizon (multiple of ready_s): nearly all boots take less; a machine counts as room
+	// to come for its chance to come within so long from now.
+	BootHorizon = 1.6
+	// BootEnough (share): of a new machine's chance; a machine with more counts in full.
+	BootEnough = 0.8
+	// BootHopeless (chance): a machine with less to come ever is given back.
+	BootHopeless = 0.15
+	// BootTrust (chance): kinds whose new machines have less to come in time are asked for
+	// one at a time.
+	BootTrust = 0.5
+	// BootAhead (share): of the booting machines that may be doubted at a time: what is
+	// rented in place of those that are late is never more than half of what is needed.
+	BootAhead = 0.5
 	// BootGiveUp (multiple of ready_s): a machine that has not reported is
 	// replaced; most need 0.6 to 1.5 times.
 	BootGiveUp = 4
