--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -39,6 +39,7 @@
 type Seen struct {
 	Ratio, Weight float64
 	at            time.Duration
+	open          bool // given back after so long: it may have come later
 }
 
 // Book holds what is known.
@@ -71,15 +72,28 @@
 // Up notes that a machine has come up.
 func (b *Book) Up(now time.Duration, name string) {
 	if m := b.leave(name); m != nil {
-		b.see(now, m.kind, m.ratio(now))
+		b.see(now, m.kind, m.ratio(now), false)
 	}
 }
 
 // Gone notes that a machine is no more, whether it was up or not.
 func (b *Book) Gone(now time.Duration, name string) {
-	// One given back before its time says nothing.
-	if m := b.leave(name); m != nil && m.ratio(now) > b.p.Horizon {
-		b.see(now, m.kind, math.Inf(1))
+	m := b.leave(name)
+	if m == nil {
+		return
+	}
+	// What was given back before the longest known time may have been about to come. Taken
+	// for one that never comes, it had the next given back sooner still.
+	longest := 0.0
+	for _, s := range b.p.Prior {
+		if !math.IsInf(s.Ratio, 1) {
+			longest = max(longest, s.Ratio)
+		}
+	}
+	if r := m.ratio(now); r >= longest {
+		b.see(now, m.kind, math.Inf(1), false)
+	} else {
+		b.see(now, m.kind, r, true)
 	}
 }
 
@@ -94,8 +108,8 @@
 
 func (m *machine) ratio(now time.Duration) float64 { return float64(now-m.since) / float64(m.ready) }
 
-func (b *Book) see(now time.Duration, k Kind, ratio float64) {
-	seen := append(b.kinds[k], Seen{ratio, 1, now})
+func (b *Book) see(now time.Duration, k Kind, ratio float64, open bool) {
+	seen := append(b.kinds[k], Seen{ratio, 1, now, open})
 	if len(seen) > b.p.Keep {
 		seen = seen[len(seen)-b.p.Keep:]
 	}
@@ -107,9 +121,12 @@
 func (b *Book) within(now time.Duration, k Kind, from, to float64) (in, more float64) {
 	add := func(list []Seen) {
 		for _, s := range list {
+			if s.open && s.Ratio < to {
+				continue // what became of it in that time is not known
+			}
 			if s.Ratio > from && now-s.at < b.p.Memory {
 				more += s.Weight
-				if s.Ratio <= to {
+				if s.Ratio <= to && !s.open {
 					in += s.Weight
 				}
 			}
@@ -149,12 +166,6 @@
 	return more == 0 || in/more < b.p.GiveUp
 }
 
-// Late tells whether a machine has waited beyond the horizon.
-func (b *Book) Late(now time.Duration, name string) bool {
-	m := b.waiting[name]
-	return m != nil && m.ratio(now) > b.p.Horizon
-}
-
 // Doubted lists those of some booting machines that do not count as room to come: as many
 // as their chances fall short of a new machine's, those that have waited longest first,
 // and never more than a share of all of them, which bounds what is rented in their place.
--- a/internal/core/booting.go
+++ b/internal/core/booting.go
@@ -54,13 +54,11 @@
 }
 
 // neverComes tells why a machine that has not come up is to be given back, or "".
-func (c *Core) neverComes(m *machine, busy bool) string {
+func (c *Core) neverComes(m *machine) string {
 	switch {
 	case m.reported:
 	case c.boots.Hopeless(c.now, m.name), c.now-m.since > max(seconds(c.types[m.typ].BootS*tuning.BootGiveUp), tuning.BootGiveUpMin):
 		return "never came up"
-	case !busy && !m.base && !m.inherited && c.boots.Late(c.now, m.name) && len(m.attempts) == 0:
-		return "late, and needed no more"
 	}
 	return ""
 }
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -175,7 +175,7 @@
 		if m.shard != shard || m.drop {
 			continue
 		}
-		why := c.neverComes(m, busy)
+		why := c.neverComes(m)
 		switch {
 		case why != "":
 		case m.over && !m.base, m.reported && c.now-m.lastReport > seconds(c.settings.SilentDropS):
