--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -7,6 +7,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -138,7 +139,7 @@
 	}
 	j, run := &e.rec, e.run
 	q := queue.Job{ID: j.ID, Team: j.Team, Accepted: j.AcceptedMS, Rank: e.prio, Strict: j.Zone != "" || j.OneZone, Service: j.Shape == wire.ShapeService,
-		Due: c.aims.Due(workOf(j)), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.count(), Pending: c.trials(e)}
+		Due: c.aims.Due(workOf(j)), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.Count(), Pending: c.trials(e)}
 	if c.health.Trial(j.ID) {
 		q.Rest = min(q.Rest, 1) // it keeps no place of others
 	}
@@ -147,7 +148,7 @@
 	if owes {
 		c.owed[e] = true
 	}
-	if !ended && run.done.count() > countRanges(j.Done) {
+	if !ended && run.done.Count() > ranges.Count(j.Done) {
 		c.behind[e] = true
 	}
 }
@@ -164,7 +165,7 @@
 // owes tells what of a job's starts and its end is to be written.
 func (c *Core) owes(e *jobEntry) (started int, ended, owes bool) {
 	run := e.run
-	if run.done.count() >= e.rec.Tasks {
+	if run.done.Count() >= e.rec.Tasks {
 		return 0, true, true
 	}
 	started = max(e.rec.Started, run.next)
--- a/internal/core/booting.go
+++ b/internal/core/booting.go
@@ -63,9 +63,6 @@
 	return ""
 }
 
-// askable is how many machines of an offering are worth asking for.
-func (c *Core) askable(o *offering, count int) int { return c.boots.Ask(c.now, o.kind(), count) }
-
 // bookedOf notes machines that have just been rented; their blocks are yet to be written.
 func (c *Core) bookedOf(infos []wire.MachineInfo) {
 	for _, m := range infos {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -571,23 +571,6 @@
 	})
 }
 
-// refresh reads one live key into the mirror.
-func (c *Core) refresh(key string) {
-	if !strings.HasPrefix(key, wire.LivePrefix) {
-		return
-	}
-	c.state(StateCall{Op: OpGet, Key: key}, func(r StateReply) { c.learn(key, r); c.changed() })
-}
-
-func (c *Core) learn(key string, r StateReply) {
-	switch r.Status {
-	case 200:
-		c.put(key, r.Item.Value, r.Item.Version)
-	case 404:
-		c.remove(key, r.List.Revision)
-	}
-}
-
 func (c *Core) sizeOf(typ string) (placement.Size, bool) {
 	t, ok := c.types[typ]
 	return placement.Size{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemoryGB}, ok
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -7,21 +7,22 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
 const sec = time.Second
 
 func TestRanges(t *testing.T) {
-	var r ranges
+	var r ranges.Set
 	for _, i := range []int{5, 3, 4, 9, 0, 4, 8} {
-		r = r.add(i)
+		r = r.Add(i)
 	}
-	if diff := cmp.Diff(ranges{{0, 1}, {3, 6}, {8, 10}}, r); diff != "" {
+	if diff := cmp.Diff(ranges.Set{{0, 1}, {3, 6}, {8, 10}}, r); diff != "" {
 		t.Fatal(diff)
 	}
-	if r.count() != 6 || !r.has(4) || r.has(6) || r.has(2) {
-		t.Fatalf("count %d of %v", r.count(), r)
+	if r.Count() != 6 || !r.Has(4) || r.Has(6) || r.Has(2) {
+		t.Fatalf("count %d of %v", r.Count(), r)
 	}
 }
 
@@ -254,7 +255,7 @@
 	e := w.nodes["c0"].core.jobs["job-000001"]
 	before := w.key(jobKey("job-000001")).Version
 	for i := 1000; i < 2000; i += 2 {
-		e.run.done = e.run.done.add(i)
+		e.run.done = e.run.done.Add(i)
 	}
 	w.run(15 * sec) // the world ends the test when a write is refused as malformed
 	if w.key(jobKey("job-000001")).Version == before {
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -66,7 +66,7 @@
 // addProgress adds a job's progress as it stands now. Its starts are written apart.
 func (b *batch) addProgress(e *jobEntry) {
 	rec := e.rec
-	rec.Done = e.run.done.clone()
+	rec.Done = e.run.done.Clone()
 	raw, err := wire.Marshal(rec)
 	for err == nil && len(rec.Done) > 0 && !wire.FitsIn(raw, b.c.p.ValueBytes) {
 		// Too scattered to keep: what is left out would only run again.
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -6,6 +6,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/health"
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/internal/wants"
@@ -124,7 +125,7 @@
 	retry   []int // started once, nowhere now, to be started again
 	next    int   // first index never reserved
 	held    int   // tasks below this may run on inherited machines; 0 once settled
-	done    ranges
+	done    ranges.Set
 	notYet  Time // after failures: nothing is started before this
 	fails   int
 	zone    string // chosen for a gang that must be in one zone
@@ -150,7 +151,7 @@
 	}
 	fresh := e.run == nil
 	if fresh {
-		e.run = &jobRun{since: c.now, active: map[int]*attempt{}, next: e.rec.Started, done: ranges(e.rec.Done).clone()}
+		e.run = &jobRun{since: c.now, active: map[int]*attempt{}, next: e.rec.Started, done: ranges.Set(e.rec.Done).Clone()}
 		if e.rec.Started > 0 {
 			e.run.held = e.rec.Started
 			if s, _ := c.started.Of(e.rec.ID); s.Bad && len(e.rec.Done) == 0 {
@@ -185,7 +186,7 @@
 		c.awaitOn(e)
 		c.noteHeld(e, i)
 	}
-	e.run.done = e.run.done.union(e.rec.Done)
+	e.run.done = e.run.done.Union(e.rec.Done)
 }
 
 // jobGone is called when a job has left the live keys: done or aborted. What
@@ -445,7 +446,7 @@
 		e.run.active[a.idx] = o
 		return
 	}
-	if !e.run.done.has(a.idx) {
+	if !e.run.done.Has(a.idx) {
 		e.run.retry = append(e.run.retry, a.idx)
 		e.run.since = c.now
 	}
--- a/internal/core/local_test.go
+++ b/internal/core/local_test.go
@@ -26,7 +26,7 @@
 	for _, id := range []string{"job-000001", "job-000002"} {
 		// Neither places its anchor, which goes by other rules.
 		run := c.jobs[id].run
-		run.done, run.next = run.done.add(0), 1
+		run.done, run.next = run.done.Add(0), 1
 		c.touchJob(c.jobs[id])
 	}
 	m.images = map[string]bool{"img-b": true}
@@ -71,7 +71,7 @@
 	c := w.nodes["c0"].core
 	m := c.machines[name]
 	run := c.jobs["job-000002"].run
-	run.done, run.next = run.done.add(0), 1
+	run.done, run.next = run.done.Add(0), 1
 	c.touchJob(c.jobs["job-000002"])
 	m.images = map[string]bool{"img-b": true}
 	for _, k := range sortedAttempts(m) {
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -416,6 +416,23 @@
 	}
 }
 
+// refresh reads one live key into the mirror.
+func (c *Core) refresh(key string) {
+	if !strings.HasPrefix(key, wire.LivePrefix) {
+		return
+	}
+	c.state(StateCall{Op: OpGet, Key: key}, func(r StateReply) { c.learn(key, r); c.changed() })
+}
+
+func (c *Core) learn(key string, r StateReply) {
+	switch r.Status {
+	case 200:
+		c.put(key, r.Item.Value, r.Item.Version)
+	case 404:
+		c.remove(key, r.List.Revision)
+	}
+}
+
 // changed lets the leader and the holder act on a changed mirror.
 func (c *Core) changed() {
 	if c.loaded {
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -7,6 +7,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/internal/wants"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -15,31 +16,26 @@
 // anyRoom walks over all waiting jobs, whatever they ask for.
 func anyRoom(string) placement.Size { return placement.Size{CPUs: inf, GPUs: inf, MemGB: inf} }
 
-// supply is a machine with room to come, or with room that a pass has not used.
-type supply struct {
-	m    *machine
-	free placement.Size
-	idle placement.Size // of that, taken by work that gives way to all other
-	// doubted: it boots and is late. Urgent work has another rented in its place; for work
-	// that can wait that cost more than it brought (docs/rounds.md).
-	doubted bool
-}
-
-// supplies lists the machines of a shard that may take waiting tasks: those that come
-// up or are not accounted for yet, and, if any of the waiting fits at all, those that
-// have room now.
-func (c *Core) supplies(shard int) []supply {
-	var list []supply
+// supplies is the room of a shard that waiting tasks may find: on machines that come up or
+// are not accounted for yet, and, if any of the waiting fits at all, on those that have
+// some now.
+func (c *Core) supplies(shard int) supply.Pool {
+	var list []*machine
+	rooms := map[*machine]supply.Room{}
+	add := func(m *machine, free placement.Size, doubted bool) {
+		list = append(list, m)
+		rooms[m] = supply.Room{Type: m.typ, Zone: m.zone, Spot: m.spot, Free: free, Doubted: doubted}
+	}
 	doubted := c.doubted(shard)
 	for m := range c.coming {
 		if m.shard == shard {
 			// What is on a machine not accounted for is not known: it may be empty,
 			// so only what finds no room even then is asked for.
 			full, _ := c.sizeOf(m.typ)
-			list = append(list, supply{m: m, free: full, doubted: doubted[m.name]})
+			add(m, full, doubted[m.name])
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].m.name < list[j].m.name })
+	sort.Slice(list, func(i, j int) bool { return list[i].name < list[j].name })
 	most := c.room.Most(shard)
 	var least *placement.Size
 	c.order.Walk(func(team string) placement.Size {
@@ -56,30 +52,35 @@
 		return true
 	})
 	if least != nil {
-		c.room.Each(shard, *least, func(ledger.Kind) bool { return true }, func(m *machine, _ ledger.Kind, free placement.Size) {
-			if c.idlers[m] == 0 {
-				list = append(list, supply{m: m, free: free})
-			}
-		})
+		c.room.Each(shard, *least, func(ledger.Kind) bool { return true }, func(m *machine, _ ledger.Kind, free placement.Size) { add(m, free, false) })
 	}
 	n := len(list)
 	for m := range c.idlers {
 		if f, ok := c.room.Of(m); ok && f.Usable && m.shard == shard {
-			list = append(list, supply{m: m, free: f.Free}.withIdle())
+			if _, in := rooms[m]; !in {
+				add(m, f.Free, false)
+			}
+			r := rooms[m]
+			r.Idle = c.idleOn(m)
+			r.Free = r.Free.Add(r.Idle)
+			rooms[m] = r
 		}
 	}
-	sort.Slice(list[n:], func(i, j int) bool { return list[n+i].m.name < list[n+j].m.name })
-	return list
+	sort.Slice(list[n:], func(i, j int) bool { return list[n+i].name < list[n+j].name })
+	pool := make(supply.Pool, 0, len(list))
+	for _, m := range list {
+		pool = append(pool, rooms[m])
+	}
+	return pool
 }
 
-// withIdle counts what work on a machine that gives way to all other takes as room too.
-func (s supply) withIdle() supply {
-	for _, a := range s.m.attempts {
+// idleOn is what work on a machine that gives way to all other takes.
+func (c *Core) idleOn(m *machine) (s placement.Size) {
+	for _, a := range m.attempts {
 		if a.idle && a.status != wire.TaskEnded {
-			s.idle = s.idle.Add(a.size)
+			s = s.Add(a.size)
 		}
 	}
-	s.free = s.free.Add(s.idle)
 	return s
 }
 
@@ -124,11 +125,11 @@
 	c.update()
 	var out []wire.Need
 	if n, short := c.spareNeed(shard); short {
-		out = addNeed(out, n)
+		out = supply.Join(out, n, tuning.NeedsMax)
 	}
 	starved := false
 	used := map[string]placement.Size{}
-	var in []supply
+	var in supply.Pool
 	if c.order.Len() > 0 {
 		in = c.supplies(shard)
 	}
@@ -153,25 +154,8 @@
 			used[j.Team] = c.room.Used(j.Team, shard)
 		}
 		want := team.underLimit(used[j.Team], size, c.deserves(p))
-		used[j.Team] = used[j.Team].Add(placement.Size{CPUs: float64(want) * size.CPUs, GPUs: float64(want) * size.GPUs, MemGB: float64(want) * size.MemGB})
-		left := want
-		for k := range in {
-			if left == 0 {
-				break
-			}
-			x := &in[k]
-			free := x.free
-			if x.doubted && e.prio >= urgentRank {
-				continue
-			}
-			if e.prio <= idleRank {
-				free = free.Sub(x.idle)
-			}
-			if n := min(left, placement.Beta(free, size)+1); n > 0 && allows(j, x.m) && (zone == "" || x.m.zone == zone) {
-				left -= n
-				x.free = x.free.Sub(placement.Size{CPUs: float64(n) * size.CPUs, GPUs: float64(n) * size.GPUs, MemGB: float64(n) * size.MemGB})
-			}
-		}
+		used[j.Team] = used[j.Team].Add(supply.Times(size, want))
+		left := want - in.Take(supply.Ask{Types: j.Types, Zone: zone, Spot: j.Spot, Size: size, Urgent: e.prio >= urgentRank, Idle: e.prio <= idleRank}, want)
 		waits := p.Within && e.prio >= urgentRank && c.now-e.run.since > tuning.DireAfter
 		if left == 0 && !waits {
 			return true
@@ -187,7 +171,7 @@
 				n.Dire = true
 			}
 		}
-		out = addNeed(out, n)
+		out = supply.Join(out, n, tuning.NeedsMax)
 		return true
 	})
 	if _, was := c.dire[shard]; !starved {
@@ -208,22 +192,6 @@
 	return max(0, min(p.Job.Pending, n-len(p.Handle.run.active)))
 }
 
-// addNeed joins needs of the same kind. Many jobs of one task each used to be as
-// many needs, and got a machine each, one after the other, where one rental or
-// a few of another shard's blocks would have held them all.
-func addNeed(out []wire.Need, n wire.Need) []wire.Need {
-	for i := range out {
-		if wants.SameKind(out[i], n) {
-			out[i].Tasks += n.Tasks
-			return out
-		}
-	}
-	if len(out) < tuning.NeedsMax {
-		out = append(out, n)
-	}
-	return out
-}
-
 var wantPace = wants.Pace{Again: tuning.WantAgain, Write: tuning.WantWrite, Keep: tuning.WantKeep}
 
 // tellWants tells what each held shard lacks, for the leader and the other holders.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -222,17 +222,7 @@
 		}
 		return
 	}
-	for _, h := range m.Holds {
-		// A peer that holds our shard under a later token has read the grant
-		// in the state; we cannot, or have not yet. To go on answering would keep
-		// the workers from it for as long as we may go unconfirmed.
-		if s := c.shards[h.Shard]; s != nil && c.held[h.Shard] && h.Token > s.ver {
-			c.yielded[h.Shard] = m.From
-			c.noteShard(trail.ShardYielded, h.Shard, wire.TrailEvent{Node: m.From, Token: h.Token})
-			c.log(1, "shard yielded to a later token", "shard", h.Shard, "to", m.From, "token", h.Token)
-			c.leaveShard(h.Shard)
-		}
-	}
+	c.yieldTo(m)
 	if m.Word != nil {
 		c.spoken[m.From] = spokenWord{*m.Word, c.now}
 	}
@@ -259,6 +249,21 @@
 	}
 }
 
+// yieldTo stops acting for shards that a peer holds under a later token.
+func (c *Core) yieldTo(m PeerMessage) {
+	for _, h := range m.Holds {
+		// A peer that holds our shard under a later token has read the grant
+		// in the state; we cannot, or have not yet. To go on answering would keep
+		// the workers from it for as long as we may go unconfirmed.
+		if s := c.shards[h.Shard]; s != nil && c.held[h.Shard] && h.Token > s.ver {
+			c.yielded[h.Shard] = m.From
+			c.noteShard(trail.ShardYielded, h.Shard, wire.TrailEvent{Node: m.From, Token: h.Token})
+			c.log(1, "shard yielded to a later token", "shard", h.Shard, "to", m.From, "token", h.Token)
+			c.leaveShard(h.Shard)
+		}
+	}
+}
+
 // relay passes a report on to its holder, for a worker that may be cut off from
 // it: being sent there would cost it a time-out, and two of them a lease. After a
 // few it is sent home once; if it comes back, home cannot be reached from there
@@ -334,5 +339,5 @@
 			running++
 		}
 	}
-	return running, r.done.count()
+	return running, r.done.Count()
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -143,9 +143,9 @@
 // unseen counts a job's tasks that may run on machines of an earlier holder: they count
 // against the team's limit.
 func (r *jobRun) unseen() int {
-	n := r.held - r.done.below(r.held)
+	n := r.held - r.done.Below(r.held)
 	for k := range r.active {
-		if k < r.held && !r.done.has(k) {
+		if k < r.held && !r.done.Has(k) {
 			n--
 		}
 	}
@@ -170,7 +170,7 @@
 	}
 	size, team, zones := jobSize(j), c.p.Teams[j.Team], zonesOf(e)
 	maybe := float64(run.unseen() + 1)
-	anchor := len(run.active) == 0 && run.done.count() == 0
+	anchor := len(run.active) == 0 && run.done.Count() == 0
 	gang := j.Shape == wire.ShapeGang
 	if gang {
 		if len(run.active) > 0 || !c.gangFits(e, shard) {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -1,10 +1,9 @@
 package core
 
 import (
-	"math"
-	"sort"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/clearing"
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
@@ -13,15 +12,6 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// clearing is a machine that could take an urgent task once lesser work on it has
-// been stopped: what is free or leaving already, and the tasks that would give way,
-// those that have run the least first.
-type clearing struct {
-	m       *machine
-	free    placement.Size
-	victims []*attempt
-}
-
 // preempt stops lesser work for urgent tasks that find no room, and work that is run when
 // there is nothing else to do for all that lies within a guarantee. All that wait are
 // served together, each on a machine of its own choice where the least running time is
@@ -48,7 +38,7 @@
 	if len(list) == 0 {
 		return
 	}
-	by := map[int][]*clearing{}
+	by := map[int][]*clearing.Machine[*machine, *attempt]{}
 	for _, m := range c.heldMachines() {
 		if c.usable(m) {
 			by[m.shard] = append(by[m.shard], c.clearingOf(m))
@@ -65,62 +55,36 @@
 	}
 }
 
-func (c *Core) clearingOf(m *machine) *clearing {
-	x := &clearing{m: m, free: c.free(m)}
+func (c *Core) clearingOf(m *machine) *clearing.Machine[*machine, *attempt] {
+	x := &clearing.Machine[*machine, *attempt]{Handle: m, Free: c.free(m)}
 	for _, k := range sortedAttempts(m) {
 		a := m.attempts[k]
-		v := c.jobs[a.job]
 		switch {
 		case a.status == wire.TaskEnded || !a.sent:
-		case a.stop || v == nil:
-			x.free = x.free.Add(a.size) // already leaving
+		case a.stop || c.jobs[a.job] == nil:
+			x.Free = x.Free.Add(a.size) // already leaving
 		case a.known && a.lesser:
-			x.victims = append(x.victims, a)
+			x.Victims = append(x.Victims, clearing.Victim[*attempt]{Handle: a, Size: a.size, Ran: c.now - a.running, Idle: a.idle})
 		}
 	}
-	sort.SliceStable(x.victims, func(i, j int) bool {
-		if a, b := x.victims[i], x.victims[j]; a.idle != b.idle {
-			return a.idle
-		}
-		return x.victims[i].running > x.victims[j].running
-	})
+	x.Sort()
 	return x
 }
 
-// preemptFor makes room for one task of an urgent job, unless some is being made, and
-// takes that room out of the clearing. It tells whether there will be room.
-func (c *Core) preemptFor(e *jobEntry, in []*clearing) bool {
-	size, kinds := jobSize(&e.rec), c.kinds(e, zonesOf(e))
-	var best *clearing
-	n, loss := 0, time.Duration(math.MaxInt64)
-	for _, x := range in {
-		if !kinds(ledger.Kind{Shard: x.m.shard, Type: x.m.typ, Zone: x.m.zone, Spot: x.m.spot}) || c.avoids(e, x.m) {
-			continue
-		}
-		f, lost, k := x.free, time.Duration(0), 0
-		for ; k < len(x.victims) && !placement.Fits(f, size) && lost < loss && (e.prio >= urgentRank || x.victims[k].idle); k++ {
-			f = f.Add(x.victims[k].size)
-			lost += c.now - x.victims[k].running
-		}
-		if placement.Fits(f, size) && lost < loss {
-			best, n, loss = x, k, lost
-		}
-		if loss == 0 {
-			break // room that is free or being made
-		}
-	}
-	if best == nil {
-		return false
-	}
-	for _, a := range best.victims[:n] {
-		best.free = best.free.Add(a.size)
+// preemptFor makes room for one task of a job, unless some is being made. It tells whether
+// there will be room.
+func (c *Core) preemptFor(e *jobEntry, in []*clearing.Machine[*machine, *attempt]) bool {
+	kinds := c.kinds(e, zonesOf(e))
+	stop, ok := clearing.Choose(in, jobSize(&e.rec), e.prio >= urgentRank, func(m *machine) bool {
+		return kinds(ledger.Kind{Shard: m.shard, Type: m.typ, Zone: m.zone, Spot: m.spot}) && !c.avoids(e, m)
+	})
+	for _, v := range stop {
+		a := v.Handle
 		c.stopAttempt(a)
 		c.noteTask(trail.TaskStopped, a, "for "+e.rec.ID+", which goes before it")
 		c.log(1, "stopping a task for work that goes before it", "task", a.key.task, "machine", a.m.name, "for", e.rec.ID)
 	}
-	best.victims = best.victims[n:]
-	best.free = best.free.Sub(size)
-	return true
+	return ok
 }
 
 // stopAttempt has a task stopped, with time to save if it can.
--- a/internal/core/recount_test.go
+++ b/internal/core/recount_test.go
@@ -11,6 +11,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -158,7 +159,7 @@
 		if owes {
 			owed[e.rec.ID] = true
 		}
-		if !ended && e.run.done.count() > countRanges(e.rec.Done) {
+		if !ended && e.run.done.Count() > ranges.Count(e.rec.Done) {
 			behind[e.rec.ID] = true
 		}
 	}
@@ -235,7 +236,7 @@
 		if e.run == nil {
 			continue
 		}
-		rest := e.rec.Tasks - e.run.done.count()
+		rest := e.rec.Tasks - e.run.done.Count()
 		pending := len(e.run.retry) + e.rec.Tasks - e.run.next
 		if c.health.Trial(e.rec.ID) { // counts as one task, of which one is tried at a time
 			rest = min(rest, 1)
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -2,11 +2,10 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/boot"
-	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -113,10 +112,10 @@
 		}
 		// Rented and not yet in a block: the holder does not know of them. To wait for
 		// their blocks before renting more took ten seconds where changes were short.
-		coming := c.coverage(i)
+		coming := c.booked(i)
 		for _, n := range w.Needs {
 			if !n.Booting {
-				n.Tasks -= coming.take(n)
+				n.Tasks -= coming.Take(supply.AskOf(n), n.Tasks)
 			}
 			if n.Tasks > 0 && (c.moveIdle(i, n) || (!n.Booting && c.rent(i, n))) {
 				return
@@ -125,34 +124,14 @@
 	}
 }
 
-// coverage is the room of a shard's machines that are rented and stand in no block yet.
-type coverage []supply
-
-func (c *Core) coverage(shard int) *coverage {
-	var x coverage
+// booked is the room of a shard's machines that are rented and stand in no block yet.
+func (c *Core) booked(shard int) (p supply.Pool) {
 	for _, info := range c.leader.booked[shard] {
 		if full, ok := c.sizeOf(info.Type); ok && c.blockOf(info.Name) == nil {
-			x = append(x, supply{m: &machine{typ: info.Type, zone: info.Zone, spot: info.Spot}, free: full})
-		}
-	}
-	return &x
-}
-
-// take uses up room for a need, and says for how many of its tasks there is some.
-func (x *coverage) take(n wire.Need) (got int) {
-	ask := needSize(n)
-	for k := range *x {
-		s := &(*x)[k]
-		if !allowsType(n.Types, s.m.typ) || n.Zone != "" && n.Zone != s.m.zone || s.m.spot && !n.Spot {
-			continue
-		}
-		fit := min(n.Tasks-got, placement.Beta(s.free, ask)+1)
-		if fit > 0 {
-			got += fit
-			s.free = s.free.Sub(placement.Size{CPUs: float64(fit) * ask.CPUs, GPUs: float64(fit) * ask.GPUs, MemGB: float64(fit) * ask.MemGB})
+			p = append(p, supply.Room{Type: info.Type, Zone: info.Zone, Spot: info.Spot, Free: full})
 		}
 	}
-	return got
+	return p
 }
 
 // moveIdle moves an idle block, which its holder has promised to keep empty.
@@ -182,14 +161,6 @@
 	return false
 }
 
-// offering is one way to rent.
-type offering struct {
-	typ, zone string
-	spot      bool
-	price     float64
-	away      bool
-}
-
 // rent books machines for a need, the cheapest per task first, near the
 // shard's holder before elsewhere.
 func (c *Core) rent(shard int, n wire.Need) bool {
@@ -197,44 +168,19 @@
 	if c.now < l.cloudAt {
 		return false
 	}
-	zone := c.p.Nodes[c.shards[shard].rec.Holder]
-	ask := needSize(n)
-	var offers []offering
-	for _, name := range sortedKeys(c.types) {
-		t := c.types[name]
-		full, _ := c.sizeOf(name)
-		if !allowsType(n.Types, name) || !placement.Fits(full, ask) {
-			continue
-		}
-		per := float64(placement.Beta(full, ask) + 1)
-		for _, z := range t.Zones {
-			if n.Zone != "" && z != n.Zone {
-				continue
-			}
-			offers = append(offers, offering{name, z, false, t.Price / per, z != zone})
-			if n.Spot && c.settings.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
-				offers = append(offers, offering{name, z, true, t.SpotPrice / per, z != zone})
-			}
-		}
-	}
-	sort.SliceStable(offers, func(i, j int) bool {
-		if offers[i].price != offers[j].price {
-			return offers[i].price < offers[j].price
-		}
-		return !offers[i].away && offers[j].away
-	})
-	var best *offering
+	offers := supply.Offers(c.types, n, c.p.Nodes[c.shards[shard].rec.Holder], c.settings.Spot)
+	var best *supply.Offer
 	chance := 0.0
 	for k := range offers {
 		o := &offers[k]
-		if c.now < l.pause[o.key()] {
+		if c.now < l.pause[offerKey(o)] {
 			continue
 		}
-		if count := c.askable(o, c.machinesFor(o, n)); count > 0 {
+		if count := c.boots.Ask(c.now, kindOf(o), o.Machines(n.Tasks, tuning.RentMax)); count > 0 {
 			c.rentOf(shard, o, count, n)
 			return true
 		}
-		if p := c.boots.Fresh(c.now, o.kind()); p > chance {
+		if p := c.boots.Fresh(c.now, kindOf(o)); p > chance {
 			best, chance = o, p
 		}
 	}
@@ -243,29 +189,22 @@
 	}
 	// No kind can be trusted, and one of each is on its way: what is needed is asked for
 	// all the same, half of it at a time. It may be late everywhere.
-	c.rentOf(shard, best, (c.machinesFor(best, n)+1)/2, n)
+	c.rentOf(shard, best, (best.Machines(n.Tasks, tuning.RentMax)+1)/2, n)
 	return true
 }
 
-func (o *offering) kind() boot.Kind { return boot.Kind{Type: o.typ, Zone: o.zone, Spot: o.spot} }
+func kindOf(o *supply.Offer) boot.Kind { return boot.Kind{Type: o.Type, Zone: o.Zone, Spot: o.Spot} }
 
-func (o *offering) key() string { return fmt.Sprintf("%s|%s|%v", o.typ, o.zone, o.spot) }
-
-// machinesFor is how many machines of an offering a need takes.
-func (c *Core) machinesFor(o *offering, n wire.Need) int {
-	full, _ := c.sizeOf(o.typ)
-	per := placement.Beta(full, needSize(n)) + 1
-	return min((n.Tasks+per-1)/per, tuning.RentMax)
-}
+func offerKey(o *supply.Offer) string { return fmt.Sprintf("%s|%s|%v", o.Type, o.Zone, o.Spot) }
 
-func (c *Core) rentOf(shard int, o *offering, count int, n wire.Need) {
+func (c *Core) rentOf(shard int, o *supply.Offer, count int, n wire.Need) {
 	l := &c.leader
 	l.bookings++
-	req := wire.RentRequest{Request: fmt.Sprintf("%s-%d-%d", c.p.Node, c.boot, l.bookings), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: count}
+	req := wire.RentRequest{Request: fmt.Sprintf("%s-%d-%d", c.p.Node, c.boot, l.bookings), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: count}
 	l.renting[shard] = true
 	c.noteShard(trail.Rented, shard, wire.TrailEvent{Count: count, Why: fmt.Sprintf("%d tasks of %g cpus find no machine", n.Tasks, n.CPUs)})
-	c.log(1, "renting", "shard", shard, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", count, "booking", req.Request)
-	c.book(shard, o.key(), req, 0)
+	c.log(1, "renting", "shard", shard, "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", count, "booking", req.Request)
+	c.book(shard, offerKey(o), req, 0)
 }
 
 // book sends a rental until it has a definite answer: the same name yields the
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -247,7 +248,7 @@
 	}
 	c.touchJob(e)
 	if a.cause == wire.CauseDone {
-		e.run.done = e.run.done.add(a.idx)
+		e.run.done = e.run.done.Add(a.idx)
 		e.run.fails = 0
 		c.sicken(c.health.Completed(a.job, a.m.name))
 		if o := e.run.active[a.idx]; o == a {
@@ -301,7 +302,7 @@
 		switch {
 		case a.status == wire.TaskEnded:
 			// Cleared only once the outcome is written, or has no bearing.
-			if !live || a.cause != wire.CauseDone || ranges(e.rec.Done).has(a.idx) {
+			if !live || a.cause != wire.CauseDone || ranges.Set(e.rec.Done).Has(a.idx) {
 				cmds = append(cmds, wire.Command{Verb: wire.VerbClear, Task: k.task, Attempt: k.try})
 			}
 		case !live || a.stop:
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -122,7 +122,7 @@
 	}
 	open := false
 	for k := 0; k < e.run.held; k++ {
-		if e.run.done.has(k) || e.run.active[k] != nil || queued[k] {
+		if e.run.done.Has(k) || e.run.active[k] != nil || queued[k] {
 			continue
 		}
 		if c.mayBeOn(e, k, shard) {
--- a/internal/core/trailing.go
+++ b/internal/core/trailing.go
@@ -69,7 +69,7 @@
 // noteHeld tells how many started tasks of a job wait until it is known whether
 // they run on machines of an earlier holder.
 func (c *Core) noteHeld(e *jobEntry, shard int) {
-	if n := e.run.held - e.run.done.count(); e.run.held > 0 && n > 0 {
+	if n := e.run.held - e.run.done.Count(); e.run.held > 0 && n > 0 {
 		c.noteShard(trail.TaskHeld, shard, wire.TrailEvent{Job: e.rec.ID, Count: n, Why: "may run on machines that are not accounted for"})
 	}
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -79,7 +80,7 @@
 }
 
 func (c *Core) statusOf(j *wire.Job) wire.JobStatus {
-	done, running := countRanges(j.Done), 0
+	done, running := ranges.Count(j.Done), 0
 	if e := c.jobs[j.ID]; e != nil && e.run != nil {
 		running, done = e.run.count()
 	} else if n, ok := c.counts[j.ID]; ok {
@@ -313,7 +314,7 @@
 		case j == nil:
 			c.answer(v.Req, 404, wire.Problem{Error: "no such job"})
 		default:
-			f := wire.Final{Status: wire.JobAborted, Done: countRanges(j.Done)}
+			f := wire.Final{Status: wire.JobAborted, Done: ranges.Count(j.Done)}
 			c.commit(LaneUser, []wire.Condition{{Key: jobKey(v.ID), Version: ver}, {Key: finalKey(v.ID)}},
 				[]wire.Change{{Delete: jobKey(v.ID)}, {Put: finalKey(v.ID), Value: f}}, func(r StateReply) {
 					switch r.Status {
--- a/internal/core/ranges.go
+++ b/internal/ranges/ranges.go
@@ -1,16 +1,20 @@
-package core
+// Package ranges holds sets of task indexes as ordered half-open ranges [from, to), which
+// stay short while tasks complete about in order.
+package ranges
 
 import (
 	"slices"
 	"sort"
 )
 
-// ranges is a set of task indexes as ordered half-open ranges.
-type ranges [][2]int
+// Set is a set of task indexes, of ranges that neither overlap nor touch.
+type Set [][2]int
 
-func countRanges(r [][2]int) int { return ranges(r).count() }
+// Count is how many indexes ranges hold.
+func Count(r [][2]int) int { return Set(r).Count() }
 
-func (r ranges) count() int {
+// Count is how many indexes the set holds.
+func (r Set) Count() int {
 	n := 0
 	for _, x := range r {
 		n += x[1] - x[0]
@@ -18,13 +22,14 @@
 	return n
 }
 
-func (r ranges) has(i int) bool {
+// Has tells whether an index is in the set.
+func (r Set) Has(i int) bool {
 	k := sort.Search(len(r), func(k int) bool { return r[k][1] > i })
 	return k < len(r) && r[k][0] <= i
 }
 
-// add returns the set with i in it.
-func (r ranges) add(i int) ranges {
+// Add returns the set with i in it.
+func (r Set) Add(i int) Set {
 	k := sort.Search(len(r), func(k int) bool { return r[k][1] >= i })
 	if k < len(r) && r[k][0] <= i && i < r[k][1] {
 		return r
@@ -47,17 +52,18 @@
 	return r
 }
 
-func (r ranges) clone() ranges { return append(ranges(nil), r...) }
+// Clone returns a copy that shares nothing.
+func (r Set) Clone() Set { return append(Set(nil), r...) }
 
-// union returns the set with all of another, ordered one in it.
-func (r ranges) union(o ranges) ranges {
+// Union returns the set with all of another, ordered one in it.
+func (r Set) Union(o Set) Set {
 	switch {
 	case len(o) == 0 || slices.Equal(r, o):
 		return r
 	case len(r) == 0:
-		return o.clone()
+		return o.Clone()
 	}
-	out := make(ranges, 0, len(r)+len(o))
+	out := make(Set, 0, len(r)+len(o))
 	for len(r)+len(o) > 0 {
 		var x [2]int
 		if len(o) == 0 || len(r) > 0 && r[0][0] <= o[0][0] {
@@ -74,8 +80,8 @@
 	return out
 }
 
-// below counts the indexes of the set under a bound.
-func (r ranges) below(bound int) int {
+// Below counts the indexes of the set under a bound.
+func (r Set) Below(bound int) int {
 	n := 0
 	for _, x := range r {
 		if x[0] >= bound {
--- a/internal/core/ranges_test.go
+++ b/internal/ranges/ranges_test.go
@@ -1,4 +1,4 @@
-package core
+package ranges
 
 import (
 	"testing"
@@ -7,10 +7,10 @@
 )
 
 func TestRangesAreSets(t *testing.T) {
-	draw := func(t *rapid.T, name string) (r ranges, set map[int]bool) {
+	draw := func(t *rapid.T, name string) (r Set, set map[int]bool) {
 		set = map[int]bool{}
 		for _, k := range rapid.SliceOf(rapid.IntRange(0, 30)).Draw(t, name) {
-			r, set[k] = r.add(k), true
+			r, set[k] = r.Add(k), true
 		}
 		return r, set
 	}
@@ -20,18 +20,18 @@
 		for k := range more {
 			in[k] = true
 		}
-		u, bound := a.union(b), rapid.IntRange(0, 32).Draw(t, "bound")
+		u, bound := a.Union(b), rapid.IntRange(0, 32).Draw(t, "bound")
 		n := 0
 		for k := range 32 {
-			if u.has(k) != in[k] {
+			if u.Has(k) != in[k] {
 				t.Fatalf("%v with %v is %v", a, b, u)
 			}
 			if in[k] && k < bound {
 				n++
 			}
 		}
-		if u.count() != len(in) || u.below(bound) != n {
-			t.Fatalf("%v: %d in all, %d below %d", u, u.count(), u.below(bound), bound)
+		if u.Count() != len(in) || u.Below(bound) != n {
+			t.Fatalf("%v: %d in all, %d below %d", u, u.Count(), u.Below(bound), bound)
 		}
 		for i := 1; i < len(u); i++ {
 			if u[i][0] <= u[i-1][1] {
