--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -513,7 +513,7 @@
 }
 
 // takeShard writes a new holder; the write's revision is the shard's token.
-func (c *Core) takeShard(i int, node string, boot uint64) {
+func (c *Core) takeShard(i int, node string, boot uint64, when ...wire.Condition) {
 	e := c.shards[i]
 	rec := e.rec
 	// Two crashes in a row used to hide who had held the shard before the last
@@ -533,7 +533,7 @@
 	}
 	from := e.rec.Holder
 	c.taking[i] = taking{rec, from}
-	c.commit(LaneFirst, []wire.Condition{{Key: key, Version: e.ver}}, []wire.Change{{Put: key, Value: rec}}, func(r StateReply) {
+	c.commit(LaneFirst, append(when, wire.Condition{Key: key, Version: e.ver}), []wire.Change{{Put: key, Value: rec}}, func(r StateReply) {
 		if r.Status == 200 {
 			c.noteTaken(i)
 		}
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -72,6 +72,7 @@
 	promptedAt             Time
 	moving                 bool // its replicas are being moved off
 	over                   bool // its lease is surely over; confirmed by the state
+	cut                    bool // it fell silent with many others
 	silent                 bool // its reports stay away
 	notice                 bool
 	noticeAt               Time
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -171,14 +171,24 @@
 
 // retire marks machines to be given back: idle, silent, never up, or taken.
 func (c *Core) retire(shard int, busy bool) {
+	// Many that are silent at a time are a cut, and come back: a controller that lost its
+	// workers for half a minute, while another was down, gave 163 healthy machines away.
+	silent := 0
+	for _, m := range c.heldMachines() {
+		if m.shard == shard && m.reported && !m.drop && c.now-m.lastReport > c.freshFor() {
+			silent++
+		}
+	}
+	cut := silent > max(tuning.MissingFew, c.machinesIn(shard)/tuning.MissingShare)
 	for _, m := range c.heldMachines() {
 		if m.shard != shard || m.drop {
 			continue
 		}
+		m.cut = m.over && (m.cut || cut)
 		why := c.neverComes(m)
 		switch {
 		case why != "":
-		case m.over && !m.base, m.reported && c.now-m.lastReport > seconds(c.settings.SilentDropS):
+		case m.over && !m.base && !m.cut, m.reported && c.now-m.lastReport > seconds(c.settings.SilentDropS):
 			// A rented machine that was lost costs as much as another; one that
 			// stands here anyway may come back.
 			why = "silent"
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -153,7 +153,9 @@
 			to = s.rec.Home
 		}
 		if to != "" && (to != s.rec.Holder || c.nodes[to].Boot != s.rec.Boot) {
-			c.takeShard(i, to, c.nodes[to].Boot)
+			// A leader that has stood still believes so until it hears otherwise: without the
+			// comparison it took its shard back from its successor, for 10 ms.
+			c.takeShard(i, to, c.nodes[to].Boot, c.leaderCond())
 			held[to]++
 		}
 	}
--- a/internal/core/ways_test.go
+++ b/internal/core/ways_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -287,3 +288,78 @@
 		}
 	}
 }
+
+// A leader that stood still believes that it leads until it hears otherwise. What it then
+// does with shards compares the leader's record, so it takes nothing back on waking.
+func TestAStaleLeaderMovesNoShard(t *testing.T) {
+	w := newWorld(t, 52, 3)
+	w.run(25 * sec)
+	leader := w.nodes["c0"].core.chief.Node
+	c := w.nodes[leader].core
+	i := c.shardIDs()[0]
+	for _, x := range c.shardIDs() {
+		if c.shards[x].rec.Home == leader {
+			i = x
+		}
+	}
+	// Another leads by now and holds this one's shard; only the latter is known here.
+	rec := c.shards[i].rec
+	rec.Holder, rec.Settled = "c0", true
+	if leader == "c0" {
+		rec.Holder = "c1"
+	}
+	rec.Boot = c.nodes[rec.Holder].Boot
+	c.shards[i] = &shardEntry{rec, c.shards[i].ver}
+	c.retryAt = map[string]Time{}
+	out := c.Step(c.now, time.UnixMilli(1e12), Tick{})
+	found := false
+	for _, e := range out {
+		call, is := e.(StateCall)
+		if !is || call.Op != OpCommit || len(call.Txn.Then) != 1 || call.Txn.Then[0].Put != shardKey(i) {
+			continue
+		}
+		found = true
+		if !slices.ContainsFunc(call.Txn.If, func(x wire.Condition) bool { return x.Key == wire.KeyLeader && x.Version == c.ver[wire.KeyLeader] }) {
+			t.Errorf("the shard is moved without comparing the leader: %+v", call.Txn.If)
+		}
+	}
+	if !found {
+		t.Error("the shard does not go home: nothing was tested")
+	}
+}
+
+// All controllers are cut off from the workers for longer than a lease: the machines are
+// rented, and none is given back for it.
+func TestMachinesOutliveACutOfAll(t *testing.T) {
+	w := newWorld(t, 51, 2, func(w *world) {
+		w.capacity, w.runS = 20, 60*sec
+		w.teams = map[string]Team{"red": {CPUs: 40, CPUsMax: 40}, "blue": {CPUs: 40, CPUsMax: 40}}
+	})
+	w.run(4 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeBatch, 36))
+	s := spec("job-000002", "blue", wire.ShapeService, 24)
+	s.Priority, s.DueS, s.Spot = ptr("urgent"), nil, ptr(false)
+	w.submit(s)
+	w.run(25 * sec)
+	rented := map[string]bool{}
+	for _, name := range w.order {
+		if m := w.machines[name]; !m.gone && len(m.tasks()) > 0 {
+			rented[name] = true
+		}
+	}
+	w.lost["c0"], w.lost["c1"] = true, true
+	w.run(14 * sec)
+	w.lost = map[string]bool{}
+	w.run(4 * sec)
+	gone := 0
+	for name := range rented {
+		if w.machines[name].gone {
+			gone++
+		}
+	}
+	if gone > 0 || len(rented) < 10 {
+		t.Errorf("%d of %d machines were given back", gone, len(rented))
+	}
+	w.abort("job-000002")
+	w.run(5 * sec)
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -213,6 +213,7 @@
 		if n.life == life && w.now >= n.still {
 			held := n.held
 			n.held = nil
+			w.step(n, Tick{}) // clocks are seen before what waits in sockets
 			for _, in := range held {
 				w.step(n, in)
 			}
