--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/duty"
@@ -108,7 +107,11 @@
 		if l.writing || (len(c.nodes) < len(names) && c.now-l.since < tuning.ShardGrace) || !c.every("shards", tuning.RetryAfter) {
 			return
 		}
-		teams := c.shareTeams(len(names))
+		guarantees := map[string]float64{}
+		for n, t := range c.p.Teams {
+			guarantees[n] = t.CPUs
+		}
+		teams := duty.ShareTeams(guarantees, len(names))
 		var when []wire.Condition
 		var then []wire.Change
 		when = append(when, c.leaderCond())
@@ -162,25 +165,6 @@
 	c.addTeams()
 }
 
-// shareTeams spreads the teams over n shards by their guarantees.
-func (c *Core) shareTeams(n int) [][]string {
-	out := make([][]string, n)
-	load := make([]float64, n)
-	names := sortedKeys(c.p.Teams)
-	sort.SliceStable(names, func(i, j int) bool { return c.p.Teams[names[i]].CPUs > c.p.Teams[names[j]].CPUs })
-	for _, t := range names {
-		k := 0
-		for i := range load {
-			if load[i] < load[k] {
-				k = i
-			}
-		}
-		out[k] = append(out[k], t)
-		load[k] += c.p.Teams[t].CPUs + 1
-	}
-	return out
-}
-
 // addTeams homes teams that the settings have gained.
 func (c *Core) addTeams() {
 	for _, t := range sortedKeys(c.p.Teams) {
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -16,24 +16,7 @@
 // and have never been in a block.
 func (c *Core) writeBlocks(infos []wire.MachineInfo, base, fresh bool, assign func(*wire.Block), done func(ok bool)) {
 	l := &c.leader
-	var blocks []wire.Block
-	last, size := map[string]int{}, map[string]int{}
-	kind := func(m wire.MachineInfo) string { return m.Type + "|" + m.Zone + "|" + fmt.Sprint(m.Spot) }
-	for _, m := range infos {
-		size[kind(m)]++
-	}
-	for k, n := range size {
-		size[k] = min(max(n/tuning.BlocksAtOnce, tuning.BlockSize), tuning.BlockSizeMax)
-	}
-	for _, m := range infos {
-		k, bm := kind(m), wire.BlockMachine{Name: m.Name, Fresh: fresh}
-		if i, ok := last[k]; ok && len(blocks[i].Machines) < size[k] {
-			blocks[i].Machines = append(blocks[i].Machines, bm)
-			continue
-		}
-		last[k] = len(blocks)
-		blocks = append(blocks, wire.Block{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Base: base, Machines: []wire.BlockMachine{bm}})
-	}
+	blocks := supply.Blocks(infos, supply.BlockSizes{Least: tuning.BlockSize, Most: tuning.BlockSizeMax, AtOnce: tuning.BlocksAtOnce}, base, fresh)
 	l.writing = true
 	var write func(rest []wire.Block, allOK bool)
 	write = func(rest []wire.Block, allOK bool) {
