Workers' addresses told to the other controllers as machines come up

Found by the island rehearsal: a holder cut off from machines that had just come up kept its shard until their leases were over, since nobody else knew where to call them.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -37,10 +37,19 @@
 	Call    *PeerCall    `msgpack:"call,omitempty"`
 	Result  *PeerResult  `msgpack:"result,omitempty"`
 	Answer  *RelayAnswer `msgpack:"answer,omitempty"`
+	// Addrs are where workers listen that have lately come up, with a ping.
+	Addrs []WorkerAddr `msgpack:"addrs,omitempty"`
 	// Wants are of shards that the sender holds.
 	Wants []wants.Told `msgpack:"wants,omitempty"`
 }
 
+// WorkerAddr is where a machine's worker listens, as it said in a session.
+type WorkerAddr struct {
+	Machine string `msgpack:"m"`
+	Addr    string `msgpack:"a"`
+	Session uint64 `msgpack:"s"`
+}
+
 // HeldShard is a shard and the revision that granted it.
 type HeldShard struct {
 	Shard int    `msgpack:"shard"`
@@ -89,6 +98,7 @@
 	relays  map[string]*relaying // machines whose reports we pass on
 	passed  map[uint64]passedOn  // reports passed on, by relay id
 	relayed map[uint64]relayedIn // reports passed to us, by request
+	cameUp  []cameUp             // held machines that have lately come up, the latest last
 	topRev  uint64               // newest revision known, ahead of the watch or not
 }
 
@@ -99,6 +109,11 @@
 	home Time // when it was last sent to its holder
 }
 
+type cameUp struct {
+	machine string
+	at      Time
+}
+
 type passedOn struct {
 	req uint64
 	at  Time
@@ -147,12 +162,27 @@
 			delete(c.relays, name)
 		}
 	}
-	word := c.ownWord()
+	word, addrs := c.ownWord(), c.newAddrs()
 	for _, n := range sortedKeys(c.p.Nodes) {
 		if n != c.p.Node {
-			c.tell(n, PeerMessage{Nonce: c.nonce, Jobs: jobs, Holds: holds, Word: &word})
+			c.tell(n, PeerMessage{Nonce: c.nonce, Jobs: jobs, Holds: holds, Word: &word, Addrs: addrs})
+		}
+	}
+}
+
+// newAddrs are the workers that have come up since the last few pings. The cloud's list
+// tells the others of them seconds later: a holder cut off from machines that had just come
+// up kept its shard, since nobody else knew how to call them.
+func (c *Core) newAddrs() (out []WorkerAddr) {
+	for len(c.cameUp) > 0 && c.now-c.cameUp[0].at > tuning.AddrsFor {
+		c.cameUp = c.cameUp[1:]
+	}
+	for _, x := range c.cameUp[max(0, len(c.cameUp)-tuning.AddrsMost):] {
+		if m := c.machines[x.machine]; m != nil {
+			out = append(out, WorkerAddr{m.name, m.addr, m.session})
 		}
 	}
+	return out
 }
 
 // giveUpRelays answers reports that were passed on to a holder that keeps silent: it
@@ -223,6 +253,9 @@
 		return
 	}
 	c.yieldTo(m)
+	for _, a := range m.Addrs {
+		c.addrs.Learn(a.Machine, a.Addr, a.Session)
+	}
 	if m.Word != nil {
 		c.spoken[m.From] = spokenWord{*m.Word, c.now}
 	}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -83,6 +83,7 @@
 	}
 	if !m.reported {
 		m.reported = true
+		c.cameUp = append(c.cameUp, cameUp{m.name, c.now})
 		c.boots.Up(c.now, m.name)
 		if m.fresh {
 			c.warm[m.name] = true
--- a/internal/core/ways_test.go
+++ b/internal/core/ways_test.go
@@ -363,3 +363,27 @@
 	w.abort("job-000002")
 	w.run(5 * sec)
 }
+
+// A holder is cut off from machines that have just come up, and from its peers. Where
+// their workers listen the others know from it, long before the cloud's list tells them.
+func TestIslandOfMachinesThatHaveJustComeUp(t *testing.T) {
+	w := newWorld(t, 53, 3, func(w *world) { w.capacity = 20 })
+	w.run(4 * sec)
+	s := spec("job-000001", "red", wire.ShapeService, 8)
+	s.Priority, s.DueS, s.Spot = ptr("urgent"), nil, ptr(false)
+	w.submit(s)
+	w.run(4800 * time.Millisecond) // rented, up, and in no list yet
+	holder := w.shardRec("red").Holder
+	w.silence(holder, true)
+	w.lost[holder] = true
+	w.run(5 * sec)
+	if now := w.shardRec("red").Holder; now == holder || len(w.nodes[holder].core.machines) == 0 && now == "" {
+		t.Errorf("%s still holds the shard of %d machines that it does not reach", holder, len(w.nodes[holder].core.machines))
+	}
+	w.run(10 * sec)
+	if n := w.running("job-000001"); n != 8 {
+		t.Errorf("%d of 8 replicas run", n)
+	}
+	w.abort("job-000001")
+	w.run(5 * sec)
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -166,6 +166,10 @@
 	// RollPause and RollPauseMax (duration): before a machine is called again.
 	RollPause    = 500 * time.Millisecond
 	RollPauseMax = 4 * time.Second
+	// AddrsFor (duration): addresses of workers that have come up are told with each ping for
+	// so long, three pings; AddrsMost (addresses): in one message.
+	AddrsFor  = 1600 * time.Millisecond
+	AddrsMost = 200
 	// AddrsEvery (duration): between looks whether addresses of workers are lacking. The
 	// cloud's list lags by seconds anyway, and its calls are few.
 	AddrsEvery = 10 * time.Second
