--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -162,19 +162,24 @@
 	return false
 }
 
-// judge finds those of some machines that have become sick. Two failures at least: of a
-// good machine one may be an accident.
+// judge finds those of some machines that have become sick. Two failures at least that are
+// not those of jobs that fail elsewhere too: of a good machine one may be an accident. And
+// one of a sound job: seven new jobs that fail on a machine may all be mistaken; each is
+// tried elsewhere next, and if one completes there, that decides.
 func (b *Book) judge(names []string) (sick []string) {
 	for _, n := range names {
 		m := b.machines[n]
 		if m == nil || m.sick {
 			continue
 		}
-		failures := 0
-		for _, k := range m.failed {
-			failures += k
+		failures, sound := 0, false
+		for jn, k := range m.failed {
+			if j := b.jobs[jn]; j != nil && (j.sound || !j.mistaken && !b.elsewhere(j, m)) {
+				failures += k
+				sound = sound || j.sound
+			}
 		}
-		if failures > 1 && b.certainty(m, "") >= b.p.Sick {
+		if sound && failures > 1 && b.certainty(m, "") >= b.p.Sick {
 			m.sick = true
 			sick = append(sick, n)
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -275,7 +275,7 @@
 	// BlameSoundJob, BlameNewJob, BlameElsewhere (certainty): how sure a failure makes that
 	// the machine is faulty, by whether its job has completed tasks, is new, or fails on
 	// other machines too. BlameSuspect and BlameSick (certainty): a machine gets no urgent
-	// work, is given back; two failures of sound jobs do, or a dozen new jobs.
+	// work, is given back: two failures, one of a sound job, make it so.
 	BlameSoundJob  = 0.9
 	BlameNewJob    = 0.3
 	BlameElsewhere = 0.05
