--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -29,6 +29,7 @@
 	checking                         bool
 	startsBusy                       map[int]bool // shards whose starts are being written
 	startsAt                         map[int]Time // when a shard's starts may be written next
+	startsNext                       map[int]Time // when those that are not urgent may be
 	health                           *health.Book
 	warm                             map[string]bool // machines that are up, and fresh in the state
 	learned                          map[int]bool    // shards whose machines have fetched images since that was written
@@ -138,7 +139,7 @@
 }
 
 func newHolder() holder {
-	return holder{health: newHealth(), startsBusy: map[int]bool{}, startsAt: map[int]Time{}, warm: map[string]bool{}, taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
+	return holder{health: newHealth(), startsBusy: map[int]bool{}, startsAt: map[int]Time{}, startsNext: map[int]Time{}, warm: map[string]bool{}, taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
 		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
--- a/internal/core/starting.go
+++ b/internal/core/starting.go
@@ -75,7 +75,9 @@
 	c.update()
 	jobs := sortedJobs(c.owed)
 	for _, i := range c.shardIDs() {
-		if !c.mine(i) || c.startsBusy[i] || c.now < c.startsAt[i] {
+		// Urgent ones, which come first in the list, wait for no others to come along.
+		paced := c.now < c.startsNext[i] && !(len(jobs) > 0 && jobs[0].prio >= urgentRank)
+		if !c.mine(i) || c.startsBusy[i] || c.now < c.startsAt[i] || paced {
 			continue
 		}
 		var entries []starts.Entry
@@ -138,7 +140,7 @@
 		}
 	}
 	c.startsBusy[i] = true
-	c.startsAt[i] = c.now + tuning.StartsEvery
+	c.startsNext[i] = c.now + tuning.StartsEvery
 	c.commit(LaneUser, when, []wire.Change{{Put: w.Key, Value: w.Record}}, func(r StateReply) {
 		delete(c.startsBusy, i)
 		for _, e := range busy {
@@ -147,7 +149,7 @@
 			}
 		}
 		if r.Status != 200 {
-			c.startsAt[i] = max(c.startsAt[i], c.now+tuning.StartsAgain)
+			c.startsAt[i] = c.now + tuning.StartsAgain
 			c.log(2, "not written", "starts", w.Taken, "status", r.Status, "err", r.Err, "failed", strings.Join(r.Txn.Failed, " "))
 		}
 		c.dirty = true
