--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// Forget drops a machine whose boot is not to be judged.
+func (b *Book) Forget(name string) { b.leave(name) }
+
 func (b *Book) leave(name string) *machine {
 	m := b.waiting[name]
 	if m != nil {
@@ -149,7 +152,7 @@
 func (b *Book) Fresh(now time.Duration, k Kind) float64 {
 	in, more := b.within(now, k, -1, b.p.Horizon)
 	for _, m := range b.waiting {
-		if m.kind == k && m.ratio(now) > b.p.Horizon {
+		if m.kind == k && m.ratio(now) > b.p.Horizon && now-m.since < b.p.Memory {
 			more++
 		}
 	}
--- a/internal/core/blame.go
+++ b/internal/core/blame.go
@@ -24,7 +24,7 @@
 	c.touch(a.m)
 	c.touchJob(e)
 	if c.health.Mistaken(a.job) && !was {
-		machines, times, _ := c.health.Failures(a.job)
+		machines, times := c.health.Failures(a.job)
 		c.noteTask(trail.JobMistaken, a, fmt.Sprintf("failed %d times on %d machines, completed nowhere", times, machines))
 		c.log(1, "job fails everywhere, tried rarely", "job", a.job, "machines", machines, "failures", times)
 	}
--- a/internal/core/booting.go
+++ b/internal/core/booting.go
@@ -20,10 +20,18 @@
 // followBoots keeps the judgement of boots in step with a block's record. All controllers
 // follow all blocks, so the next leader knows what this one does.
 func (c *Core) followBoots(old, now *blockEntry) {
+	// While the state is read blocks come before the notes of what has been used: each
+	// machine seemed to boot in no time.
+	if !c.loaded {
+		return
+	}
 	if now != nil {
 		k := boot.Kind{Type: now.rec.Type, Zone: now.rec.Zone, Spot: now.rec.Spot}
 		for _, bm := range now.rec.Machines {
-			if m := c.machines[bm.Name]; bm.Fresh && !c.everUsed(bm.Name) && (m == nil || !m.reported) {
+			switch m := c.machines[bm.Name]; {
+			case !bm.Fresh: // adopted: when it was rented is not known
+				c.boots.Forget(bm.Name)
+			case !c.everUsed(bm.Name) && (m == nil || !m.reported):
 				c.boots.Booked(c.now, bm.Name, k, c.bootOf(k.Type))
 			}
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -492,6 +492,9 @@
 		c.enterShards()
 		if !c.loaded {
 			c.loaded = true
+			for _, id := range c.blockIDs() {
+				c.followBoots(nil, c.blocks[id])
+			}
 			c.note(wire.TrailEvent{Kind: trail.Began, Count: len(c.jobs)})
 			c.log(1, "state read", "jobs", len(c.jobs), "blocks", len(c.blocks), "revision", c.rev)
 			c.retake()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,27 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
-	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
 const sec = time.Second
 
-func TestRanges(t *testing.T) {
-	var r ranges.Set
-	for _, i := range []int{5, 3, 4, 9, 0, 4, 8} {
-		r = r.Add(i)
-	}
-	if diff := cmp.Diff(ranges.Set{{0, 1}, {3, 6}, {8, 10}}, r); diff != "" {
-		t.Fatal(diff)
-	}
-	if r.Count() != 6 || !r.Has(4) || r.Has(6) || r.Has(2) {
-		t.Fatalf("count %d of %v", r.Count(), r)
-	}
-}
-
 // Jobs of three teams run to their end on rented machines, over three
 // controllers, and the machines are given back afterwards.
 func TestQuietDay(t *testing.T) {
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -396,7 +396,6 @@
 		if e := c.jobs[id]; e != nil {
 			delete(c.jobs, id)
 			delete(c.counts, id)
-			c.started.Trim(id)
 			c.listJob(e, false)
 			c.jobGone(e)
 		}
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -232,10 +232,7 @@
 }
 
 // hears tells whether messages between us and a controller get through.
-func (c *Core) hears(node string) bool {
-	at, ok := c.heard[node]
-	return node == c.p.Node || ok && c.now-at < 3*tuning.PeerEvery
-}
+func (c *Core) hears(node string) bool { return node == c.p.Node || c.near(node) }
 
 // wantOf is what a shard lacks, as far as we know.
 func (c *Core) wantOf(i int) wire.Want {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -83,7 +83,9 @@
 	}
 	if !m.reported {
 		m.reported = true
-		c.cameUp = append(c.cameUp, cameUp{m.name, c.now})
+		if len(c.p.Nodes) > 1 { // told with the next pings, and forgotten then
+			c.cameUp = append(c.cameUp, cameUp{m.name, c.now})
+		}
 		c.boots.Up(c.now, m.name)
 		if m.fresh {
 			c.warm[m.name] = true
--- a/internal/core/starting.go
+++ b/internal/core/starting.go
@@ -12,7 +12,7 @@
 const machineEntry = "m:"
 
 func newStarts(p Params) *starts.Book {
-	return starts.New(starts.Limits{Entries: tuning.StartEntries, Bytes: p.ValueBytes - 512})
+	return starts.New(starts.Limits{Entries: tuning.StartEntries, Bytes: p.ValueBytes * 7 / 8})
 }
 
 // overlay brings a job's record up to what has been written of its starts apart from it.
--- a/internal/core/starting_test.go
+++ b/internal/core/starting_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/boot"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -119,3 +120,22 @@
 		t.Fatalf("n-1 %+v, n-2 %+v", c.machines["n-1"], c.machines["n-2"])
 	}
 }
+
+// A controller that starts reads blocks before the notes of which machines have been used.
+// It takes none of them for a boot: what it judges of boots is what is known without evidence.
+func TestReadingTheStateIsNoEvidenceOfBoots(t *testing.T) {
+	w := newWorld(t, 22, 2, func(w *world) { w.capacity = 40 })
+	w.run(4 * sec)
+	w.submit(spec("job-000001", "red", wire.ShapeBatch, 40))
+	w.run(15 * sec)
+	kind := boot.Kind{Type: "std", Zone: "n", Spot: true}
+	if c := w.nodes["c1"].core; c.boots.Fresh(c.now, kind) == newBoots().Fresh(0, kind) {
+		t.Fatal("no boot has been seen: nothing is tested")
+	}
+	w.kill("c1")
+	w.start("c1")
+	w.run(2 * sec)
+	if c := w.nodes["c1"].core; !c.loaded || c.boots.Fresh(c.now, kind) != newBoots().Fresh(0, kind) {
+		t.Errorf("loaded %v, chance of a new machine %v, without evidence %v", c.loaded, c.boots.Fresh(c.now, kind), newBoots().Fresh(0, kind))
+	}
+}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -47,13 +47,11 @@
 	sound    bool           // a task of it has completed
 	failed   map[string]int // machine -> failures there
 	streak   int            // failures since it was last cleared, those at one moment as one
-	last     time.Duration
-	wait     time.Duration // not before
+	wait     time.Duration  // not before
 	mistaken bool
 }
 
 type machine struct {
-	sound  bool           // something has completed there, nothing failed since
 	was    bool           // something has ever completed there
 	failed map[string]int // job -> failures since the last completion
 	sick   bool           // once found sick it stays so: it is given back
@@ -88,11 +86,9 @@
 	j, m := b.job(jobName), b.machine(machineName)
 	j.failed[machineName]++
 	m.failed[jobName]++
-	m.sound = false
 	if j.streak == 0 || now >= j.wait {
 		j.streak++ // a wave of tasks that were started together tells one thing
 	}
-	j.last = now
 	if !j.sound && !j.mistaken {
 		j.mistaken = b.against(j, jobName) >= b.p.Mistaken && len(j.failed) > 1
 	}
@@ -192,7 +188,7 @@
 // It returns machines that are sick by what is now known of the job.
 func (b *Book) Completed(jobName, machineName string) []string {
 	m := b.machine(machineName)
-	m.sound, m.was = true, true
+	m.was = true
 	clear(m.failed)
 	j := b.job(jobName)
 	first := !j.sound
@@ -255,17 +251,16 @@
 	return Well, failures
 }
 
-// Failures lists on how many machines a job has failed, how often in all, and whether it
-// has completed anything.
-func (b *Book) Failures(name string) (machines, times int, sound bool) {
+// Failures tells on how many machines a job has failed, and how often in all.
+func (b *Book) Failures(name string) (machines, times int) {
 	j := b.jobs[name]
 	if j == nil {
-		return 0, 0, false
+		return 0, 0
 	}
 	for _, k := range j.failed {
 		times += k
 	}
-	return len(j.failed), times, j.sound
+	return len(j.failed), times
 }
 
 // ForgetJob drops what is known of a job that is over.
--- a/internal/ranges/ranges_test.go
+++ b/internal/ranges/ranges_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
 
@@ -40,3 +41,16 @@
 		}
 	})
 }
+
+func TestRanges(t *testing.T) {
+	var r Set
+	for _, i := range []int{5, 3, 4, 9, 0, 4, 8} {
+		r = r.Add(i)
+	}
+	if diff := cmp.Diff(Set{{0, 1}, {3, 6}, {8, 10}}, r); diff != "" {
+		t.Fatal(diff)
+	}
+	if r.Count() != 6 || !r.Has(4) || r.Has(6) || r.Has(2) {
+		t.Fatalf("count %d of %v", r.Count(), r)
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/checker"
+	"github.com/barrowbridge/barrowbridge/internal/config"
 	"github.com/barrowbridge/barrowbridge/internal/standin/cloud"
 	"github.com/barrowbridge/barrowbridge/internal/standin/link"
 	"github.com/barrowbridge/barrowbridge/internal/standin/state"
@@ -142,7 +143,8 @@
 	s.work.Find = s.findJob
 	limits := map[string]checker.Limit{}
 	for n, t := range spec.Teams {
-		limits[n] = checker.Limit{CPUs: t.CPUsMax, GPUs: t.GPUsMax}
+		cpus, gpus := config.Team{CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}.Most() // as the controllers read it
+		limits[n] = checker.Limit{CPUs: cpus, GPUs: gpus}
 	}
 	s.check = checker.New(checker.Params{Teams: limits, Cancel: spec.Cancel, Lapsed: func(m string, now time.Duration) bool {
 		x := s.machines[m]
--- a/internal/starts/starts.go
+++ b/internal/starts/starts.go
@@ -72,6 +72,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if old := b.slots[key]; old != nil { // what its holder has left out counts for nobody
+		for name := range old.entries {
+			if _, kept := r.Entries[name]; !kept && b.latest[name].key == key {
+				delete(b.latest, name)
+			}
+		}
+	}
 	b.slots[key] = &slot{shard, number, ver, r.Entries}
 	var changed []string
 	for name, s := range r.Entries {
@@ -124,14 +131,16 @@
 			best, kept = s, k
 		}
 	}
-	if best == nil || len(kept)*4 > b.limits.Entries*3 {
-		best, kept = &slot{shard: shard, number: next}, map[string]wire.Start{}
-	}
-	w := Write{Key: Key(shard, best.number), Ver: best.ver, Record: wire.Starts{Entries: kept}}
 	size := 0
 	for name, s := range kept {
 		size += sizeOf(name, s)
 	}
+	// Full by its bytes as well: a first entry that made the value too large would be
+	// refused, and tried again, for ever.
+	if best == nil || len(kept)*4 > b.limits.Entries*3 || size*4 > b.limits.Bytes*3 {
+		best, kept, size = &slot{shard: shard, number: next}, map[string]wire.Start{}, 0
+	}
+	w := Write{Key: Key(shard, best.number), Ver: best.ver, Record: wire.Starts{Entries: kept}}
 	for _, e := range entries {
 		_, again := kept[e.Name]
 		size += sizeOf(e.Name, e.Start)
@@ -146,7 +155,7 @@
 	return w
 }
 
-// highest is the largest number of a name's entries, forgotten ones included.
+// highest is the largest number of a name's entries, in whichever slot.
 func (b *Book) highest(name string) (n uint64) {
 	for _, s := range b.slots {
 		n = max(n, s.entries[name].N)
@@ -166,9 +175,6 @@
 	return kept
 }
 
-// Trim forgets names that are no longer live; what slots still say of them counts for nobody.
-func (b *Book) Trim(name string) { delete(b.latest, name) }
-
 // sizeOf bounds an entry in JSON form.
 func sizeOf(name string, s wire.Start) int {
 	n := len(name) + 48
--- a/internal/starts/starts_test.go
+++ b/internal/starts/starts_test.go
@@ -15,7 +15,7 @@
 // beginning knows the last start of every live job, and no record grows beyond its limits.
 func TestNothingLiveIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Entries: 6, Bytes: 1 << 12}
+		limits := Limits{Entries: 6, Bytes: rapid.SampledFrom([]int{300, 500, 1 << 12}).Draw(t, "bytes")}
 		b := New(limits)
 		stored := map[string]wire.Starts{}
 		last := map[string]wire.Start{} // by live job
@@ -24,7 +24,6 @@
 			if names := keysOf(last); len(names) > 0 && rapid.IntRange(0, 3).Draw(t, "what") == 0 {
 				name := rapid.SampledFrom(names).Draw(t, "ended")
 				delete(last, name)
-				b.Trim(name)
 				continue
 			}
 			var entries []Entry
@@ -46,6 +45,9 @@
 			if w.Taken == 0 || len(w.Record.Entries) > limits.Entries {
 				t.Fatalf("took %d, record of %d", w.Taken, len(w.Record.Entries))
 			}
+			if raw, err := wire.Marshal(w.Record); err != nil || !wire.FitsIn(raw, limits.Bytes) {
+				t.Fatalf("record of %d entries is over %d bytes (%v)", len(w.Record.Entries), limits.Bytes, err)
+			}
 			if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
 				continue // not written
 			}
