--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -118,7 +118,7 @@
 		n++ // anything may run there, for any team
 	}
 	f := ledger.Facts{Kind: ledger.Kind{Shard: m.shard, Type: m.typ, Zone: m.zone, Spot: m.spot, Opens: !m.base && len(m.attempts) == 0},
-		Usable: usable, Free: x.free, Uses: x.teams, Spare: c.roomFor(m, c.urgent[m.shard].size)}
+		Usable: usable, Free: c.freeToAll(m), Uses: x.teams, Spare: c.roomFor(m, c.urgent[m.shard].size)}
 	for range n {
 		f.Unknown = f.Unknown.Add(full)
 	}
@@ -139,7 +139,8 @@
 	}
 	j, run := &e.rec, e.run
 	q := queue.Job{ID: j.ID, Team: j.Team, Accepted: j.AcceptedMS, Rank: e.prio, Strict: j.Zone != "" || j.OneZone, Service: j.Shape == wire.ShapeService,
-		Due: c.aims.Due(workOf(j)), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.Count(), Pending: c.trials(e)}
+		Due: c.aims.Due(workOf(j)), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.Count(), Pending: c.trials(e),
+		Begun: j.Started > 0 || run.next > 0}
 	if c.health.Trial(j.ID) {
 		q.Rest = min(q.Rest, 1) // it keeps no place of others
 	}
@@ -181,7 +182,7 @@
 		return
 	}
 	have := c.shardCPUs()
-	c.order.Judge(float64(c.wall.UnixMilli())/1000, func(team string) float64 {
+	c.order.Judge(float64(c.wall.UnixMilli())/1000, tuning.BeginAfter.Seconds(), func(team string) float64 {
 		t := c.p.Teams[team]
 		return min(t.CPUsMax, max(have[c.shardOf(team)], t.CPUs))
 	})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/aims"
+	"github.com/barrowbridge/barrowbridge/internal/forecast"
+	"github.com/barrowbridge/barrowbridge/internal/hold"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
@@ -195,10 +197,13 @@
 	mirror
 	holder
 	books
-	desk    *prompt.Desk[*machine]   // workers to call directly
-	roll    *takeover.Roll[*machine] // machines to be accounted for
-	addrs   *takeover.Book           // where workers listen
-	listing bool                     // the cloud's list is being read for that
+	desk    *prompt.Desk[*machine]       // workers to call directly
+	roll    *takeover.Roll[*machine]     // machines to be accounted for
+	places  map[int]*hold.Book[*machine] // by shard: kept for tasks that fit nowhere
+	kept    map[string]hold.Hold         // by team: of its limit, for a job that does not fit into the rest
+	runs    *forecast.Book
+	addrs   *takeover.Book // where workers listen
+	listing bool           // the cloud's list is being read for that
 	users
 	peers
 	ways ways
@@ -222,6 +227,9 @@
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
+	c.kept = map[string]hold.Hold{}
+	c.places = map[int]*hold.Book[*machine]{}
+	c.runs = forecast.New(forecast.Params{Prior: tuning.ForecastPrior, Keep: tuning.ForecastKeep, Spread: tuning.ForecastSpread})
 	c.roll, c.addrs = newRoll(), takeover.NewBook()
 	c.users = newUsers()
 	c.peers = newPeers()
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -231,6 +231,9 @@
 	}
 	delete(c.machines, m.name)
 	delete(c.coming, m)
+	if b := c.places[m.shard]; b != nil {
+		b.Drop(m)
+	}
 	c.health.ForgetMachine(m.name)
 	c.room.Drop(m)
 	c.desk.Forget(m)
@@ -327,6 +330,7 @@
 	delete(c.held, i)
 	delete(c.unsettle, i)
 	delete(c.tellers, i)
+	delete(c.places, i)
 	for _, m := range c.heldMachines() {
 		if m.shard == i {
 			c.dropMachine(m)
@@ -469,6 +473,7 @@
 func (c *Core) hold() {
 	c.watchMachines()
 	c.vacate()
+	c.planHolds()
 	if c.dirty {
 		c.dirty = false
 		c.place()
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -32,7 +32,7 @@
 			// What is on a machine not accounted for is not known: it may be empty,
 			// so only what finds no room even then is asked for.
 			full, _ := c.sizeOf(m.typ)
-			add(m, full, doubted[m.name])
+			add(m, c.unheld(m, full), doubted[m.name])
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].name < list[j].name })
@@ -155,6 +155,7 @@
 		}
 		want := team.underLimit(used[j.Team], size, c.deserves(p))
 		used[j.Team] = used[j.Team].Add(supply.Times(size, want))
+		want = max(0, want-c.heldSoon(shard, j))
 		left := want - in.Take(supply.Ask{Types: j.Types, Zone: zone, Spot: j.Spot, Size: size, Urgent: e.prio >= urgentRank, Idle: e.prio <= idleRank}, want)
 		waits := p.Within && e.prio >= urgentRank && c.now-e.run.since > tuning.DireAfter
 		if left == 0 && !waits {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -108,6 +108,7 @@
 		}
 		return true
 	})
+	c.placeHeld()
 }
 
 // zonesOf counts a job's tasks by zone, where its placement hangs on that.
@@ -168,7 +169,7 @@
 	if c.barred(e, shard) {
 		return 0
 	}
-	size, team, zones := jobSize(j), c.p.Teams[j.Team], zonesOf(e)
+	size, team, zones := jobSize(j), c.limitOf(e), zonesOf(e)
 	maybe := float64(run.unseen() + 1)
 	anchor := len(run.active) == 0 && run.done.Count() == 0
 	gang := j.Shape == wire.ShapeGang
@@ -179,6 +180,9 @@
 		c.tryNo++ // workers let a gang run when all of it is there under one attempt number
 	}
 	for c.trials(e) > 0 {
+		if p.Overdue && placed > 0 {
+			return placed // the others wait for their turn
+		}
 		if team.exceeds(c.room.Used(j.Team, shard).Add(placement.Size{CPUs: size.CPUs * maybe, GPUs: size.GPUs * maybe})) {
 			return placed
 		}
@@ -186,34 +190,41 @@
 		if m == nil {
 			return placed
 		}
-		run.passedOver = 0
-		idx := run.next
-		if len(run.retry) > 0 {
-			idx, run.retry = run.retry[0], run.retry[1:]
-		} else {
-			run.next++
-		}
-		if !gang {
-			c.tryNo++
-		}
-		a := &attempt{key: attemptKey{wire.TaskName(j.ID, idx), c.boot<<24 | c.tryNo}, job: j.ID, idx: idx, team: j.Team,
-			size: size, known: true, lesser: e.prio < urgentRank, idle: e.prio <= idleRank, m: m, created: c.now, running: c.now}
-		c.addAttempt(a)
-		c.touchJob(e)
-		run.active[idx] = a
-		m.idleSince = c.now
-		c.refreshMachine(m)
-		c.wantReport(m, e.prio >= urgentRank)
+		c.placeOn(e, m, !gang)
 		if zones != nil {
 			zones[m.zone]++
 		}
 		placed++
-		c.log(2, "task placed", "task", a.key.task, "try", a.key.try, "machine", m.name, "zone", m.zone, "anchor", anchor, "beta", beta)
+		c.log(2, "task placed", "job", j.ID, "machine", m.name, "zone", m.zone, "anchor", anchor, "beta", beta)
 		anchor = false
 	}
 	return placed
 }
 
+// placeOn reserves a machine for a job's next task, under a try of its own or, a gang's,
+// under that of the others.
+func (c *Core) placeOn(e *jobEntry, m *machine, own bool) {
+	j, run := &e.rec, e.run
+	run.passedOver = 0
+	idx := run.next
+	if len(run.retry) > 0 {
+		idx, run.retry = run.retry[0], run.retry[1:]
+	} else {
+		run.next++
+	}
+	if own {
+		c.tryNo++
+	}
+	a := &attempt{key: attemptKey{wire.TaskName(j.ID, idx), c.boot<<24 | c.tryNo}, job: j.ID, idx: idx, team: j.Team,
+		size: jobSize(j), known: true, lesser: e.prio < urgentRank, idle: e.prio <= idleRank, m: m, created: c.now, running: c.now}
+	c.addAttempt(a)
+	c.touchJob(e)
+	run.active[idx] = a
+	m.idleSince = c.now
+	c.refreshMachine(m)
+	c.wantReport(m, e.prio >= urgentRank)
+}
+
 // choose picks the machine of a job's next task among those the ledger proposes, nil if
 // none has room, and tells its beta.
 func (c *Core) choose(p *queue.Place[*jobEntry], shard int, size placement.Size, anchor bool, zones map[string]int) (*machine, int) {
@@ -263,8 +274,8 @@
 		if looked++; looked > tuning.LocalLook || e.prio < p.Handle.prio {
 			return false
 		}
-		found = o != p && e.prio == p.Handle.prio && o.Within == p.Within && o.Late == p.Late && !c.barred(e, m.shard) && e.rec.Shape != wire.ShapeGang &&
-			e.run.pending(&e.rec) > 0 && m.images[e.rec.Image] && allows(&e.rec, m) && zonesOf(e) == nil && !c.avoids(e, m)
+		found = o != p && e.prio == p.Handle.prio && o.Within == p.Within && o.Late == p.Late && o.Overdue == p.Overdue && !c.barred(e, m.shard) && e.rec.Shape != wire.ShapeGang &&
+			e.run.pending(&e.rec) > 0 && m.images[e.rec.Image] && c.takes(e, m, m.shard) && zonesOf(e) == nil
 		return !found
 	})
 	if found && run.passedOver == 0 {
--- a/internal/core/recount_test.go
+++ b/internal/core/recount_test.go
@@ -97,7 +97,7 @@
 			w.t.Fatalf("%v: %s: %s is not in the ledger", w.now, name, m.name)
 		}
 		w.same(name+" usable "+m.name, c.usable(m), f.Usable)
-		w.same(name+" room of "+m.name, c.free(m), f.Free, cmpopts.EquateApprox(0, 1e-9))
+		w.same(name+" room of "+m.name, c.freeToAll(m), f.Free, cmpopts.EquateApprox(0, 1e-9))
 		w.same(name+" kind of "+m.name, ledger.Kind{Shard: m.shard, Type: m.typ, Zone: m.zone, Spot: m.spot, Opens: !m.base && len(m.attempts) == 0}, f.Kind)
 		if c.usable(m) {
 			s := most[m.shard]
@@ -143,10 +143,10 @@
 	c.judge()
 	var want, got []string
 	for _, p := range c.plainQueue() {
-		want = append(want, fmt.Sprint(p.e.rec.ID, " ", p.pending, " ", p.within, " ", p.late))
+		want = append(want, fmt.Sprint(p.e.rec.ID, " ", p.pending, " ", p.within, " ", p.late, " ", p.overdue))
 	}
 	c.order.Walk(anyRoom, func(p *queue.Place[*jobEntry]) bool {
-		got = append(got, fmt.Sprint(p.Job.ID, " ", p.Job.Pending, " ", p.Within, " ", p.Late))
+		got = append(got, fmt.Sprint(p.Job.ID, " ", p.Job.Pending, " ", p.Within, " ", p.Late, " ", p.Overdue))
 		return true
 	})
 	w.same(name+" order of service", want, got)
@@ -219,6 +219,7 @@
 	strict  int
 	pending int
 	late    bool // cannot be on time without making more jobs late
+	overdue bool // has waited too long for its first task
 }
 
 // plainQueue lists this controller's jobs with tasks to start, in the order they
@@ -282,6 +283,7 @@
 	}
 	for _, p := range all {
 		if p.pending > 0 {
+			p.overdue = p.e.rec.Started == 0 && p.e.run.next == 0 && float64(p.e.rec.AcceptedMS)/1000 <= now-tuning.BeginAfter.Seconds()
 			q = append(q, p)
 		}
 	}
@@ -290,6 +292,8 @@
 		switch {
 		case a.e.prio != b.e.prio:
 			return a.e.prio > b.e.prio
+		case a.overdue != b.overdue:
+			return a.overdue
 		case a.within != b.within:
 			return a.within
 		case a.strict != b.strict:
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -251,6 +251,9 @@
 	}
 	c.touchJob(e)
 	if a.cause == wire.CauseDone {
+		if was == wire.TaskRunning {
+			c.runs.Ran(e.rec.Class, e.rec.EstimateS, c.now-a.running)
+		}
 		e.run.done = e.run.done.Add(a.idx)
 		e.run.fails = 0
 		c.sicken(c.health.Completed(a.job, a.m.name))
--- /dev/null
+++ b/internal/forecast/forecast.go
@@ -0,0 +1,70 @@
+// Package forecast tells how long tasks run: by their owners' estimates, corrected by how
+// far those of their class have been off. Owners err by half, and on some days all one way.
+//
+// A plain structure: no clock, no I/O, not for concurrent use.
+package forecast
+
+import (
+	"math"
+	"time"
+)
+
+// Params bound what is learned.
+type Params struct {
+	Prior  float64 // tasks that the owners' own estimate counts for, as far as correction goes
+	Keep   float64 // tasks remembered: older ones weigh less
+	Spread float64 // of the logarithm, until enough has been seen
+}
+
+// Book keeps the bias of each class.
+type Book struct {
+	p  Params
+	of map[string]*bias
+}
+
+type bias struct{ n, sum, squares float64 } // of log(ran/estimate)
+
+// New returns a book that trusts estimates.
+func New(p Params) *Book { return &Book{p: p, of: map[string]*bias{}} }
+
+// Ran notes that a task of a class, estimated at so many seconds, ran for so long.
+func (b *Book) Ran(class string, estimate float64, ran time.Duration) {
+	if estimate <= 0 || ran <= 0 {
+		return
+	}
+	x := b.of[class]
+	if x == nil {
+		x = &bias{}
+		b.of[class] = x
+	}
+	if x.n >= b.p.Keep {
+		f := 1 - 1/b.p.Keep
+		x.n, x.sum, x.squares = x.n*f, x.sum*f, x.squares*f
+	}
+	l := math.Log(ran.Seconds() / estimate)
+	x.n, x.sum, x.squares = x.n+1, x.sum+l, x.squares+l*l
+}
+
+// Factor corrects estimates of a class: its tasks run so many times as long, typically.
+func (b *Book) Factor(class string) float64 { f, _ := b.log(class); return math.Exp(f) }
+
+// Surely bounds the run time of a task of a class from above, nearly always.
+func (b *Book) Surely(class string, estimate float64) time.Duration {
+	mean, spread := b.log(class)
+	return time.Duration(estimate * math.Exp(mean+2*spread) * float64(time.Second))
+}
+
+// Typical is how long a task of a class runs.
+func (b *Book) Typical(class string, estimate float64) time.Duration {
+	return time.Duration(estimate * b.Factor(class) * float64(time.Second))
+}
+
+func (b *Book) log(class string) (mean, spread float64) {
+	x := b.of[class]
+	if x == nil {
+		return 0, b.p.Spread
+	}
+	mean = x.sum / (x.n + b.p.Prior)
+	v := (x.squares+b.p.Prior*b.p.Spread*b.p.Spread)/(x.n+b.p.Prior) - mean*mean
+	return mean, math.Sqrt(max(v, 0.01))
+}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -1,5 +1,5 @@
-// Package queue keeps the order in which waiting jobs are served: priority, work
-// within its team's guarantee, the strictest closeness (Pogonip's order), what can
+// Package queue keeps the order in which waiting jobs are served: priority, the first task
+// of a job that has waited too long for it, work within its team's guarantee, the strictest closeness (Pogonip's order), what can
 // still be on time, deadline, age. The order is kept up job by job and is never
 // sorted anew, and a walk skips what fits nowhere without looking at each.
 //
@@ -30,6 +30,7 @@
 	Ask      placement.Size // of one task
 	Rest     int            // tasks not done
 	Pending  int            // tasks to start; 0: it only counts against its team's guarantee
+	Begun    bool           // a task of it has been started, as far as records tell
 }
 
 func (j *Job) demand() placement.Size {
@@ -46,7 +47,9 @@
 	Job    Job
 	Within bool // its team's unfinished jobs up to this one fit into the guarantee
 	Late   bool // cannot be on time without making more jobs late
-	n      *node[H]
+	// Overdue: it has waited too long for its first task, which goes ahead; the others do not.
+	Overdue bool
+	n       *node[H]
 }
 
 // Queue is the order of one controller's jobs.
@@ -98,6 +101,8 @@
 	switch {
 	case a.Job.Rank != b.Job.Rank:
 		return a.Job.Rank > b.Job.Rank
+	case a.Overdue != b.Overdue:
+		return a.Overdue
 	case a.Within != b.Within:
 		return a.Within
 	case a.Job.Strict != b.Job.Strict:
@@ -156,6 +161,7 @@
 		t.inside = t.inside.Sub(p.Job.demand()).Add(j.demand())
 	}
 	p.Job = j
+	p.Overdue = p.Overdue && !j.Begun
 	t.serve(&j, 1)
 	t.settle()
 	t.wait(p)
@@ -277,11 +283,13 @@
 	t.wait(p)
 }
 
-// Judge decides anew which jobs of each team are late, where anything has changed.
-// now is in seconds of the day's time, cpus what a team can use for its batches.
-func (q *Queue[H]) Judge(now float64, cpus func(team string) float64) {
+// Judge decides anew which jobs of each team are late, where anything has changed, and
+// which are overdue: accepted more than begin seconds ago, and not begun. now is in seconds
+// of the day's time, cpus what a team can use for its batches.
+func (q *Queue[H]) Judge(now, begin float64, cpus func(team string) float64) {
 	for _, name := range q.names {
 		t := q.teams[name]
+		t.overdue(now - begin)
 		if t.byDue.Len() == 0 {
 			continue
 		}
@@ -289,6 +297,27 @@
 	}
 }
 
+// overdue marks the jobs accepted before a time that have not begun. Those that cannot be on
+// time go last, the largest of them after all others; without a bound one waited for seven
+// minutes while younger work kept coming. One task each goes ahead, so the others lose little.
+func (t *team[H]) overdue(before float64) {
+	var turned []*Place[H]
+	t.byAge.Ascend(func(p *Place[H]) bool {
+		if float64(p.Job.Accepted)/1000 > before {
+			return false
+		}
+		if !p.Job.Begun && !p.Overdue && p.Job.Pending > 0 {
+			turned = append(turned, p)
+		}
+		return true
+	})
+	for _, p := range turned {
+		t.leave(p)
+		p.Overdue = true
+		t.wait(p)
+	}
+}
+
 // judge gives up being on time for as few jobs as possible (Moore and Hodgson): in
 // order of deadline, and whenever one would be late, the largest so far is left out.
 // Plain order of deadline lets one hopeless job make all after it late.
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -40,7 +40,7 @@
 				q.Drop(id)
 				delete(all, id)
 			case 1:
-				q.Judge(float64(rapid.IntRange(0, 20).Draw(t, "now")), func(team string) float64 { return 3 * teams[team].CPUs })
+				q.Judge(float64(rapid.IntRange(0, 20).Draw(t, "now")), 1e9, func(team string) float64 { return 3 * teams[team].CPUs })
 			default:
 				j := drawJob(t)
 				q.Put(j.ID, j)
@@ -88,12 +88,27 @@
 	for i, work := range []int{1, 50, 1, 1} {
 		q.Put(i, Job{ID: fmt.Sprint(i), Team: "red", Accepted: int64(i), Due: float64(10 + i), Estimate: 1, Ask: placement.Size{CPUs: 1}, Rest: work, Pending: work})
 	}
-	q.Judge(0, func(string) float64 { return 2 })
+	q.Judge(0, 1e9, func(string) float64 { return 2 })
 	var got []int
 	q.Walk(func(string) placement.Size { return placement.Size{CPUs: 4} }, func(p *Place[int]) bool { got = append(got, p.Handle); return true })
 	if fmt.Sprint(got) != "[0 2 3 1]" {
 		t.Errorf("served %v", got)
 	}
+	// It goes ahead for its first task once it has waited for too long, and no further.
+	q.Judge(200, 199.9985, func(string) float64 { return 2 })
+	order := func() (got []int) {
+		q.Walk(func(string) placement.Size { return placement.Size{CPUs: 4} }, func(p *Place[int]) bool { got = append(got, p.Handle); return true })
+		return got
+	}
+	if got := order(); got[0] != 0 || got[1] != 1 {
+		t.Errorf("two have waited too long, served %v", got)
+	}
+	j := q.Of("1").Job
+	j.Begun = true
+	q.Put(1, j)
+	if got := order(); got[0] != 0 || got[3] != 1 {
+		t.Errorf("the second has begun, served %v", got)
+	}
 }
 
 // The cost of a change and of a walk that finds little must not grow with the queue.
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -36,6 +36,7 @@
 	MachineNotice   = "machine_notice"   // the cloud will take it
 	MachineFaulty   = "machine_faulty"   // it fails what it is given
 	JobMistaken     = "job_mistaken"     // it fails wherever it is started
+	PlaceHeld       = "place_held"       // kept for a job whose tasks fit nowhere
 	MachineReturned = "machine_returned" // it is to be given back
 	Accounted       = "accounted"        // what is on an inherited machine is known; Why tells by what
 	TaskHeld        = "task_held"        // Count started tasks of a job may be on machines not accounted for
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -427,4 +427,32 @@
 	SuspectReports = 2.5
 	// FinalCache (jobs): final states kept in memory.
 	FinalCache = 20000
+	// BeginAfter (duration): a job that has waited so long for its first task gets it ahead of
+	// its turn. The largest jobs have to begin within four minutes; half of that leaves time
+	// for a boot, a fetch and a change of hands.
+	BeginAfter = 90 * time.Second
+	// HoldAfter (duration): a job whose tasks fit nowhere, accepted so long ago, has places
+	// held. A rental is on its way by then. HoldEvery: between plans of what is held; each
+	// looks at all machines of a shard once.
+	HoldAfter = 5 * time.Second
+	HoldEvery = 500 * time.Millisecond
+	// HoldTimes (multiple): tasks that ask for so much more than the least that waits or runs
+	// beside them are passed by for ever; those of a like size are served in turn.
+	HoldTimes = 2
+	// HoldShare (share): of a shard's machines that are up, held at most. HoldHorizon
+	// (duration): none is held that is free later than this. HoldBetter (duration): a hold
+	// moves for no less. HoldJobs (jobs): that have places held at a time.
+	HoldShare   = 0.25
+	HoldHorizon = 120 * time.Second
+	HoldBetter  = 5 * time.Second
+	HoldJobs    = 64
+	// HoldFill (duration): a held place that stays unused for longer is lent to tasks that
+	// surely end before. HoldLook (jobs): looked at for that.
+	HoldFill = 4 * time.Second
+	HoldLook = 32
+	// ForecastPrior, ForecastKeep (tasks), ForecastSpread (of the logarithm): what estimates
+	// are trusted with before run times of their class are known. Owners err by half.
+	ForecastPrior  = 4
+	ForecastKeep   = 200
+	ForecastSpread = 0.4
 )
