--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -26,6 +26,9 @@
 	NotDone      = "not_done"
 	WentBack     = "went_back"
 	NothingRan   = "nothing_ran"
+	// Unserved is no rule of PROTOCOL's: less than half of a class, a team or a class's
+	// largest jobs was served, and the day fails.
+	Unserved = "unserved"
 )
 
 // Rules lists them all.
@@ -35,7 +38,9 @@
 	// unheard: a job whose polls all fail for so long, while most others are
 	// answered, is forgotten.
 	unheard = 90 * time.Second
-	slack   = 1e-6 // sums of decimal numbers
+	// calmly: the same once all troubles are over, however others fare.
+	calmly = 75 * time.Second
+	slack  = 1e-6 // sums of decimal numbers
 )
 
 // Limit is the most a team may use.
@@ -68,6 +73,7 @@
 type job struct {
 	spec      wire.JobSpec
 	accepted  Time // when a user was first told; never: not yet
+	begun     Time // when its first task started; never: not yet
 	final     string
 	finalAt   Time
 	aborted   bool // its user has asked to cancel it
@@ -91,6 +97,7 @@
 	started  int
 	broken   []Violation
 	polls    []poll // of the last unheard
+	calm     Time   // since when no trouble is left; never: not yet
 }
 
 type poll struct {
@@ -100,9 +107,12 @@
 
 // New returns a checker of a world in which nothing has happened.
 func New(p Params) *Checker {
-	return &Checker{p: p, jobs: map[string]*job{}, machines: map[string]Machine{}}
+	return &Checker{p: p, jobs: map[string]*job{}, machines: map[string]Machine{}, calm: never}
 }
 
+// Calm tells that all troubles are over.
+func (c *Checker) Calm(now Time) { c.calm = min(c.calm, now) }
+
 // Broken lists what broke a rule so far.
 func (c *Checker) Broken() []Violation { return c.broken }
 
@@ -116,7 +126,7 @@
 // Submitting tells that a user is about to submit a job, for the first time or again.
 func (c *Checker) Submitting(spec wire.JobSpec) {
 	if c.jobs[*spec.ID] == nil {
-		c.jobs[*spec.ID] = &job{spec: spec, accepted: never, aborts: never, unheard: never,
+		c.jobs[*spec.ID] = &job{spec: spec, accepted: never, begun: never, aborts: never, unheard: never,
 			done: map[string]bool{}, on: map[place]bool{}, cancelled: map[place]bool{}}
 	}
 }
@@ -157,7 +167,8 @@
 		}
 	case j.accepted < asked:
 		j.unheard = min(j.unheard, asked)
-		if now-j.unheard >= unheard && !j.told && c.answered() > 0.5 {
+		lone := now-j.unheard >= unheard && c.answered() > 0.5
+		if !j.told && (lone || c.calm != never && now-max(j.unheard, c.calm) >= calmly) {
 			j.told = true
 			c.fail(now, Forgotten, "every poll for %s has failed for %v", id, now-j.unheard)
 		}
@@ -238,6 +249,7 @@
 		c.fail(now, Invented, "%s of a job that nobody submitted runs on %s", task, machine)
 		return
 	}
+	j.begun = min(j.begun, now)
 	here, total := 0, 0
 	for _, p := range j.places() {
 		if !c.here(p.machine, now) {
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/barrowbridge/barrowbridge/internal/health"
+	"github.com/barrowbridge/barrowbridge/internal/hearing"
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/ranges"
@@ -69,6 +70,11 @@
 	lastOK                 Time // when our last 200 left
 	addr                   string
 	seenToken              uint64 // the highest its worker has named
+	born                   bool   // rented while we held its shard: its first report is no copy of an earlier one
+	proven                 bool   // has shown what only we can have told it
+	trusted                int    // answers given on reports that prove nothing
+	trustedAt              Time
+	ear                    hearing.Ear
 	raised                 uint64 // token of our last call that was to make it report
 	promptedAt             Time
 	moving                 bool // its replicas are being moved off
@@ -312,7 +318,7 @@
 		delete(c.prevDead, i)
 		for _, id := range c.blockIDs() {
 			if b := c.blocks[id]; b.rec.Shard == i {
-				c.holdBlock(b, !b.rec.Idle)
+				c.holdBlock(b, !b.rec.Idle, false)
 			}
 		}
 		c.noteShard(trail.ShardHeld, i, wire.TrailEvent{Token: c.shards[i].ver})
@@ -358,7 +364,7 @@
 	if b != nil && c.mine(b.rec.Shard) {
 		// Gained while holding: rented just now, or promised empty by another
 		// shard. Nothing of ours can be on it.
-		c.holdBlock(b, false)
+		c.holdBlock(b, false, true)
 		for _, bm := range b.rec.Machines {
 			now[bm.Name] = true
 		}
@@ -384,13 +390,14 @@
 	}
 }
 
-func (c *Core) holdBlock(b *blockEntry, inherited bool) {
+// holdBlock takes up a block's machines: inherited, or gained while its shard was held.
+func (c *Core) holdBlock(b *blockEntry, inherited, gained bool) {
 	for _, bm := range b.rec.Machines {
 		m := c.machines[bm.Name]
 		if m == nil {
 			m = &machine{name: bm.Name, block: b.id, typ: b.rec.Type, zone: b.rec.Zone, spot: b.rec.Spot,
 				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty && (!bm.Fresh || c.everUsed(bm.Name)),
-				attempts: map[attemptKey]*attempt{}, images: map[string]bool{},
+				born: gained && bm.Fresh, attempts: map[attemptKey]*attempt{}, images: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
 			for _, image := range c.cached[bm.Name] {
 				m.images[image] = true
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -175,7 +175,7 @@
 	// workers for half a minute, while another was down, gave 163 healthy machines away.
 	silent := 0
 	for _, m := range c.heldMachines() {
-		if m.shard == shard && m.reported && !m.drop && c.now-m.lastReport > c.freshFor() {
+		if m.shard == shard && m.reported && !m.drop && (c.now-m.lastReport > c.freshFor() || m.ear.Deaf()) {
 			silent++
 		}
 	}
@@ -192,6 +192,8 @@
 			// A rented machine that was lost costs as much as another; one that
 			// stands here anyway may come back.
 			why = "silent"
+		case m.ear.Deaf() && !m.base && !cut:
+			why = "deaf" // its tasks run elsewhere once it is deleted, sooner than when its lease is over
 		case m.notice && c.now > m.noticeAt+2*time.Second && c.now-m.lastReport > 4*c.p.Report:
 			why = "taken"
 		case m.moving && len(m.attempts) == 0:
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -20,8 +20,8 @@
 	listedAt   map[string]Time // machine -> last time a list had it
 	strangers  map[string]wire.MachineInfo
 	strangeAt  map[string]Time
-	strangerUp map[string]bool // has reported to us, and again
-	cameAt     map[string]Time // when a machine in no block first reported
+	strangerUp map[string]bool // has answered a call of ours
+	cameAt     map[string]Time // when a machine in no block was last called for having reported
 	firstList  bool
 	deleting   bool
 	dead       map[string]bool            // to be deleted: failed, or no longer listed
@@ -273,7 +273,7 @@
 		}
 		l.firstList = true
 		for n, at := range l.cameAt {
-			if c.now-at > tuning.SurpriseForget {
+			if c.now-at > tuning.SurpriseAgain {
 				delete(l.cameAt, n)
 			}
 		}
@@ -330,13 +330,18 @@
 	if !c.leading() || l.goneReady[r.Machine] {
 		return
 	}
-	// A report that a cut has held back may be of a machine deleted long ago. One that
-	// lives is heard again.
-	first, ok := l.cameAt[r.Machine]
-	if !ok || c.now-first > tuning.SurpriseForget {
-		l.cameAt[r.Machine], first = c.now, c.now
+	// A report may be a copy of one that a machine made before it was deleted, and many
+	// copies come one after the other: only its own answer to our call proves that it lives.
+	if at, ok := l.cameAt[r.Machine]; r.Addr != "" && (!ok || c.now-at > tuning.SurpriseAgain) {
+		l.cameAt[r.Machine] = c.now
+		c.out = append(c.out, Order{Machine: r.Machine, Addr: r.Addr, Look: true})
 	}
-	if c.now-first < tuning.SurpriseAgain {
+}
+
+// lives takes note that a machine in no block has answered a call of ours.
+func (c *Core) lives(r *wire.Report) {
+	l := &c.leader
+	if !c.leading() || l.goneReady[r.Machine] || c.blockOf(r.Machine) != nil {
 		return
 	}
 	if _, ok := l.strangeAt[r.Machine]; !ok {
--- a/internal/core/prompting.go
+++ b/internal/core/prompting.go
@@ -65,7 +65,7 @@
 // dueFor tells whether a machine should be called now.
 func (c *Core) dueFor(m *machine) prompt.Verdict {
 	switch {
-	case c.machines[m.name] != m || m.addr == "" || m.over || m.silent || !m.reported || !m.accounted || !c.mine(m.shard):
+	case c.machines[m.name] != m || m.addr == "" || m.over || m.silent || m.ear.Deaf() || !m.reported || !m.accounted || !c.mine(m.shard):
 		return prompt.Forget
 	case c.now-m.lastOK < tuning.OrderAfterAnswer:
 		return prompt.Wait // what we just answered must not be overtaken
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
@@ -15,9 +16,12 @@
 	r := &v.Report
 	c.addrs.Learn(r.Machine, r.Addr, r.Session)
 	m := c.machines[r.Machine]
-	if _, passed := c.relayed[v.Req]; !passed {
+	from, passed := c.relayed[v.Req]
+	switch { // an older report is a copy: it says of no worker that we reach it
+	case m != nil && c.older(m, r):
+	case !passed:
 		c.workers.Heard(c.now, c.shardHeld(r.Machine), r.Machine)
-	} else if m != nil {
+	case m != nil:
 		c.workers.HeardThrough(c.now, m.shard)
 	}
 	if m == nil {
@@ -30,6 +34,7 @@
 		c.answer(v.Req, 503, unavailable("entitlement not confirmed"))
 		return
 	}
+	c.test(m, passed)
 	token := c.tokenOf(m, b)
 	if r.Token > token || c.older(m, r) {
 		// A higher token: someone else is entitled and we have not heard yet.
@@ -37,6 +42,11 @@
 		c.answer(v.Req, 503, unavailable("report out of date"))
 		return
 	}
+	if !c.proves(m, r) {
+		c.trust(v.Req, m, r, token)
+		return
+	}
+	c.listen(m, r, from.from)
 	c.heardFrom(m, r)
 	c.takeStock(m, r)
 	if c.cordons[m.name].Drain {
@@ -51,6 +61,7 @@
 	}
 	reply := wire.ReportReply{Token: token, Commands: c.commands(m)}
 	m.lastOK = c.now
+	m.ear.Answered(r, token, from.from, reply.Commands)
 	c.answer(v.Req, 200, reply)
 	c.desk.Forget(m)
 	for _, a := range m.attempts {
@@ -62,6 +73,61 @@
 	c.flush()
 }
 
+// proves tells whether a report is known to be no late copy. Who has held a machine since it
+// was rented knows its reports by their numbers. Who has taken it over knows none: there a
+// report proves itself by naming a token that was given after that.
+func (c *Core) proves(m *machine, r *wire.Report) bool {
+	m.proven = m.proven || m.born || r.Token >= m.takenToken
+	return m.proven
+}
+
+// trust answers a report that proves nothing, so that the next one can: with our token and
+// no command. It changes nothing else here, and is done a few times only: copies of the last
+// reports of a dead machine would otherwise put off the end of its lease, as we must count
+// it, one after the other.
+func (c *Core) trust(req uint64, m *machine, r *wire.Report, token uint64) {
+	m.session, m.seq, m.addr = r.Session, r.Seq, r.Addr
+	if m.trusted >= tuning.TrustReports && m.inherited && !m.accounted {
+		c.answer(req, 503, unavailable("report proves nothing"))
+		return
+	}
+	m.trusted, m.trustedAt, m.lastOK = m.trusted+1, c.now, c.now
+	c.answer(req, 200, wire.ReportReply{Token: token, Commands: []wire.Command{}})
+}
+
+// test has the next answer to a machine carry a higher token if it is in doubt whether the
+// machine hears: it came by another way, or as late as one that waited in vain.
+func (c *Core) test(m *machine, passed bool) {
+	gap := c.now - m.lastReport
+	odd := m.reported && c.now-m.lastOK < c.p.Lease && (passed || gap > max(tuning.DeafGap, c.p.Report*5/4+time.Second))
+	if m.ear.Test(c.now, odd, c.p.Lease/2) {
+		m.raised = max(m.raised, c.rev)
+	}
+}
+
+// listen judges by a new report whether its worker hears what it is answered.
+func (c *Core) listen(m *machine, r *wire.Report, via string) {
+	lapsed := m.session > 0 && r.Session > m.session && c.now-m.lastOK < c.p.Lease && m.reported && !m.over
+	changed := m.ear.Report(r, via, lapsed)
+	if m.ear.Missed() && r.Addr != "" && !c.workers.Lacks(c.now) {
+		c.out = append(c.out, Order{Machine: m.name, Addr: r.Addr, Look: true})
+	}
+	if changed {
+		c.hearingChanged(m)
+	}
+}
+
+func (c *Core) hearingChanged(m *machine) {
+	c.touch(m)
+	c.dirty = true
+	kind := trail.MachineHears
+	if m.ear.Deaf() {
+		kind = trail.MachineDeaf
+	}
+	c.noteMachine(kind, m, wire.TrailEvent{Count: len(m.attempts)})
+	c.log(1, "worker hears what it is answered", "machine", m.name, "now", !m.ear.Deaf())
+}
+
 // older tells whether a report is history: a later one of its worker is known.
 func (c *Core) older(m *machine, r *wire.Report) bool {
 	return r.Session < m.session || r.Session == m.session && r.Seq <= m.seq
--- a/internal/core/rollcall.go
+++ b/internal/core/rollcall.go
@@ -63,6 +63,12 @@
 		return
 	}
 	m := c.machines[v.Machine]
+	if v.Look && v.Status == 200 && r.Machine == v.Machine {
+		c.lives(r) // an answer to our own call is no copy
+	}
+	if v.Look && v.Status == 0 && m != nil && v.For == "" && m.ear.Unanswered() {
+		c.hearingChanged(m)
+	}
 	if v.Look || m == nil || m.accounted || !c.mine(m.shard) {
 		return // it has reported by itself meanwhile, or is no longer ours
 	}
@@ -71,6 +77,7 @@
 		c.roll.Failed(c.now, m, v.Status == 409 && r.Session != v.Session && r.Token <= v.Token)
 		return
 	}
+	m.proven = true
 	c.heardFrom(m, r)
 	// The last report that anybody answered left its worker before the call came there,
 	// so its lease is over no later than one that began now.
--- a/internal/core/schedules_test.go
+++ b/internal/core/schedules_test.go
@@ -26,7 +26,7 @@
 func TestRandomSchedules(t *testing.T) {
 	seeds := []uint64{182, 243, 507, 578} // a block moved between two shards of one holder
 	for s := uint64(100); s < 100+schedules; s++ {
-		seeds = append(seeds, s)
+		seeds = append(seeds, s, s+10000)
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -38,6 +38,9 @@
 			w.run(5 * sec)
 			id := 0
 			for range 40 {
+				if seed >= 10000 && w.rng.IntN(3) == 0 {
+					w.newTrouble()
+				}
 				id = w.mishap(id)
 				w.run(time.Duration(w.rng.IntN(6000)) * time.Millisecond)
 				w.recount()
@@ -54,7 +57,12 @@
 			}
 			w.run(5 * sec)
 			w.unsure = 0 // all is well again: what was accepted gets done
-			w.run(240 * sec)
+			w.run(40 * sec)
+			w.check.Calm(w.now)
+			w.run(200 * sec)
+			if b := w.check.FinishDay(w.now); len(b) > 0 {
+				t.Fatalf("the day fails: %v", b)
+			}
 			if u := w.unfinished(); u != nil {
 				t.Fatalf("accepted and not done: %v", u)
 			}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -233,7 +233,7 @@
 			// One that was called twice in vain has had its chance; one that we do not know
 			// how to call has it with its next report.
 			waited := c.roll.Tries(m) >= 2 || c.now-c.entered[i] > max(tuning.MissingAfter, c.p.Report*3/2)
-			if m.shard == i && m.inherited && !m.accounted && !m.reported && !m.base && !m.drop && waited {
+			if m.shard == i && m.inherited && !m.accounted && !m.reported && !m.base && !m.drop && waited && c.now-m.trustedAt > tuning.MissingCalled {
 				m.drop = true
 				c.touch(m)
 				c.used[m.block] = true // written with what users wait for
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -15,9 +15,8 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// world is a scripted deployment around real cores, on one fake clock and one
-// seed: the emulator's state service, cloud and workers, and users. The checker
-// judges the protocol's rules, whatever a test does.
+// world is a scripted deployment around real cores, on one fake clock and one seed: the
+// emulator's state service, cloud, workers and users. The checker judges the rules.
 type world struct {
 	t     testing.TB
 	now   time.Duration
@@ -62,6 +61,7 @@
 	mute    map[[2]string]bool // controllers that cannot speak to each other, each pair both ways round
 	noWays  bool               // controllers make no calls for each other, as those of earlier versions
 	check   *checker.Checker
+	troubles
 }
 
 type ctrl struct {
@@ -397,7 +397,6 @@
 	}
 }
 
-// key reads a stored key; a missing one has version 0.
 func (w *world) key(k string) wire.Item { it, _ := w.store.Peek(k); return it }
 
 // ---- cloud
@@ -514,9 +513,10 @@
 // post brings a report to its node and the answer back, as far as they are in
 // reach of each other.
 func (w *world) post(m *host, s worker.Send) {
+	w.copyOf(s)
 	back := func(o worker.Outcome) func() {
 		return func() {
-			if !m.gone {
+			if !m.gone && !w.deaf[m.info.Name] {
 				w.drive(m, m.Answered(w.now, s.ID, o))
 			}
 		}
@@ -534,6 +534,7 @@
 			switch b := a.Body.(type) {
 			case wire.ReportReply:
 				o.Reply = b
+				w.wasted(m, b)
 			case wire.Redirect:
 				o.Holder = b.Holder
 			}
--- /dev/null
+++ b/internal/core/world_troubles_test.go
@@ -0,0 +1,98 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// troubles are those that strike between workers and controllers.
+type troubles struct {
+	deaf     map[string]bool          // machines whose reports arrive, and that no answer or call reaches
+	runsLost int                      // start commands answered to them
+	copies   int                      // of a hundred reports, so many come again, to anybody
+	copyLate time.Duration            // and at most so late
+	keep     map[string][]wire.Report // by machine, if not nil
+	stale    map[string]int           // machines that are gone: copies of their reports that have come
+}
+
+// copyOf has copies of a report come late, some of them several times and out of order.
+func (w *world) copyOf(s worker.Send) {
+	if w.keep != nil {
+		w.keep[s.Report.Machine] = append(w.keep[s.Report.Machine], s.Report)
+	}
+	for range 3 {
+		if w.copies == 0 || w.rng.IntN(100) >= w.copies {
+			continue
+		}
+		names := sortedKeys(w.nodes)
+		to := names[w.rng.IntN(len(names))]
+		w.at(time.Duration(1+w.rng.IntN(int(w.copyLate/time.Millisecond)))*time.Millisecond, func() {
+			if m := w.machines[s.Report.Machine]; m.gone && w.stale != nil {
+				w.stale[m.info.Name]++
+			}
+			w.ask(to, func(q uint64) any { return WorkerReport{q, s.Report} }, func(Answer) {})
+		})
+	}
+}
+
+// wasted counts starts that a deaf machine is answered with.
+func (w *world) wasted(m *host, r wire.ReportReply) {
+	for _, c := range r.Commands {
+		if w.deaf[m.info.Name] && c.Verb == wire.VerbRun {
+			w.runsLost++
+		}
+	}
+}
+
+// deafen has machines hear nothing, or hear again.
+func (w *world) deafen(v bool, names ...string) {
+	if w.deaf == nil {
+		w.deaf = map[string]bool{}
+	}
+	for _, n := range names {
+		w.deaf[n] = v
+	}
+}
+
+// bounce ends controllers and starts them again within moments.
+func (w *world) bounce(after time.Duration, names ...string) {
+	for _, n := range names {
+		if w.nodes[n].core != nil {
+			w.kill(n)
+			w.at(after, func() { w.start(n) })
+		}
+	}
+}
+
+// newTrouble does one thing that a random day of the first kind has not.
+func (w *world) newTrouble() {
+	some := time.Duration(1+w.rng.IntN(25)) * sec
+	c := fmt.Sprintf("c%d", w.rng.IntN(3))
+	switch w.rng.IntN(5) {
+	case 0: // a machine, or a whole zone, hears nothing
+		var at []string
+		if n := w.rng.IntN(len(w.order)); w.rng.IntN(3) > 0 {
+			at = w.order[n : n+1]
+		} else {
+			at = w.in([]string{"n", "s"}[n%2])
+		}
+		w.deafen(true, at...)
+		w.at(some, func() { w.deafen(false, at...) })
+	case 1:
+		w.copies, w.copyLate = 10+w.rng.IntN(90), some*3
+		w.at(some, func() { w.copies = 0 })
+	case 2: // without the state service and the others, not without its workers
+		w.hung[c] = true
+		w.silence(c, true)
+		w.at(some, func() { w.hung[c] = false; w.silence(c, false) })
+	default: // back at once, some together
+		names := sortedKeys(w.nodes)[:1+w.rng.IntN(3)]
+		for k := range 1 + w.rng.IntN(3) {
+			again := time.Duration(50+w.rng.IntN(850)) * time.Millisecond
+			w.at(time.Duration(k)*time.Duration(300+w.rng.IntN(2500))*time.Millisecond, func() { w.bounce(again, names...) })
+		}
+	}
+}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -36,6 +36,8 @@
 	MachineNotice   = "machine_notice"   // the cloud will take it
 	MachineFaulty   = "machine_faulty"   // it fails what it is given
 	JobMistaken     = "job_mistaken"     // it fails wherever it is started
+	MachineDeaf     = "machine_deaf"     // reports, and hears nothing that it is answered
+	MachineHears    = "machine_hears"    // hears again
 	PlaceHeld       = "place_held"       // kept for a job whose tasks fit nowhere
 	MachineReturned = "machine_returned" // it is to be given back
 	Accounted       = "accounted"        // what is on an inherited machine is known; Why tells by what
@@ -97,7 +99,8 @@
 	Settled:         {{ShardHeld, byShard}},
 	MachineBack:     {{MachineSilent, byMachine}},
 	LeaseOver:       {{MachineSilent, byMachine}, {ShardHeld, byShard}},
-	MachineReturned: {{LeaseOver, byMachine}, {MachineFaulty, byMachine}, {MachineNotice, byMachine}},
+	MachineReturned: {{LeaseOver, byMachine}, {MachineFaulty, byMachine}, {MachineNotice, byMachine}, {MachineDeaf, byMachine}},
+	MachineHears:    {{MachineDeaf, byMachine}},
 	MachineGone:     {{MachineReturned, byMachine}, {MachineNotice, byMachine}, {LeaseOver, byMachine}},
 	MachineFaulty:   {{TaskFailed, byMachine}},
 	JobMistaken:     {{TaskFailed, byTask}},
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -291,10 +291,15 @@
 	// SurpriseGrace (duration): a listed machine in no block is adopted after
 	// this; the block of a fresh rental may still be on its way.
 	SurpriseGrace = 4 * time.Second
-	// SurpriseAgain and SurpriseForget (duration): a machine that no list has is believed in
-	// once it reports again after so long; what it said earlier than that is forgotten.
-	SurpriseAgain  = 1500 * time.Millisecond
-	SurpriseForget = 30 * time.Second
+	// SurpriseAgain (duration): between calls to a machine in no block that seems to report;
+	// it is believed in once it answers one.
+	SurpriseAgain = 1500 * time.Millisecond
+	// TrustReports (answers): given to a machine that was taken over before a report of its
+	// proves itself; each puts off the time when its lease is surely over. One is enough
+	// where no answer is lost.
+	TrustReports = 3
+	// DeafGap (duration): a worker that waits for an answer in vain reports again after 5 s.
+	DeafGap = 4800 * time.Millisecond
 	// RetryHint (seconds): Retry-After on a 503 while the state is unreachable.
 	RetryHint = 2
 	// UserTimeout (duration): a user's request is given up before its client
