--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -399,7 +399,6 @@
 
 func (w *world) key(k string) wire.Item { it, _ := w.store.Peek(k); return it }
 
-// ---- cloud
 
 func (w *world) callCloud(c CloudCall) CloudReply {
 	var r cloud.Reply
