--- a/internal/clearing/clearing_test.go
+++ b/internal/clearing/clearing_test.go
@@ -36,7 +36,7 @@
 		{2, true, "b1b2", true},
 		{1, true, "", false},
 	} {
-		stop, ok := Choose(in, size(x.size), x.urgent, any)
+		stop, ok := Choose(in, size(x.size), x.urgent, any, func(string) time.Duration { return 0 })
 		names := ""
 		for _, s := range stop {
 			names += s.Handle
@@ -46,3 +46,20 @@
 		}
 	}
 }
+
+// A machine with the image is cleared, if what is lost more there is less than the fetch.
+func TestAFetchIsWeighed(t *testing.T) {
+	for _, x := range []struct {
+		ran  time.Duration // of the task beside the image
+		stop string
+	}{{12 * time.Second, "there"}, {14 * time.Second, "here"}} {
+		in := []*Machine[string, string]{
+			{Handle: "bare", Victims: []Victim[string]{{"here", size(1), 3 * time.Second, false}}},
+			{Handle: "has", Victims: []Victim[string]{{"there", size(1), x.ran, false}}},
+		}
+		fetch := func(m string) time.Duration { return map[string]time.Duration{"bare": 10 * time.Second}[m] }
+		if stop, ok := Choose(in, size(1), true, func(string) bool { return true }, fetch); !ok || stop[0].Handle != x.stop {
+			t.Errorf("ran %v: stopped %v", x.ran, stop)
+		}
+	}
+}
