--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -29,6 +29,7 @@
 	when  []wire.Condition
 	then  []wire.Change
 	jobs  []*jobEntry
+	idle  []string // blocks to be marked idle
 	bytes int
 	max   int // changes
 	shard map[int]bool
@@ -61,6 +62,28 @@
 // addBlock adds a block's new record.
 func (b *batch) addBlock(x *blockEntry, rec wire.Block) {
 	b.add(rec.Shard, &wire.Condition{Key: blockKey(x.id), Version: x.ver}, wire.Change{Put: blockKey(x.id), Value: rec})
+	if rec.Idle && !x.rec.Idle {
+		b.idle = append(b.idle, x.id)
+		b.c.offered[x.id] = x.ver
+		b.c.touchBlock(x.id)
+	}
+}
+
+// offering tells whether a mark that a block is idle may be on its way to the state, or be
+// executed late: only a newer version of its record, or a refusal, ends that.
+func (c *Core) offering(b *blockEntry) bool {
+	ver, sent := c.offered[b.id]
+	return sent && ver == b.ver
+}
+
+// withdraw ends the offer of blocks whose mark was refused.
+func (c *Core) withdraw(ids []string, status int) {
+	if status == 409 || status == 429 || status == 503 || status == 400 {
+		for _, id := range ids {
+			delete(c.offered, id)
+			c.touchBlock(id)
+		}
+	}
 }
 
 // addProgress adds a job's progress as it stands now. Its starts are written apart.
@@ -87,6 +110,7 @@
 	*busy = true
 	c.commit(lane, b.when, b.then, func(r StateReply) {
 		*busy = false
+		c.withdraw(b.idle, r.Status)
 		for _, e := range b.jobs {
 			if e.run != nil {
 				e.run.writing = false
@@ -156,7 +180,7 @@
 
 // markBlock is a block's record as it should stand.
 func (c *Core) markBlock(x *blockEntry) (rec wire.Block, change bool) {
-	rec = x.rec
+	rec, change = x.rec, c.offering(x) // its mark may come late: a write of ours forestalls it
 	rec.Machines = append([]wire.BlockMachine(nil), x.rec.Machines...)
 	for k := range rec.Machines {
 		m, bm := c.machines[rec.Machines[k].Name], &rec.Machines[k]
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -37,10 +37,11 @@
 	cachePart                        map[int]int     // which record of that is to be written next
 	used                             map[string]bool // blocks with fresh machines that are up
 	taking                           map[int]taking
-	entered                          map[int]Time    // when a held shard was taken up
-	prevDead                         map[int]Time    // since when the life a shard was taken from is known to be dead
-	vacating                         map[string]bool // blocks being emptied for another shard's guarantee
-	dire                             map[int]Time    // since when a shard's guaranteed work finds no room
+	entered                          map[int]Time      // when a held shard was taken up
+	prevDead                         map[int]Time      // since when the life a shard was taken from is known to be dead
+	vacating                         map[string]bool   // blocks being emptied for another shard's guarantee
+	offered                          map[string]uint64 // blocks whose mark as idle has been sent, and at which version
+	dire                             map[int]Time      // since when a shard's guaranteed work finds no room
 	urgent                           map[int]urgentSize
 	came                             map[int][]Time // arrivals of urgent jobs, by shard
 
@@ -146,7 +147,7 @@
 
 func newHolder() holder {
 	return holder{health: newHealth(), startsBusy: map[int]bool{}, startsAt: map[int]Time{}, startsNext: map[int]Time{}, warm: map[string]bool{}, taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
-		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
+		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, offered: map[string]uint64{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -372,7 +373,8 @@
 	if old == nil {
 		return
 	}
-	if b != nil && b.rec.Idle != old.rec.Idle {
+	if _, sent := c.offered[id]; sent || b != nil && b.rec.Idle != old.rec.Idle {
+		delete(c.offered, id)
 		c.touchBlock(id)
 	}
 	for _, bm := range old.rec.Machines {
--- a/internal/core/troubles_test.go
+++ b/internal/core/troubles_test.go
@@ -265,3 +265,38 @@
 	}
 	w.run(3 * sec)
 }
+
+// A block is offered to another shard, and the write that marks it is on its way while work
+// for it comes: nothing is placed there until the outcome is known.
+func TestNothingIsPlacedOnABlockBeingOffered(t *testing.T) {
+	for _, late := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 6 * sec} {
+		w := newWorld(t, 90, 3, func(w *world) { w.capacity, w.runS = 0, 20*sec })
+		for i := range 6 {
+			w.addMachine([]string{"n", "s"}[i%2], false, sec)
+		}
+		w.pollAll()
+		w.run(12 * sec)
+		w.markLate = late
+		job := func(id, team string, tasks int) {
+			s := spec(id, team, wire.ShapeBatch, tasks)
+			s.DueS, s.ImageGB = nil, ptr(0.01)
+			w.submit(s)
+		}
+		job("job-000000", "red", 12) // more than its shard has: the others' empty blocks are offered
+		for range 500 {
+			if w.run(10 * time.Millisecond); w.marking != nil {
+				break
+			}
+		}
+		if w.marking == nil {
+			t.Fatal("no block is offered")
+		}
+		for _, team := range []string{"blue", "green"} { // one of them has just offered its block
+			job("job-0001"+fmt.Sprintf("%02d", len(team)), team, 8)
+		}
+		w.run(120 * sec)
+		if u := w.unfinished(); u != nil {
+			t.Errorf("marks %v late: not done: %v", late, u)
+		}
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -157,6 +157,7 @@
 		w.slow = w.now + 200*time.Millisecond
 		w.cloudEvents(w.cloud.Advance(w.now))
 		w.check.Tick(w.now)
+		w.checkIdle()
 	}
 	w.at(20*time.Millisecond, w.clock)
 }
@@ -326,6 +327,7 @@
 		return
 	}
 	w.reached[node]++
+	lag += w.lateMark(node, v, lag)
 	if v.Op == OpWatch && v.Hold > 0 && w.watchLag > 0 {
 		late := w.watchLag
 		w.at(lag, func() { w.callStore(node, v, func(r StateReply) { w.at(late, func() { reply(r) }) }) })
@@ -399,7 +401,6 @@
 
 func (w *world) key(k string) wire.Item { it, _ := w.store.Peek(k); return it }
 
-
 func (w *world) callCloud(c CloudCall) CloudReply {
 	var r cloud.Reply
 	switch c.Op {
@@ -549,7 +550,6 @@
 }
 
 func (w *world) hang(m *host) { m.Fault.Hung = true }
-
 func (w *world) resume(m *host) {
 	if !m.gone && m.up { // while it boots there is no worker
 		w.drive(m, m.Resume(w.now))
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -14,6 +14,8 @@
 	runsLost int                      // start commands answered to them
 	copies   int                      // of a hundred reports, so many come again, to anybody
 	copyLate time.Duration            // and at most so late
+	markLate time.Duration            // blocks are marked idle so much later
+	marking  *wire.Block              // the last such
 	keep     map[string][]wire.Report // by machine, if not nil
 	stale    map[string]int           // machines that are gone: copies of their reports that have come
 }
@@ -71,6 +73,7 @@
 func (w *world) newTrouble() {
 	some := time.Duration(1+w.rng.IntN(25)) * sec
 	c := fmt.Sprintf("c%d", w.rng.IntN(3))
+	w.markLate = time.Duration(w.rng.IntN(3)) * 400 * time.Millisecond
 	switch w.rng.IntN(5) {
 	case 0: // a machine, or a whole zone, hears nothing
 		var at []string
@@ -96,3 +99,47 @@
 		}
 	}
 }
+
+// lateMark is by how much a write comes late that marks a block idle. As it is executed its
+// holder keeps the promise: it has reserved nothing there.
+func (w *world) lateMark(node string, v StateCall, lag time.Duration) time.Duration {
+	for _, ch := range v.Txn.Then {
+		b, ok := ch.Value.(wire.Block)
+		if !ok || !b.Idle {
+			continue
+		}
+		if w.markLate > 0 {
+			w.marking = &b
+		}
+		w.at(lag+w.markLate+time.Microsecond, func() { // just after
+			var now wire.Block
+			_ = wire.Unmarshal(w.key(ch.Put).Value, &now)
+			for _, bm := range now.Machines {
+				if c := w.nodes[node].core; c != nil && now.Idle && c.machines[bm.Name] != nil && len(c.machines[bm.Name].attempts) > 0 {
+					w.t.Fatalf("%v: %s has work on %s, whose block is marked idle", w.now, node, bm.Name)
+				}
+			}
+		})
+		return w.markLate
+	}
+	return 0
+}
+
+// checkIdle judges the promise of a block that is marked idle: nothing is on it.
+func (w *world) checkIdle() {
+	w.store.Scan(wire.PrefixBlock, func(it wire.Item) {
+		var b wire.Block
+		_ = wire.Unmarshal(it.Value, &b)
+		for _, bm := range b.Machines {
+			m := w.machines[bm.Name]
+			if !b.Idle || m == nil || m.gone || !m.up || m.Fault.Hung {
+				continue
+			}
+			for _, a := range m.tasks() {
+				if a.Status != wire.TaskEnded {
+					w.t.Fatalf("%v: %s is on %s, whose block is marked idle", w.now, a.Task, bm.Name)
+				}
+			}
+		}
+	})
+}
