--- /dev/null
+++ b/cmd/barrowbridge/ladder.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/spf13/cobra"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// ladderCommand shows and changes the order in which work is served.
+func (c *client) ladderCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "ladder", Short: "The rungs on which work is served, top down"}
+	show := func(v wire.LadderView) string {
+		lines := []string{fmt.Sprintf("version %d", v.Version)}
+		for i, r := range v.All {
+			from := ""
+			if i >= len(v.Ladder.Rungs) {
+				from = ", by priority"
+			}
+			lines = append(lines, fmt.Sprintf("%d. %s%s%s", i+1, r.Name, chosen(r), from))
+		}
+		return strings.Join(lines, "\n")
+	}
+	read := func() (v wire.LadderView, err error) {
+		err = c.call(http.MethodGet, "/admin/v1/ladder", nil, &v)
+		return v, err
+	}
+	change := func(file string, check bool) error {
+		rungs, err := readRungs(file)
+		if err != nil {
+			return err
+		}
+		v, err := read()
+		if err != nil {
+			return err
+		}
+		if err := c.call(http.MethodPut, "/admin/v1/ladder", wire.LadderPatch{Version: v.Version, Rungs: rungs, Check: check}, &v); err != nil {
+			return err
+		}
+		return c.print(v, show(v))
+	}
+	cmd.AddCommand(&cobra.Command{
+		Use: "show", Short: "Print all rungs", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			v, err := read()
+			if err != nil {
+				return err
+			}
+			return c.print(v, show(v))
+		},
+	}, &cobra.Command{
+		Use: "set FILE", Short: "Replace the rungs by those of a TOML file", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return change(args[0], false) },
+	}, &cobra.Command{
+		Use: "check FILE", Short: "Judge a file without changing anything", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return change(args[0], true) },
+	}, &cobra.Command{
+		Use: "order", Short: "Print the live jobs in order, with a digest that all controllers share", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var o wire.OrderView
+			if err := c.call(http.MethodGet, "/admin/v1/ladder/order", nil, &o); err != nil {
+				return err
+			}
+			lines := []string{fmt.Sprintf("%s at revision %d, ladder %d: %d jobs, digest %s", o.Node, o.Revision, o.Version, o.Count, o.Digest)}
+			for _, j := range o.Jobs {
+				lines = append(lines, fmt.Sprintf("%s  %d  %s", j.Job, j.Number, j.Rung))
+			}
+			return c.print(o, strings.Join(lines, "\n"))
+		},
+	}, &cobra.Command{
+		Use: "history", Short: "Print what the ladder was before", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			v, err := read()
+			if err != nil {
+				return err
+			}
+			var lines []string
+			for _, h := range v.Ladder.History {
+				lines = append(lines, fmt.Sprintf("version %d, until %s at %s: %s", h.Version, time.UnixMilli(h.AtMS).UTC().Format(time.RFC3339), h.Node, strings.Join(h.Rungs, ", ")))
+			}
+			return c.print(v.Ladder.History, strings.Join(lines, "\n"))
+		},
+	})
+	return cmd
+}
+
+// chosen tells what a rung selects by.
+func chosen(r wire.Rung) string {
+	var parts []string
+	for _, p := range []struct {
+		what string
+		list []string
+	}{{"classes", r.Classes}, {"teams", r.Teams}, {"priorities", r.Priorities}, {"shapes", r.Shapes}} {
+		if len(p.list) > 0 {
+			parts = append(parts, p.what+" "+strings.Join(p.list, " "))
+		}
+	}
+	return " (" + strings.Join(parts, "; ") + ")"
+}
+
+// readRungs reads a ladder's file: [[rung]] tables, top down.
+func readRungs(file string) ([]wire.Rung, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var f struct {
+		Rung []wire.Rung `toml:"rung"`
+	}
+	if err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(&f); err != nil {
+		return nil, fmt.Errorf("%s: %s", file, strings.ReplaceAll(err.Error(), "\n", " "))
+	}
+	return f.Rung, nil
+}
--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/barrowbridge/barrowbridge/internal/aims"
+	"github.com/barrowbridge/barrowbridge/internal/ladder"
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
@@ -138,7 +139,7 @@
 		return
 	}
 	j, run := &e.rec, e.run
-	q := queue.Job{ID: j.ID, Team: j.Team, Accepted: j.AcceptedMS, Rank: e.prio, Strict: j.Zone != "" || j.OneZone, Service: j.Shape == wire.ShapeService,
+	q := queue.Job{ID: j.ID, Team: j.Team, Accepted: j.AcceptedMS, Number: j.Number, Rank: e.rank, Strict: j.Zone != "" || j.OneZone, Service: j.Shape == wire.ShapeService,
 		Due: c.aims.Due(workOf(j)), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.Count(), Pending: c.trials(e),
 		Begun: j.Started > 0 || run.next > 0}
 	if c.health.Trial(j.ID) {
@@ -188,7 +189,7 @@
 	})
 }
 
-// sortedJobs lists jobs of a set, urgent ones first, then by age.
+// sortedJobs lists jobs of a set by rung, then by age.
 func sortedJobs(set map[*jobEntry]bool) []*jobEntry {
 	list := make([]*jobEntry, 0, len(set))
 	for e := range set {
@@ -196,17 +197,12 @@
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := list[i], list[j]
-		if ua, ub := a.prio >= urgentRank, b.prio >= urgentRank; ua != ub {
-			return ua
+		if a.rank != b.rank {
+			return a.rank > b.rank
 		}
 		return olderJob(a, b)
 	})
 	return list
 }
 
-func olderJob(a, b *jobEntry) bool {
-	if a.rec.AcceptedMS != b.rec.AcceptedMS {
-		return a.rec.AcceptedMS < b.rec.AcceptedMS
-	}
-	return a.rec.ID < b.rec.ID
-}
+func olderJob(a, b *jobEntry) bool { return ladder.Older(&a.rec, &b.rec) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -268,6 +268,10 @@
 		c.onAdminOverview(v)
 	case AdminCordon:
 		c.onAdminCordon(v)
+	case AdminLadder:
+		c.onAdminLadder(v)
+	case AdminOrder:
+		c.onAdminOrder(v)
 	case AdminWhy:
 		c.onAdminWhy(v)
 	case AdminTrail:
--- a/internal/core/holding.go
+++ b/internal/core/holding.go
@@ -236,7 +236,7 @@
 	}, func(p *queue.Place[*jobEntry]) bool {
 		e := p.Handle
 		if e.prio < urgentRank || b.Len() == 0 {
-			return false // the order begins with them
+			return b.Len() > 0 && !c.ladder.Plain() // by priority the order begins with them
 		}
 		for _, m := range b.Held() {
 			if c.trials(e) == 0 || e.rec.Shape == wire.ShapeGang || c.barred(e, shard) {
--- /dev/null
+++ b/internal/core/laddering.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"github.com/barrowbridge/barrowbridge/internal/ladder"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Inputs of the administration API.
+type (
+	// AdminLadder reads the ladder, or replaces or judges its rungs.
+	AdminLadder struct {
+		Req   uint64
+		Patch *wire.LadderPatch
+	}
+	// AdminOrder asks for the order in which jobs are served.
+	AdminOrder struct{ Req uint64 }
+)
+
+// putLadder takes a new ladder: every job has its rung by it from now on.
+func (c *Core) putLadder(r wire.Ladder) {
+	c.rungs, c.ladder = r, ladder.Of(r)
+	for _, e := range c.jobsByAge() {
+		e.rank = c.ladder.Rank(&e.rec)
+		c.touchJob(e)
+	}
+}
+
+func (c *Core) ladderView() wire.LadderView {
+	return wire.LadderView{Version: c.ver[wire.KeyLadder], Ladder: c.rungs, All: c.ladder.Rungs()}
+}
+
+func (c *Core) onAdminLadder(v AdminLadder) {
+	if !c.loaded {
+		c.answer(v.Req, 503, unavailable("state not read yet"))
+		return
+	}
+	if v.Patch == nil {
+		c.answer(v.Req, 200, c.ladderView())
+		return
+	}
+	known := func(team string) bool { _, ok := c.p.Teams[team]; return ok }
+	if err := ladder.Check(v.Patch.Rungs, known); err != nil {
+		c.answer(v.Req, 400, wire.Problem{Error: err.Error()})
+		return
+	}
+	ver := c.ver[wire.KeyLadder]
+	rec := wire.Ladder{Rungs: v.Patch.Rungs, History: append([]wire.LadderChange(nil), c.rungs.History...)}
+	if ver > 0 || len(c.rungs.Rungs) > 0 {
+		was := wire.LadderChange{Version: ver, AtMS: c.wall.UnixMilli(), Node: c.p.Node, Rungs: []string{}}
+		for _, r := range c.rungs.Rungs {
+			was.Rungs = append(was.Rungs, r.Name)
+		}
+		rec.History = append(rec.History, was)
+	}
+	rec.History = rec.History[max(0, len(rec.History)-tuning.LadderHistory):]
+	if raw, err := wire.Marshal(rec); err != nil || !wire.FitsIn(raw, c.p.ValueBytes) {
+		c.answer(v.Req, 400, wire.Problem{Error: "rungs: too large to keep"})
+		return
+	}
+	switch {
+	case v.Patch.Check:
+		c.answer(v.Req, 200, wire.LadderView{Version: ver, Ladder: rec, All: ladder.Of(rec).Rungs()})
+	case v.Patch.Version != ver:
+		c.answer(v.Req, 409, c.ladderView())
+	default:
+		c.commit(LaneUser, []wire.Condition{{Key: wire.KeyLadder, Version: ver}}, []wire.Change{{Put: wire.KeyLadder, Value: rec}}, func(r StateReply) {
+			c.adminDone(v.Req, r, func() any { return c.ladderView() })
+		})
+	}
+}
+
+func (c *Core) onAdminOrder(v AdminOrder) {
+	if !c.loaded {
+		c.answer(v.Req, 503, unavailable("state not read yet"))
+		return
+	}
+	jobs := make([]*wire.Job, 0, len(c.jobs))
+	for _, e := range c.jobsByAge() {
+		jobs = append(jobs, &e.rec)
+	}
+	list, digest := c.ladder.Order(jobs)
+	c.answer(v.Req, 200, wire.OrderView{Node: c.p.Node, Revision: c.rev, Version: c.ver[wire.KeyLadder], Digest: digest, Count: len(list),
+		Jobs: list[:min(len(list), tuning.OrderAnswer)]})
+}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/barrowbridge/barrowbridge/internal/boot"
+	"github.com/barrowbridge/barrowbridge/internal/ladder"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -26,6 +27,8 @@
 	chief    wire.Leader
 	settings wire.Settings
 	cordons  map[string]wire.Cordon
+	ladder   *ladder.Ladder
+	rungs    wire.Ladder // the record that it was read from
 	started  *starts.Book
 	boots    *boot.Book
 
@@ -58,6 +61,7 @@
 	rec  wire.Job
 	ver  uint64
 	prio int
+	rank int     // of its rung
 	run  *jobRun // nil unless this controller holds the job's shard
 
 	touched bool // see books
@@ -67,7 +71,7 @@
 	return mirror{ver: map[string]uint64{}, tombs: map[string]tomb{}, jobs: map[string]*jobEntry{},
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
 		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
-		settings: defaultSettings(), cordons: map[string]wire.Cordon{},
+		settings: defaultSettings(), ladder: ladder.Of(wire.Ladder{}), cordons: map[string]wire.Cordon{},
 		blockIn: map[string]string{}, dropping: map[string]bool{}, shardHas: map[int]map[string]int{}, newest: map[int]uint64{}, teamHome: map[string]int{}, cached: map[string][]string{}}
 }
 
@@ -247,6 +251,11 @@
 		if read(&r) {
 			c.settings = r
 		}
+	case key == wire.KeyLadder:
+		var r wire.Ladder
+		if read(&r) {
+			c.putLadder(r)
+		}
 	case strings.HasPrefix(key, wire.PrefixCordon):
 		var r wire.Cordon
 		if read(&r) {
@@ -342,11 +351,11 @@
 		e = &jobEntry{rec: r}
 		c.jobs[r.ID] = e
 		c.listJob(e, true)
-	} else if e.rec.AcceptedMS != r.AcceptedMS {
+	} else if e.rec.AcceptedMS != r.AcceptedMS || e.rec.Number != r.Number {
 		c.jobList = nil
 	}
 	c.overlay(&r)
-	e.rec, e.ver, e.prio = r, ver, wire.PriorityRank(r.Priority)
+	e.rec, e.ver, e.prio, e.rank = r, ver, wire.PriorityRank(r.Priority), c.ladder.Rank(&r)
 	c.jobSeen(e)
 }
 
@@ -376,6 +385,8 @@
 		c.log(1, "no leader")
 	case key == wire.KeySettings:
 		c.settings = defaultSettings()
+	case key == wire.KeyLadder:
+		c.putLadder(wire.Ladder{})
 	case strings.HasPrefix(key, wire.PrefixCordon):
 		delete(c.cordons, key[len(wire.PrefixCordon):])
 		if m := c.machines[key[len(wire.PrefixCordon):]]; m != nil {
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -104,7 +104,7 @@
 			left -= placement.Beta(full, u) + 1
 		}
 	}
-	return wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left}, left > 0
+	return wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left, Rung: c.ladder.Top()}, left > 0
 }
 
 // underLimit is how many more tasks of a size a team may start before its limit.
@@ -161,7 +161,7 @@
 		if left == 0 && !waits {
 			return true
 		}
-		n := wire.Need{Types: j.Types, Zone: zone, Spot: j.Spot, CPUs: size.CPUs, GPUs: size.GPUs, MemGB: size.MemGB, Tasks: left}
+		n := wire.Need{Types: j.Types, Zone: zone, Spot: j.Spot, CPUs: size.CPUs, GPUs: size.GPUs, MemGB: size.MemGB, Tasks: left, Rung: e.rank}
 		if waits {
 			// A boot is on its way at best; a borrowed machine is there now.
 			n.Dire, n.Booting, n.Tasks = true, left == 0, max(left, p.Job.Pending)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -271,10 +271,10 @@
 		return placement.Size{CPUs: min(free.CPUs, t.CPUsMax-u.CPUs), GPUs: min(free.GPUs, t.GPUsMax-u.GPUs), MemGB: free.MemGB}
 	}, func(o *queue.Place[*jobEntry]) bool {
 		e := o.Handle
-		if looked++; looked > tuning.LocalLook || e.prio < p.Handle.prio {
+		if looked++; looked > tuning.LocalLook || e.rank < p.Handle.rank {
 			return false
 		}
-		found = o != p && e.prio == p.Handle.prio && o.Within == p.Within && o.Late == p.Late && o.Overdue == p.Overdue && !c.barred(e, m.shard) && e.rec.Shape != wire.ShapeGang &&
+		found = o != p && e.rank == p.Handle.rank && o.Within == p.Within && o.Late == p.Late && o.Overdue == p.Overdue && !c.barred(e, m.shard) && e.rec.Shape != wire.ShapeGang &&
 			e.run.pending(&e.rec) > 0 && m.images[e.rec.Image] && c.takes(e, m, m.shard) && zonesOf(e) == nil
 		return !found
 	})
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -24,7 +24,7 @@
 	c.order.Walk(anyRoom, func(p *queue.Place[*jobEntry]) bool {
 		e := p.Handle
 		if e.prio <= idleRank || e.prio < urgentRank && len(c.idlers) == 0 {
-			return false // nothing gives way to it; the order begins with urgent jobs
+			return !c.ladder.Plain() // nothing gives way to it; by priority the order begins with urgent jobs
 		}
 		if e.prio < urgentRank && !p.Within || c.health.Trial(e.rec.ID) {
 			return true
@@ -38,10 +38,14 @@
 	if len(list) == 0 {
 		return
 	}
+	least := list[0].rank // no work of a higher rung than any of these gives way
+	for _, e := range list {
+		least = min(least, e.rank)
+	}
 	by := map[int][]*clearing.Machine[*machine, *attempt]{}
 	for _, m := range c.heldMachines() {
 		if c.usable(m) {
-			by[m.shard] = append(by[m.shard], c.clearingOf(m))
+			by[m.shard] = append(by[m.shard], c.clearingOf(m, least))
 		}
 	}
 	for _, e := range list {
@@ -55,7 +59,7 @@
 	}
 }
 
-func (c *Core) clearingOf(m *machine) *clearing.Machine[*machine, *attempt] {
+func (c *Core) clearingOf(m *machine, least int) *clearing.Machine[*machine, *attempt] {
 	x := &clearing.Machine[*machine, *attempt]{Handle: m, Free: c.free(m)}
 	for _, k := range sortedAttempts(m) {
 		a := m.attempts[k]
@@ -63,7 +67,7 @@
 		case a.status == wire.TaskEnded || !a.sent:
 		case a.stop || c.jobs[a.job] == nil:
 			x.Free = x.Free.Add(a.size) // already leaving
-		case a.known && a.lesser:
+		case a.known && a.lesser && c.jobs[a.job].rank < least:
 			x.Victims = append(x.Victims, clearing.Victim[*attempt]{Handle: a, Size: a.size, Ran: c.now - a.running, Idle: a.idle})
 		}
 	}
@@ -185,7 +189,7 @@
 				break
 			}
 			for _, a := range m.attempts {
-				if e := c.jobs[a.job]; e != nil && e.prio >= urgentRank {
+				if e := c.jobs[a.job]; e != nil && (e.prio >= urgentRank || e.rank > n.Rung) {
 					ok = false
 				}
 				if a.status != wire.TaskEnded {
--- a/internal/core/recount_test.go
+++ b/internal/core/recount_test.go
@@ -290,8 +290,8 @@
 	sort.SliceStable(q, func(i, j int) bool {
 		a, b := q[i], q[j]
 		switch {
-		case a.e.prio != b.e.prio:
-			return a.e.prio > b.e.prio
+		case a.e.rank != b.e.rank:
+			return a.e.rank > b.e.rank
 		case a.overdue != b.overdue:
 			return a.overdue
 		case a.within != b.within:
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/boot"
@@ -85,6 +87,11 @@
 	if l.writing || len(c.types) == 0 {
 		return
 	}
+	type need struct {
+		shard int
+		n     wire.Need
+	}
+	var open []need
 	for _, i := range c.shardIDs() {
 		w := c.wantOf(i)
 		if len(w.Needs) == 0 || l.renting[i] {
@@ -100,11 +107,18 @@
 			if !n.Booting {
 				n.Tasks -= coming.Take(supply.AskOf(n), n.Tasks)
 			}
-			if n.Tasks > 0 && (c.moveIdle(i, n) || (!n.Booting && c.rent(i, n))) {
-				return
+			if n.Tasks > 0 {
+				open = append(open, need{i, n})
 			}
 		}
 	}
+	// What one shard lacks for an upper rung goes before what another lacks for routine work.
+	slices.SortStableFunc(open, func(a, b need) int { return cmp.Compare(b.n.Rung, a.n.Rung) })
+	for _, x := range open {
+		if c.moveIdle(x.shard, x.n) || !x.n.Booting && c.rent(x.shard, x.n) {
+			return
+		}
+	}
 }
 
 // booked is the room of a shard's machines that are rented and stand in no block yet.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -246,7 +246,7 @@
 		c.answer(v.Req, 503, unavailable("state service not reached"))
 		return
 	}
-	job.AcceptedMS = c.wall.UnixMilli()
+	job.AcceptedMS, job.Number = c.wall.UnixMilli(), c.topRev
 	if raw, err := wire.Marshal(job); err != nil || !wire.FitsIn(raw, c.p.ValueBytes-1024) { // room for its progress
 		known(func() { c.answer(v.Req, 422, wire.Problem{Error: "job description too large to keep"}) })
 		return
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -67,6 +67,9 @@
 	e.GET("/ready", s.ready)
 	e.POST("/hello", s.report)
 	a := e.Group("/admin/v1")
+	a.GET("/ladder", s.ladder)
+	a.PUT("/ladder", s.changeLadder)
+	a.GET("/ladder/order", s.order)
 	a.GET("/overview", s.overview)
 	a.GET("/settings", s.settings)
 	a.PUT("/settings", s.changeSettings)
@@ -203,6 +206,22 @@
 	return s.put(c, func(id uint64) any { return core.AdminSettings{Req: id, Patch: &p} })
 }
 
+func (s *Server) ladder(c echo.Context) error {
+	return s.put(c, func(id uint64) any { return core.AdminLadder{Req: id} })
+}
+
+func (s *Server) changeLadder(c echo.Context) error {
+	var p wire.LadderPatch
+	if why := body(c, &p); why != "" {
+		return send(c, bad(why))
+	}
+	return s.put(c, func(id uint64) any { return core.AdminLadder{Req: id, Patch: &p} })
+}
+
+func (s *Server) order(c echo.Context) error {
+	return s.put(c, func(id uint64) any { return core.AdminOrder{Req: id} })
+}
+
 func (s *Server) why(c echo.Context) error {
 	job := c.Param("id")
 	return s.put(c, func(id uint64) any { return core.AdminWhy{Req: id, ID: job} })
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -1,4 +1,4 @@
-// Package queue keeps the order in which waiting jobs are served: priority, the first task
+// Package queue keeps the order in which waiting jobs are served: rung (package ladder), the first task
 // of a job that has waited too long for it, work within its team's guarantee, the strictest closeness (Pogonip's order), what can
 // still be on time, deadline, age. The order is kept up job by job and is never
 // sorted anew, and a walk skips what fits nowhere without looking at each.
@@ -20,9 +20,10 @@
 type Job struct {
 	ID       string
 	Team     string
-	Accepted int64 // milliseconds of the day's time: its age
-	Rank     int   // of its priority, higher first
-	Strict   bool  // bound to one zone
+	Accepted int64  // milliseconds of the day's time: its age
+	Number   uint64 // its age: orders jobs, and before the time if it is written
+	Rank     int    // of its rung, higher first
+	Strict   bool   // bound to one zone
 	Service  bool
 	Due      float64        // seconds of the day's time; +Inf without a deadline
 	Turn     float64        // orders those that are due at the same time, or never; lower first
@@ -80,6 +81,9 @@
 }
 
 func older[H any](a, b *Place[H]) bool {
+	if a.Job.Number != b.Job.Number {
+		return a.Job.Number < b.Job.Number
+	}
 	if a.Job.Accepted != b.Job.Accepted {
 		return a.Job.Accepted < b.Job.Accepted
 	}
@@ -132,7 +136,7 @@
 		if p.Job == j {
 			return
 		}
-		if p.Job.Team == j.Team && p.Job.Accepted == j.Accepted && p.Job.Due == j.Due && p.Job.Turn == j.Turn && p.Job.Service == j.Service {
+		if p.Job.Team == j.Team && p.Job.Accepted == j.Accepted && p.Job.Number == j.Number && p.Job.Due == j.Due && p.Job.Turn == j.Turn && p.Job.Service == j.Service {
 			q.amend(p, j)
 			return
 		}
@@ -303,10 +307,7 @@
 func (t *team[H]) overdue(before float64) {
 	var turned []*Place[H]
 	t.byAge.Ascend(func(p *Place[H]) bool {
-		if float64(p.Job.Accepted)/1000 > before {
-			return false
-		}
-		if !p.Job.Begun && !p.Overdue && p.Job.Pending > 0 {
+		if float64(p.Job.Accepted)/1000 <= before && !p.Job.Begun && !p.Overdue && p.Job.Pending > 0 {
 			turned = append(turned, p)
 		}
 		return true
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -462,4 +462,8 @@
 	ForecastPrior  = 4
 	ForecastKeep   = 200
 	ForecastSpread = 0.4
+	// LadderHistory (changes): of the ladder that its record remembers. OrderAnswer (jobs): in
+	// one answer about the order; a body has 64 KiB.
+	LadderHistory = 20
+	OrderAnswer   = 500
 )
--- a/internal/wants/wants.go
+++ b/internal/wants/wants.go
@@ -106,7 +106,7 @@
 // SameKind tells whether two needs differ by the number of tasks at most.
 func SameKind(x, y wire.Need) bool {
 	if len(x.Types) != len(y.Types) || x.Zone != y.Zone || x.Spot != y.Spot || x.CPUs != y.CPUs || x.GPUs != y.GPUs || x.MemGB != y.MemGB ||
-		x.Dire != y.Dire || x.Booting != y.Booting {
+		x.Dire != y.Dire || x.Booting != y.Booting || x.Rung != y.Rung {
 		return false
 	}
 	for i := range x.Types {
--- a/wire/records.go
+++ b/wire/records.go
@@ -40,6 +40,9 @@
 	SaveS           float64  `cbor:"save,omitempty"`
 	DueS            float64  `cbor:"due,omitempty"`
 	AcceptedMS      int64    `cbor:"acc"`
+	// Number orders jobs of a rung: the newest revision of the state that its acceptor knew
+	// of. Unlike the day's time it comes from the state's own order.
+	Number uint64 `cbor:"no,omitempty"`
 	// Started counts the tasks, from index 0, that may ever have been started.
 	// It is written before the start, so a task at or above it is nowhere.
 	Started int `cbor:"started"`
@@ -190,4 +193,7 @@
 	Dire bool `cbor:"dire,omitempty"`
 	// Booting: machines for it are on their way; only blocks that are up help.
 	Booting bool `cbor:"booting,omitempty"`
+	// Rung is the rank of the work that asks; needs of higher rungs are served first, whichever
+	// shard they are of.
+	Rung int `cbor:"rung,omitempty"`
 }
