--- a/internal/clearing/clearing.go
+++ b/internal/clearing/clearing.go
@@ -17,6 +17,9 @@
 	Size   placement.Size
 	Ran    time.Duration
 	Idle   bool // gives way to all other work, else to urgent work only
+	// Unsent: its place is reserved, and nobody has been told to start it. It gives way to
+	// whatever is served first, and nothing is lost.
+	Unsent bool
 }
 
 // Machine is one that could take a task once work on it has been stopped: what is free or
@@ -27,11 +30,13 @@
 	Victims []Victim[T]
 }
 
-// Sort puts the victims in the order in which they give way: idle work first, then what
-// has run the least.
+// Sort puts the victims in the order in which they give way: what has not been sent, idle
+// work, then what has run the least.
 func (m *Machine[M, T]) Sort() {
 	sort.SliceStable(m.Victims, func(i, j int) bool {
-		if a, b := &m.Victims[i], &m.Victims[j]; a.Idle != b.Idle {
+		if a, b := &m.Victims[i], &m.Victims[j]; a.Unsent != b.Unsent {
+			return a.Unsent
+		} else if a.Idle != b.Idle {
 			return a.Idle
 		}
 		return m.Victims[i].Ran < m.Victims[j].Ran
@@ -40,7 +45,7 @@
 
 // Choose finds the machine where the least is lost by making room for a task, takes that
 // room out of it and returns who is to be stopped there; ok false: there is none. Urgent
-// tasks have all victims stopped, others idle ones only. fetch is how long the task would wait
+// tasks have all victims stopped, others idle and unsent ones only. fetch is how long the task would wait
 // there for its image: a second of it weighs as much as one of lost running time.
 func Choose[M, T any](in []*Machine[M, T], size placement.Size, urgent bool, allowed func(M) bool, fetch func(M) time.Duration) (stop []Victim[T], ok bool) {
 	var best *Machine[M, T]
@@ -50,7 +55,7 @@
 			continue
 		}
 		f, lost, k := x.Free, fetch(x.Handle), 0
-		for ; k < len(x.Victims) && !placement.Fits(f, size) && lost < loss && (urgent || x.Victims[k].Idle); k++ {
+		for ; k < len(x.Victims) && !placement.Fits(f, size) && lost < loss && (urgent || x.Victims[k].Idle || x.Victims[k].Unsent); k++ {
 			f = f.Add(x.Victims[k].Size)
 			lost += x.Victims[k].Ran
 		}
--- a/internal/clearing/clearing_test.go
+++ b/internal/clearing/clearing_test.go
@@ -13,7 +13,7 @@
 // running time is lost, and room that has been made is not made twice.
 func TestWhoGivesWay(t *testing.T) {
 	v := func(name string, ran time.Duration, idle bool) Victim[string] {
-		return Victim[string]{name, size(1), ran, idle}
+		return Victim[string]{Handle: name, Size: size(1), Ran: ran, Idle: idle}
 	}
 	a := &Machine[string, string]{Handle: "a", Victims: []Victim[string]{v("a1", 5, false), v("a2", 90, true)}}
 	b := &Machine[string, string]{Handle: "b", Free: size(1), Victims: []Victim[string]{v("b1", 30, false), v("b2", 40, false)}}
@@ -54,8 +54,8 @@
 		stop string
 	}{{12 * time.Second, "there"}, {14 * time.Second, "here"}} {
 		in := []*Machine[string, string]{
-			{Handle: "bare", Victims: []Victim[string]{{"here", size(1), 3 * time.Second, false}}},
-			{Handle: "has", Victims: []Victim[string]{{"there", size(1), x.ran, false}}},
+			{Handle: "bare", Victims: []Victim[string]{{Handle: "here", Size: size(1), Ran: 3 * time.Second}}},
+			{Handle: "has", Victims: []Victim[string]{{Handle: "there", Size: size(1), Ran: x.ran}}},
 		}
 		fetch := func(m string) time.Duration { return map[string]time.Duration{"bare": 10 * time.Second}[m] }
 		if stop, ok := Choose(in, size(1), true, func(string) bool { return true }, fetch); !ok || stop[0].Handle != x.stop {
@@ -63,3 +63,16 @@
 		}
 	}
 }
+
+// A place that is reserved and not told is given up to what is served first, urgent or not.
+func TestUnsentGivesWayFirst(t *testing.T) {
+	m := &Machine[string, string]{Handle: "m", Victims: []Victim[string]{{Handle: "runs", Size: size(1), Ran: time.Second}, {Handle: "unsent", Size: size(1), Unsent: true}}}
+	m.Sort()
+	in, any, none := []*Machine[string, string]{m}, func(string) bool { return true }, func(string) time.Duration { return 0 }
+	if stop, ok := Choose(in, size(1), false, any, none); !ok || stop[0].Handle != "unsent" {
+		t.Errorf("stopped %v", stop)
+	}
+	if stop, ok := Choose(in, size(1), false, any, none); ok {
+		t.Errorf("what runs was stopped for work that is not urgent: %v", stop)
+	}
+}
--- /dev/null
+++ b/internal/core/laddering_test.go
@@ -0,0 +1,220 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/ladder"
+	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// judged counts inversions, from outside: a start is sent to a machine where a waiting task
+// of a higher rung could have gone instead, that fits its place, is allowed there, within its
+// limit, of the same shard, and has waited for longer than the bound.
+type judged struct {
+	since map[string]time.Duration // job -> waiting since
+	found []string
+}
+
+// inversionBound is two report intervals: a task that is placed is written and told by then.
+const inversionBound = 4 * sec
+
+// present counts a job's tasks that are on machines or done.
+func (w *world) present(id string) (n int) {
+	for _, name := range w.order {
+		for _, a := range w.machines[name].tasks() {
+			if job, _, err := wire.ParseTask(a.Task); err == nil && job == id && (a.Status != wire.TaskEnded || a.Cause == wire.CauseDone) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (w *world) ladderNow() *ladder.Ladder {
+	var rec wire.Ladder
+	_ = wire.Unmarshal(w.key(wire.KeyLadder).Value, &rec)
+	return ladder.Of(rec)
+}
+
+// look notes which jobs wait.
+func (w *world) lookForWaits(v *judged) {
+	for _, id := range sortedKeys(w.jobs) {
+		tasks := int(*w.jobs[id].spec.Tasks)
+		if w.check.Accepted(id) && w.check.Final(id) == "" && max(w.present(id), w.check.DoneTasks(id)) < tasks {
+			if _, ok := v.since[id]; !ok {
+				v.since[id] = w.now
+			}
+		} else {
+			delete(v.since, id)
+		}
+	}
+}
+
+// judge looks at one start.
+func (w *world) judgeStart(v *judged, m *host, o worker.Ordered) {
+	id, _, _ := wire.ParseTask(o.Task)
+	l := w.ladderNow()
+	rec := func(id string) *wire.Job { j, _ := w.jobs[id].spec.Validate(); return &j }
+	j := rec(id)
+	shard := w.shardRec(j.Team)
+	if !shard.Settled {
+		return // what the upper rungs wait for may be anywhere yet
+	}
+	for _, other := range sortedKeys(v.since) {
+		u := rec(other)
+		if l.Place(u) >= l.Place(j) || w.now-v.since[other] <= inversionBound || !contains(shard.Teams, u.Team) || u.CPUs > j.CPUs || u.MemoryGB > j.MemoryGB ||
+			m.info.Spot && !u.Spot || w.using(u.Team)+u.CPUs > w.teams[u.Team].CPUsMax {
+			continue
+		}
+		v.found = append(v.found, fmt.Sprintf("%v: %s starts on %s, %s has waited for %v", w.now, o.Task, m.info.Name, other, w.now-v.since[other]))
+	}
+}
+
+// using is what a team's tasks take.
+func (w *world) using(team string) (cpus float64) {
+	for id, j := range w.jobs {
+		if *j.spec.Team == team {
+			cpus += *j.spec.CPUs * float64(w.present(id)-w.check.DoneTasks(id))
+		}
+	}
+	return cpus
+}
+
+// With a ladder that puts a class of normal priority on top, and alarms that come among
+// routine work that fills every corner, whoever ends: no start is an inversion, all
+// controllers have the same order to the byte, and a new one inherits it.
+func TestLadderHoldsWhoeverEnds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ends func(w *world) []string
+	}{
+		{"nobody", func(*world) []string { return nil }},
+		{"the holder", func(w *world) []string { return []string{w.shardRec("red").Holder} }},
+		{"the leader", func(w *world) []string { return []string{w.leaderNode()} }},
+		{"all", func(w *world) []string { return sortedKeys(w.nodes) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := crowded(t, 95)
+			if got := w.setLadder("c0", 0, alarmRungs); got != 200 {
+				t.Fatalf("set: %d", got)
+			}
+			v := &judged{since: map[string]time.Duration{}}
+			w.ordered = func(m *host, o worker.Ordered) { w.judgeStart(v, m, o) }
+			for i := range 30 {
+				s := spec(fmt.Sprintf("job-5%05d", i), []string{"red", "blue", "green"}[i%3], wire.ShapeBatch, 2)
+				s.DueS = nil
+				switch i % 3 {
+				case 0:
+					s.Class = ptr("alarm") // of normal priority, and first all the same
+				case 1:
+					s.Priority, s.Shape = ptr("urgent"), ptr(wire.ShapeService)
+				}
+				w.submit(s)
+				if i == 9 || i == 19 {
+					w.bounce(3*sec, c.ends(w)...)
+				}
+				for range 10 {
+					w.run(100 * time.Millisecond)
+					w.lookForWaits(v)
+				}
+				if i%3 == 1 && i > 12 {
+					w.abort(fmt.Sprintf("job-5%05d", i-12))
+				}
+			}
+			for range 100 {
+				w.run(100 * time.Millisecond)
+				w.lookForWaits(v)
+			}
+			if len(v.found) > 0 {
+				t.Errorf("%d inversions, the first %s", len(v.found), v.found[0])
+			}
+			digests := map[string]int{}
+			for _, n := range sortedKeys(w.nodes) {
+				w.ask(n, func(q uint64) any { return AdminOrder{q} }, func(a Answer) {
+					if o, ok := a.Body.(wire.OrderView); ok {
+						digests[fmt.Sprint(o.Revision, " ", o.Version, " ", o.Digest)]++
+					}
+				})
+			}
+			if len(digests) != 1 {
+				t.Errorf("controllers order differently: %v", digests)
+			}
+		})
+	}
+}
+
+var alarmRungs = []wire.Rung{{Name: "alarms", Classes: []string{"alarm"}, Teams: []string{"red"}}, {Name: "cannot wait", Priorities: []string{"urgent", "production"}}}
+
+func (w *world) setLadder(node string, ver uint64, rungs []wire.Rung) (status int) {
+	w.ask(node, func(q uint64) any { return AdminLadder{q, &wire.LadderPatch{Version: ver, Rungs: rungs}} }, func(a Answer) { status = a.Status })
+	w.run(sec)
+	return status
+}
+
+// Of two operators who change the ladder at once one is told to read again; a bad one changes
+// nothing; a change in the moment its controller or the holder ends is there as a whole or not.
+func TestLadderChanges(t *testing.T) {
+	w := staffed(t, 96, 2)
+	var got []int
+	for _, n := range []string{"c0", "c1"} {
+		w.ask(n, func(q uint64) any { return AdminLadder{q, &wire.LadderPatch{Rungs: alarmRungs}} }, func(a Answer) { got = append(got, a.Status) })
+	}
+	w.run(sec)
+	if len(got) != 2 || got[0]+got[1] != 200+409 {
+		t.Errorf("two at once are answered %v", got)
+	}
+	ver := w.key(wire.KeyLadder).Version
+	if s := w.setLadder("c2", ver, []wire.Rung{{Name: "x", Classes: []string{"any"}}}); s != 400 || w.key(wire.KeyLadder).Version != ver {
+		t.Errorf("a class without teams: %d", s)
+	}
+	for i, after := range []time.Duration{0, time.Millisecond, 4 * time.Millisecond, 8 * time.Millisecond, 12 * time.Millisecond, 20 * time.Millisecond} {
+		ver, was := w.key(wire.KeyLadder).Version, w.ladderNow()
+		rungs := []wire.Rung{{Name: fmt.Sprint("new ", i), Teams: []string{"blue"}}, {Name: "and its second", Teams: []string{"green"}}}
+		w.ask("c0", func(q uint64) any { return AdminLadder{q, &wire.LadderPatch{Version: ver, Rungs: rungs}} }, func(Answer) {})
+		w.run(after)
+		w.bounce(300*time.Millisecond, "c0", w.shardRec("blue").Holder)
+		w.run(8 * sec)
+		now := w.ladderNow()
+		if whole := now.Rungs()[0].Name == rungs[0].Name && now.Rungs()[1].Name == rungs[1].Name; !whole && fmt.Sprint(now.Rungs()) != fmt.Sprint(was.Rungs()) {
+			t.Errorf("ended %v after the change: %v", after, now.Rungs())
+		}
+		for _, n := range w.nodes {
+			if n.core.ver[wire.KeyLadder] != w.key(wire.KeyLadder).Version || n.core.jobs["job-000001"].rank != now.Rank(&n.core.jobs["job-000001"].rec) {
+				t.Errorf("%s decides by ladder %d", n.name, n.core.ver[wire.KeyLadder])
+			}
+		}
+	}
+	if h := w.ladderRec().History; len(h) == 0 || h[0].Rungs[0] != "alarms" {
+		t.Errorf("history %v", h)
+	}
+}
+
+func (w *world) ladderRec() (r wire.Ladder) {
+	_ = wire.Unmarshal(w.key(wire.KeyLadder).Value, &r)
+	return r
+}
+
+// Ten thousand tasks on the top rung take their team's limit and no more: work of another
+// team, within its guarantee, still ends.
+func TestTopRungIsBoundByItsTeamsLimit(t *testing.T) {
+	w := newWorld(t, 97, 3, func(w *world) { w.teams["red"] = Team{CPUs: 8, CPUsMax: 12} })
+	w.run(5 * sec)
+	if got := w.setLadder("c1", 0, alarmRungs); got != 200 {
+		t.Fatalf("set: %d", got)
+	}
+	s := spec("job-000001", "red", wire.ShapeBatch, 10000)
+	s.Class, s.DueS = ptr("alarm"), nil
+	w.submit(s)
+	w.run(5 * sec)
+	b := spec("job-000002", "blue", wire.ShapeBatch, 8)
+	w.submit(b)
+	if took := w.until(90*sec, func() bool { return w.check.Final("job-000002") != "" || w.check.DoneTasks("job-000002") == 8 }); took > 45*sec {
+		t.Errorf("work within another team's guarantee took %v", took)
+	}
+	if u := w.using("red"); u > 12 {
+		t.Errorf("the top rung uses %g cpus", u)
+	}
+}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -23,10 +23,11 @@
 	var list []*jobEntry
 	c.order.Walk(anyRoom, func(p *queue.Place[*jobEntry]) bool {
 		e := p.Handle
-		if e.prio <= idleRank || e.prio < urgentRank && len(c.idlers) == 0 {
+		upper := e.prio >= urgentRank || c.ladder.Named(e.rank)
+		if !upper && (e.prio <= idleRank || len(c.idlers) == 0) {
 			return !c.ladder.Plain() // nothing gives way to it; by priority the order begins with urgent jobs
 		}
-		if e.prio < urgentRank && !p.Within || c.health.Trial(e.rec.ID) {
+		if !upper && !p.Within || c.health.Trial(e.rec.ID) {
 			return true
 		}
 		// For a part of a gang no work is stopped: the rest may find no room.
@@ -64,6 +65,8 @@
 	for _, k := range sortedAttempts(m) {
 		a := m.attempts[k]
 		switch {
+		case a.status == "" && !a.sent && a.known && c.jobs[a.job] != nil && c.jobs[a.job].rank < least && c.jobs[a.job].rec.Shape != wire.ShapeGang:
+			x.Victims = append(x.Victims, clearing.Victim[*attempt]{Handle: a, Size: a.size, Unsent: true})
 		case a.status == wire.TaskEnded || !a.sent:
 		case a.stop || c.jobs[a.job] == nil:
 			x.Free = x.Free.Add(a.size) // already leaving
@@ -84,6 +87,10 @@
 	}, func(m *machine) time.Duration { return c.fetches(e, m) })
 	for _, v := range stop {
 		a := v.Handle
+		if v.Unsent { // never told to anybody, so nowhere
+			c.attemptGone(a, "its place goes to "+e.rec.ID)
+			continue
+		}
 		c.stopAttempt(a)
 		c.noteTask(trail.TaskStopped, a, "for "+e.rec.ID+", which goes before it")
 		c.log(1, "stopping a task for work that goes before it", "task", a.key.task, "machine", a.m.name, "for", e.rec.ID)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -473,15 +473,13 @@
 	w.cloudEvents(w.cloud.Advance(w.now))
 }
 
-// ---- workers
-
 func (w *world) newWorker(i wire.MachineInfo) *worker.Worker {
 	i.Addr = i.Name + ":1"
 	return worker.New(w.now, i, worker.Params{Report: w.reportS, Lease: w.lease, Nodes: sortedKeys(w.nodes),
 		Type: wire.MachineType{CPUs: 4, MemoryGB: 16, FetchGBps: 1}}, w.work, w.rng)
 }
 
-// drive carries out a worker's effects and comes back when it has something to do.
+// drive carries out a worker's effects, and comes back.
 func (w *world) drive(m *host, list []any) {
 	w.effects(m, list)
 	at, ok := m.Next()
@@ -502,6 +500,8 @@
 		switch v := e.(type) {
 		case worker.Started:
 			w.check.TaskStarted(w.now, m.info.Name, v.Task, v.Attempt)
+		case worker.Ordered:
+			w.onOrdered(m, v)
 		case worker.Left:
 			w.check.TaskLeft(w.now, m.info.Name, v.Task, v.Cause)
 		case worker.Send:
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -10,14 +10,15 @@
 
 // troubles are those that strike between workers and controllers.
 type troubles struct {
-	deaf     map[string]bool          // machines whose reports arrive, and that no answer or call reaches
-	runsLost int                      // start commands answered to them
-	copies   int                      // of a hundred reports, so many come again, to anybody
-	copyLate time.Duration            // and at most so late
-	markLate time.Duration            // blocks are marked idle so much later
-	marking  *wire.Block              // the last such
-	keep     map[string][]wire.Report // by machine, if not nil
-	stale    map[string]int           // machines that are gone: copies of their reports that have come
+	deaf     map[string]bool             // machines whose reports arrive, and that no answer or call reaches
+	runsLost int                         // start commands answered to them
+	copies   int                         // of a hundred reports, so many come again, to anybody
+	copyLate time.Duration               // and at most so late
+	markLate time.Duration               // blocks are marked idle so much later
+	ordered  func(*host, worker.Ordered) // told of each start that a worker takes
+	marking  *wire.Block                 // the last such
+	keep     map[string][]wire.Report    // by machine, if not nil
+	stale    map[string]int              // machines that are gone: copies of their reports that have come
 }
 
 // copyOf has copies of a report come late, some of them several times and out of order.
@@ -40,6 +41,12 @@
 	}
 }
 
+func (w *world) onOrdered(m *host, o worker.Ordered) {
+	if w.ordered != nil {
+		w.ordered(m, o)
+	}
+}
+
 // wasted counts starts that a deaf machine is answered with.
 func (w *world) wasted(m *host, r wire.ReportReply) {
 	for _, c := range r.Commands {
--- a/internal/ladder/ladder.go
+++ b/internal/ladder/ladder.go
@@ -63,6 +63,9 @@
 // Rank is the same counted from below: higher is served first.
 func (l *Ladder) Rank(j *wire.Job) int { return len(l.rungs) - l.Place(j) }
 
+// Named tells whether a rank is that of a rung that operators have named.
+func (l *Ladder) Named(rank int) bool { return rank > len(l.rungs)-l.own }
+
 // Top is the highest rank.
 func (l *Ladder) Top() int { return len(l.rungs) }
 
