--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -10,28 +10,6 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// Inputs of the administration API.
-type (
-	// AdminSettings reads the operators' settings, or changes them.
-	AdminSettings struct {
-		Req   uint64
-		Patch *wire.SettingsPatch
-	}
-	// AdminOverview asks for this controller's view of the cluster.
-	AdminOverview struct{ Req uint64 }
-	// AdminCordon sets or lifts a cordon.
-	AdminCordon struct {
-		Req     uint64
-		Machine string
-		Cordon  *wire.Cordon // nil: lift
-	}
-	// AdminWhy asks why a job waits.
-	AdminWhy struct {
-		Req uint64
-		ID  string
-	}
-)
-
 func defaultSettings() wire.Settings {
 	return wire.Settings{IdleReturnS: tuning.IdleReturn.Seconds(), SilentDropS: tuning.SilentDrop.Seconds(), Spot: true}
 }
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -66,7 +66,7 @@
 				m := held[i%len(held)]
 				r, _ := m.Inspect(w.now)
 				req++
-				step(WorkerReport{req, r})
+				step(WorkerReport{Req: req, Report: r})
 			}
 		})
 		b.Run(fmt.Sprintf("tick-%d", n), func(b *testing.B) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -44,7 +44,7 @@
 		w.run(sec)
 		return got, st
 	}
-	sub := func(s wire.JobSpec) func(uint64) any { return func(q uint64) any { return Submit{q, s} } }
+	sub := func(s wire.JobSpec) func(uint64) any { return func(q uint64) any { return Submit{Req: q, Spec: s} } }
 	want := func(what string, got, code int) {
 		t.Helper()
 		if got != code {
@@ -79,12 +79,12 @@
 	big.MemoryGB = ptr(17.0)
 	code, _ = status("c1", sub(big))
 	want("no machine holds a task", code, 422)
-	code, _ = status("c2", func(q uint64) any { return Poll{q, "job-000099"} })
+	code, _ = status("c2", func(q uint64) any { return Poll{Req: q, ID: "job-000099"} })
 	want("never accepted", code, 404)
-	code, _ = status("c2", func(q uint64) any { return Abort{q, "job-000099"} })
+	code, _ = status("c2", func(q uint64) any { return Abort{Req: q, ID: "job-000099"} })
 	want("abort of nothing", code, 404)
 	w.check.Aborting("job-000001")
-	code, st := status("c1", func(q uint64) any { return Abort{q, "job-000001"} })
+	code, st := status("c1", func(q uint64) any { return Abort{Req: q, ID: "job-000001"} })
 	if code != 200 || st != wire.JobAborted {
 		t.Errorf("abort: %d %s", code, st)
 	}
@@ -97,7 +97,7 @@
 		w.at(2*sec, func() { w.start(n) })
 	}
 	w.run(8 * sec)
-	code, st = status("c0", func(q uint64) any { return Poll{q, "job-000001"} })
+	code, st = status("c0", func(q uint64) any { return Poll{Req: q, ID: "job-000001"} })
 	if code != 200 || st != wire.JobAborted {
 		t.Errorf("after all restarted: %d %s", code, st)
 	}
@@ -184,7 +184,7 @@
 	a, b := w.addMachine("n", false, sec), w.addMachine("n", false, sec)
 	w.run(6 * sec)
 	set := func(machine string, c *wire.Cordon) {
-		w.ask("c0", func(q uint64) any { return AdminCordon{q, machine, c} }, func(Answer) {})
+		w.ask("c0", func(q uint64) any { return AdminCordon{Req: q, Machine: machine, Cordon: c} }, func(Answer) {})
 		w.run(sec)
 	}
 	set(a, &wire.Cordon{})
--- a/internal/core/laddering.go
+++ b/internal/core/laddering.go
@@ -6,17 +6,6 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// Inputs of the administration API.
-type (
-	// AdminLadder reads the ladder, or replaces or judges its rungs.
-	AdminLadder struct {
-		Req   uint64
-		Patch *wire.LadderPatch
-	}
-	// AdminOrder asks for the order in which jobs are served.
-	AdminOrder struct{ Req uint64 }
-)
-
 // putLadder takes a new ladder: every job has its rung by it from now on.
 func (c *Core) putLadder(r wire.Ladder) {
 	c.rungs, c.ladder = r, ladder.Of(r)
--- a/internal/core/laddering_test.go
+++ b/internal/core/laddering_test.go
@@ -133,7 +133,7 @@
 			}
 			digests := map[string]int{}
 			for _, n := range sortedKeys(w.nodes) {
-				w.ask(n, func(q uint64) any { return AdminOrder{q} }, func(a Answer) {
+				w.ask(n, func(q uint64) any { return AdminOrder{Req: q} }, func(a Answer) {
 					if o, ok := a.Body.(wire.OrderView); ok {
 						digests[fmt.Sprint(o.Revision, " ", o.Version, " ", o.Digest)]++
 					}
@@ -149,7 +149,7 @@
 var alarmRungs = []wire.Rung{{Name: "alarms", Classes: []string{"alarm"}, Teams: []string{"red"}}, {Name: "cannot wait", Priorities: []string{"urgent", "production"}}}
 
 func (w *world) setLadder(node string, ver uint64, rungs []wire.Rung) (status int) {
-	w.ask(node, func(q uint64) any { return AdminLadder{q, &wire.LadderPatch{Version: ver, Rungs: rungs}} }, func(a Answer) { status = a.Status })
+	w.ask(node, func(q uint64) any { return AdminLadder{Req: q, Patch: &wire.LadderPatch{Version: ver, Rungs: rungs}} }, func(a Answer) { status = a.Status })
 	w.run(sec)
 	return status
 }
@@ -160,7 +160,7 @@
 	w := staffed(t, 96, 2)
 	var got []int
 	for _, n := range []string{"c0", "c1"} {
-		w.ask(n, func(q uint64) any { return AdminLadder{q, &wire.LadderPatch{Rungs: alarmRungs}} }, func(a Answer) { got = append(got, a.Status) })
+		w.ask(n, func(q uint64) any { return AdminLadder{Req: q, Patch: &wire.LadderPatch{Rungs: alarmRungs}} }, func(a Answer) { got = append(got, a.Status) })
 	}
 	w.run(sec)
 	if len(got) != 2 || got[0]+got[1] != 200+409 {
@@ -173,7 +173,7 @@
 	for i, after := range []time.Duration{0, time.Millisecond, 4 * time.Millisecond, 8 * time.Millisecond, 12 * time.Millisecond, 20 * time.Millisecond} {
 		ver, was := w.key(wire.KeyLadder).Version, w.ladderNow()
 		rungs := []wire.Rung{{Name: fmt.Sprint("new ", i), Teams: []string{"blue"}}, {Name: "and its second", Teams: []string{"green"}}}
-		w.ask("c0", func(q uint64) any { return AdminLadder{q, &wire.LadderPatch{Version: ver, Rungs: rungs}} }, func(Answer) {})
+		w.ask("c0", func(q uint64) any { return AdminLadder{Req: q, Patch: &wire.LadderPatch{Version: ver, Rungs: rungs}} }, func(Answer) {})
 		w.run(after)
 		w.bounce(300*time.Millisecond, "c0", w.shardRec("blue").Holder)
 		w.run(8 * sec)
--- a/internal/core/masks_test.go
+++ b/internal/core/masks_test.go
@@ -123,7 +123,7 @@
 		var try func()
 		try = func() {
 			asked := w.now
-			w.ask(n, func(id uint64) any { return Submit{id, s} }, func(a Answer) {
+			w.ask(n, func(id uint64) any { return Submit{Req: id, Spec: s} }, func(a Answer) {
 				st, _ := a.Body.(wire.JobStatus)
 				w.check.Submitted(w.now, asked, *s.ID, a.Status, st)
 				if done = done || a.Status < 300; !done {
@@ -343,7 +343,7 @@
 	}
 	sent.Msg.From = "c2"
 	n := w.nodes[sent.To]
-	out := n.core.Step(w.now-n.began, time.UnixMilli(1e12), Peer{sent.Msg})
+	out := n.core.Step(w.now-n.began, time.UnixMilli(1e12), Peer{Msg: sent.Msg})
 	if o, ok := out[len(out)-1].(Order); !ok || o.Machine != name || o.For != "c2" || o.Orders.Token != before.Token {
 		t.Fatalf("the peer makes another call: %+v", out)
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -6,87 +6,9 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
-	"github.com/barrowbridge/barrowbridge/internal/wants"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// PeerMessage is what controllers tell each other. It is advice: the state
-// service alone decides. With Reply set it answers the ping with that Nonce.
-type PeerMessage struct {
-	From  string `msgpack:"from"`
-	Boot  uint64 `msgpack:"boot"`
-	Nonce uint64 `msgpack:"nonce"`
-	Reply bool   `msgpack:"reply"`
-	// Revision is the newest revision of the state the sender knows of, its own
-	// commits included; UpMS its age. A restarted controller cannot speak for
-	// its earlier life.
-	Revision uint64     `msgpack:"revision"`
-	UpMS     int64      `msgpack:"up_ms"`
-	Jobs     []JobCount `msgpack:"jobs,omitempty"`
-	// Holds names the shards the sender holds, with their tokens.
-	Holds []HeldShard `msgpack:"holds,omitempty"`
-	// Relay passes a worker's report to its holder, Answer what it said.
-	Relay *RelayReport `msgpack:"relay,omitempty"`
-	// Way is one more than the controllers between the sender and the state service; 0:
-	// it has no way there. Call asks the receiver to make a call, Result is its outcome.
-	Way  int         `msgpack:"way,omitempty"`
-	Word *wire.Reach `msgpack:"word,omitempty"` // with a ping: what the sender reaches
-	// Order asks the receiver to call a worker, Ordered is what came of it.
-	Order   *Order       `msgpack:"order,omitempty"`
-	Ordered *OrderDone   `msgpack:"ordered,omitempty"`
-	Call    *PeerCall    `msgpack:"call,omitempty"`
-	Result  *PeerResult  `msgpack:"result,omitempty"`
-	Answer  *RelayAnswer `msgpack:"answer,omitempty"`
-	// Addrs are where workers listen that have lately come up, with a ping.
-	Addrs []WorkerAddr `msgpack:"addrs,omitempty"`
-	// Wants are of shards that the sender holds.
-	Wants []wants.Told `msgpack:"wants,omitempty"`
-}
-
-// WorkerAddr is where a machine's worker listens, as it said in a session.
-type WorkerAddr struct {
-	Machine string `msgpack:"m"`
-	Addr    string `msgpack:"a"`
-	Session uint64 `msgpack:"s"`
-}
-
-// HeldShard is a shard and the revision that granted it.
-type HeldShard struct {
-	Shard int    `msgpack:"shard"`
-	Token uint64 `msgpack:"token"`
-}
-
-// RelayReport is a worker's report on its way to the holder.
-type RelayReport struct {
-	ID     uint64      `msgpack:"id"`
-	Report wire.Report `msgpack:"report"`
-}
-
-// RelayAnswer is the holder's answer on its way back.
-type RelayAnswer struct {
-	ID       uint64         `msgpack:"id"`
-	Status   int            `msgpack:"status"`
-	Token    uint64         `msgpack:"token"`
-	Commands []wire.Command `msgpack:"commands"`
-}
-
-// JobCount is the progress of a job its holder sees, for display.
-type JobCount struct {
-	ID      string `msgpack:"id"`
-	Running int    `msgpack:"running"`
-	Done    int    `msgpack:"done"`
-}
-
-type (
-	// Peer is an incoming message.
-	Peer struct{ Msg PeerMessage }
-	// PeerSend is a message to send to another controller.
-	PeerSend struct {
-		To  string
-		Msg PeerMessage
-	}
-)
-
 // peers is what is known from the other controllers.
 type peers struct {
 	nonce   uint64
@@ -135,7 +57,7 @@
 func (c *Core) tell(to string, m PeerMessage) {
 	m.From, m.Boot, m.Revision, m.UpMS = c.p.Node, c.boot, c.topRev, c.now.Milliseconds()
 	m.Way = c.wayFor(to)
-	c.out = append(c.out, PeerSend{to, m})
+	c.out = append(c.out, PeerSend{To: to, Msg: m})
 }
 
 // tellPeers pings every other controller; holders add their jobs' progress.
@@ -150,12 +72,12 @@
 	for _, id := range sortedKeys(c.jobs) {
 		if e := c.jobs[id]; e.run != nil && len(jobs) < tuning.PeerJobs {
 			running, done := e.run.count()
-			jobs = append(jobs, JobCount{id, running, done})
+			jobs = append(jobs, JobCount{ID: id, Running: running, Done: done})
 		}
 	}
 	var holds []HeldShard
 	for _, i := range sortedInts(c.held) {
-		holds = append(holds, HeldShard{i, c.shards[i].ver})
+		holds = append(holds, HeldShard{Shard: i, Token: c.shards[i].ver})
 	}
 	for name, x := range c.relays {
 		if c.now-x.last > 2*tuning.RelayFor {
@@ -179,7 +101,7 @@
 	}
 	for _, x := range c.cameUp[max(0, len(c.cameUp)-tuning.AddrsMost):] {
 		if m := c.machines[x.machine]; m != nil {
-			out = append(out, WorkerAddr{m.name, m.addr, m.session})
+			out = append(out, WorkerAddr{Machine: m.name, Addr: m.addr, Session: m.session})
 		}
 	}
 	return out
@@ -239,7 +161,7 @@
 		c.seq++
 		req := 1<<63 | c.seq
 		c.relayed[req] = relayedIn{m.From, m.Relay.ID}
-		c.onReport(WorkerReport{req, m.Relay.Report})
+		c.onReport(WorkerReport{Req: req, Report: m.Relay.Report})
 		return
 	case m.Answer != nil:
 		if x, ok := c.passed[m.Answer.ID]; ok {
@@ -324,7 +246,7 @@
 	}
 	c.seq++
 	c.passed[c.seq] = passedOn{req, c.now}
-	c.tell(holder, PeerMessage{Relay: &RelayReport{c.seq, *r}})
+	c.tell(holder, PeerMessage{Relay: &RelayReport{ID: c.seq, Report: *r}})
 	return true
 }
 
--- a/internal/core/prompting.go
+++ b/internal/core/prompting.go
@@ -6,17 +6,6 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// Order is a direct call to a worker: stops, or nothing but a higher token, which makes
-// it report at once. Starts go in answers to reports only.
-type Order struct {
-	Machine string
-	Addr    string
-	Orders  wire.Orders
-	Roll    bool   // its outcome is to come back as OrderDone
-	Look    bool   // nothing is ordered: only its report is asked for, and comes back so too
-	For     string // the controller that asked for the call; "": this one
-}
-
 // callWorker calls a worker, through a peer if we reach none of them and it does. A peer on the
 // way is like a slow network: the worker compares token and session of what we sent.
 func (c *Core) callWorker(v Order) {
--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -291,19 +291,13 @@
 	return rules.GoesHome(duty.Member{Node: s.rec.Home, Held: held[s.rec.Home], Lacks: w.Lacks}, slices.Contains(holder.Misses, shard), up, tuning.HomeAfter)
 }
 
-// LinkSeen is an effect: what is believed of a link has changed.
-type LinkSeen struct {
-	To    string
-	Level reach.Level
-}
-
 // showLinks says what has changed, for those who scrape.
 func (c *Core) showLinks() {
 	workers := reach.Up
 	if c.workers.Lacks(c.now) {
 		workers = reach.Down
 	}
-	for _, l := range []LinkSeen{{"state", c.ways.link.Judge(c.now).Level}, {"cloud", c.reaching.cloud.Judge(c.now).Level}, {"workers", workers}} {
+	for _, l := range []LinkSeen{{To: "state", Level: c.ways.link.Judge(c.now).Level}, {To: "cloud", Level: c.reaching.cloud.Judge(c.now).Level}, {To: "workers", Level: workers}} {
 		if old, shown := c.shown[l.To]; !shown || old != l.Level {
 			c.shown[l.To] = l.Level
 			c.out = append(c.out, l)
@@ -311,9 +305,6 @@
 	}
 }
 
-// AdminReach asks what this controller reaches.
-type AdminReach struct{ Req uint64 }
-
 func (c *Core) onAdminReach(v AdminReach) {
 	view := wire.ReachView{Node: c.p.Node, Links: []wire.LinkView{}, Words: []wire.ReachWord{}}
 	j := c.ways.link.Judge(c.now)
--- a/internal/core/rollcall.go
+++ b/internal/core/rollcall.go
@@ -7,18 +7,6 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// OrderDone is the outcome of a direct call that was to account for a machine: the report
-// that its worker answered with, Status 0 if none came.
-type OrderDone struct {
-	Machine        string
-	Token, Session uint64 // as they were sent
-	Look           bool   // nothing was ordered, so the report proves nothing
-	For            string // who asked for the call; "": this one
-	Through        bool   // it comes from a peer, so says nothing of what we reach
-	Status         int
-	Report         wire.Report
-}
-
 func newRoll() *takeover.Roll[*machine] {
 	return takeover.NewRoll[*machine](takeover.Limits{PerSecond: tuning.RollPerSecond, Burst: tuning.RollBurst, Open: tuning.RollOpen, Look: tuning.RollLook,
 		Lost: 2 * tuning.OrderTimeout, Pause: tuning.RollPause, PauseMax: tuning.RollPauseMax})
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -21,7 +21,7 @@
 		var got Answer
 		w.nodes[n].core.heard = map[string]Time{} // no peer in reach to pass it on to
 		w.ask(n, func(q uint64) any {
-			return WorkerReport{q, wire.Report{Machine: name, Type: "std", Zone: "n", Session: 9, Seq: 1}}
+			return WorkerReport{Req: q, Report: wire.Report{Machine: name, Type: "std", Zone: "n", Session: 9, Seq: 1}}
 		}, func(a Answer) { got = a })
 		switch {
 		case n == holder && got.Status != 200:
@@ -33,14 +33,14 @@
 	// A worker that has seen a higher token is someone else's.
 	var got Answer
 	w.ask(holder, func(q uint64) any {
-		return WorkerReport{q, wire.Report{Machine: name, Session: 10, Seq: 1, Token: 1 << 40}}
+		return WorkerReport{Req: q, Report: wire.Report{Machine: name, Session: 10, Seq: 1, Token: 1 << 40}}
 	}, func(a Answer) { got = a })
 	if got.Status != 503 {
 		t.Errorf("higher token: %d", got.Status)
 	}
 	// An older report is history.
 	w.ask(holder, func(q uint64) any {
-		return WorkerReport{q, wire.Report{Machine: name, Session: 8, Seq: 99}}
+		return WorkerReport{Req: q, Report: wire.Report{Machine: name, Session: 8, Seq: 99}}
 	}, func(a Answer) { got = a })
 	if got.Status != 503 {
 		t.Errorf("late report: %d", got.Status)
@@ -100,7 +100,7 @@
 	}
 	var got Answer
 	w.ask(holder.name, func(q uint64) any {
-		return WorkerReport{q, late}
+		return WorkerReport{Req: q, Report: late}
 	}, func(a Answer) { got = a })
 	if got.Status != 503 || len(holder.core.machines[name].attempts) > 0 {
 		t.Errorf("answered %d, %d tasks taken for running", got.Status, len(holder.core.machines[name].attempts))
@@ -131,7 +131,7 @@
 	first := w.addMachine("n", false, sec)
 	w.addMachine("n", false, sec)
 	w.run(10 * sec)
-	w.ask("c0", func(q uint64) any { return AdminCordon{q, first, &wire.Cordon{Drain: true}} }, func(Answer) {})
+	w.ask("c0", func(q uint64) any { return AdminCordon{Req: q, Machine: first, Cordon: &wire.Cordon{Drain: true}} }, func(Answer) {})
 	w.run(10 * sec)
 	if !w.machines[first].gone || w.key(blockKey(first)).Version == 0 {
 		t.Fatal("the first machine should be gone, its block not")
@@ -262,7 +262,7 @@
 			continue
 		}
 		answered := false
-		w.ask(n, func(q uint64) any { return WorkerReport{q, r} }, func(a Answer) {
+		w.ask(n, func(q uint64) any { return WorkerReport{Req: q, Report: r} }, func(a Answer) {
 			if answered = true; a.Status != 503 && a.Status != 421 {
 				t.Errorf("%s answers %d for a dead holder", n, a.Status)
 			}
@@ -303,16 +303,16 @@
 	c.put(jobKey("job-000001"), raw, 40)
 	step(Tick{}) // opens a watch
 	watch := calls[OpWatch]
-	step(Poll{1, "job-000001"})
+	step(Poll{Req: 1, ID: "job-000001"})
 	read := calls[OpGet]
 	if watch == 0 || read == 0 {
 		t.Fatalf("no watch or no read: %v", calls)
 	}
-	step(StateDone{watch, StateReply{Status: 200, Events: wire.Events{Revision: 60, Events: []wire.Event{{Delete: jobKey("job-000001"), Version: 60}}}}})
+	step(StateDone{ID: watch, Reply: StateReply{Status: 200, Events: wire.Events{Revision: 60, Events: []wire.Event{{Delete: jobKey("job-000001"), Version: 60}}}}})
 	if c.jobs["job-000001"] != nil {
 		t.Fatal("the aborted job is still there")
 	}
-	step(StateDone{read, StateReply{Status: 200, Item: wire.Item{Key: jobKey("job-000001"), Value: raw, Version: 40}}})
+	step(StateDone{ID: read, Reply: StateReply{Status: 200, Item: wire.Item{Key: jobKey("job-000001"), Value: raw, Version: 40}}})
 	if c.jobs["job-000001"] != nil {
 		t.Error("a read from before its abort has brought the job back")
 	}
@@ -320,10 +320,10 @@
 	watch = calls[OpWatch]
 	for id := range open {
 		if id != watch {
-			step(StateDone{id, StateReply{}})
+			step(StateDone{ID: id, Reply: StateReply{}})
 		}
 	}
-	step(StateDone{watch, StateReply{Status: 200, Events: wire.Events{Revision: 70}}})
+	step(StateDone{ID: watch, Reply: StateReply{Status: 200, Events: wire.Events{Revision: 70}}})
 	if len(c.tombs) > 0 {
 		t.Errorf("nothing older can come any more, and %d removals are remembered", len(c.tombs))
 	}
@@ -424,7 +424,7 @@
 	for _, n := range sortedKeys(w.nodes) {
 		if n != holder {
 			w.check.Aborting("job-000001")
-			w.ask(n, func(q uint64) any { return Abort{q, "job-000001"} }, func(a Answer) { w.aborted("job-000001", a, w.now) })
+			w.ask(n, func(q uint64) any { return Abort{Req: q, ID: "job-000001"} }, func(a Answer) { w.aborted("job-000001", a, w.now) })
 			break
 		}
 	}
--- a/internal/core/trailing.go
+++ b/internal/core/trailing.go
@@ -9,20 +9,6 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-type (
-	// AdminTrail asks for a controller's trail; another one's is read from the state.
-	AdminTrail struct {
-		Req   uint64
-		Node  string // "": this one's
-		Query trail.Query
-	}
-	// AdminMachine asks for a machine as this controller believes it to be.
-	AdminMachine struct {
-		Req     uint64
-		Machine string
-	}
-)
-
 // note puts an event on the trail.
 func (c *Core) note(e wire.TrailEvent) { c.trail.Add(c.now, c.wall, e) }
 
--- a/internal/core/trailing_test.go
+++ b/internal/core/trailing_test.go
@@ -25,7 +25,7 @@
 }
 
 func (w *world) trailOf(node, of string) (t wire.Trail) {
-	w.ask(node, func(q uint64) any { return AdminTrail{q, of, trail.Query{Most: 1000}} }, func(a Answer) { t, _ = a.Body.(wire.Trail) })
+	w.ask(node, func(q uint64) any { return AdminTrail{Req: q, Node: of, Query: trail.Query{Most: 1000}} }, func(a Answer) { t, _ = a.Body.(wire.Trail) })
 	w.run(sec)
 	return t
 }
@@ -59,7 +59,7 @@
 	w.hang(hung)
 	w.run(7 * sec)
 	var b wire.Believed
-	w.ask(holder, func(q uint64) any { return AdminMachine{q, hung.info.Name} }, func(a Answer) { b, _ = a.Body.(wire.Believed) })
+	w.ask(holder, func(q uint64) any { return AdminMachine{Req: q, Machine: hung.info.Name} }, func(a Answer) { b, _ = a.Body.(wire.Believed) })
 	if !b.Held || len(b.Attempts) == 0 || b.ReportedS == nil || *b.ReportedS < 3 || len(b.Trail) == 0 {
 		t.Errorf("believed of the hung machine: %+v", b)
 	}
--- a/internal/core/troubles_test.go
+++ b/internal/core/troubles_test.go
@@ -180,7 +180,7 @@
 		if h := w.holderOf(name); h != "" && h != old && len(copies) > 0 && int(w.now/(100*time.Millisecond))%10 == 0 {
 			r := copies[0]
 			copies = copies[1:]
-			w.ask(h, func(q uint64) any { return WorkerReport{q, r} }, func(Answer) {})
+			w.ask(h, func(q uint64) any { return WorkerReport{Req: q, Report: r} }, func(Answer) {})
 		}
 		return w.up() == 18+len(w.machines[name].tasks())
 	})
@@ -256,7 +256,7 @@
 	w.run(90 * sec)
 	for _, id := range sortedKeys(w.jobs) {
 		for _, n := range sortedKeys(w.nodes) {
-			w.ask(n, func(q uint64) any { return Poll{q, id} }, func(a Answer) {
+			w.ask(n, func(q uint64) any { return Poll{Req: q, ID: id} }, func(a Answer) {
 				if a.Status != 200 {
 					t.Errorf("%s at %s: %d", id, n, a.Status)
 				}
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,60 @@
+package core
+
+import "github.com/barrowbridge/barrowbridge/internal/step"
+
+// What the core takes and returns.
+type (
+	Abort         = step.Abort
+	AdminCordon   = step.AdminCordon
+	AdminLadder   = step.AdminLadder
+	AdminMachine  = step.AdminMachine
+	AdminOrder    = step.AdminOrder
+	AdminOverview = step.AdminOverview
+	AdminReach    = step.AdminReach
+	AdminSettings = step.AdminSettings
+	AdminTrail    = step.AdminTrail
+	AdminWhy      = step.AdminWhy
+	Answer        = step.Answer
+	CloudCall     = step.CloudCall
+	CloudDone     = step.CloudDone
+	CloudReply    = step.CloudReply
+	HeldShard     = step.HeldShard
+	JobCount      = step.JobCount
+	LinkSeen      = step.LinkSeen
+	Log           = step.Log
+	Order         = step.Order
+	OrderDone     = step.OrderDone
+	Peer          = step.Peer
+	PeerCall      = step.PeerCall
+	PeerChange    = step.PeerChange
+	PeerMessage   = step.PeerMessage
+	PeerResult    = step.PeerResult
+	PeerSend      = step.PeerSend
+	Poll          = step.Poll
+	Ready         = step.Ready
+	RelayAnswer   = step.RelayAnswer
+	RelayReport   = step.RelayReport
+	StateCall     = step.StateCall
+	StateDone     = step.StateDone
+	StateReply    = step.StateReply
+	Submit        = step.Submit
+	Tick          = step.Tick
+	WorkerAddr    = step.WorkerAddr
+	WorkerReport  = step.WorkerReport
+)
+
+const (
+	OpGet      = step.OpGet
+	OpList     = step.OpList
+	OpCommit   = step.OpCommit
+	OpGrant    = step.OpGrant
+	OpExtend   = step.OpExtend
+	OpWatch    = step.OpWatch
+	OpTypes    = step.OpTypes
+	OpMachines = step.OpMachines
+	OpRent     = step.OpRent
+	OpDelete   = step.OpDelete
+	LaneFirst  = step.LaneFirst
+	LaneUser   = step.LaneUser
+	LaneLater  = step.LaneLater
+)
--- a/internal/core/users_test.go
+++ b/internal/core/users_test.go
@@ -24,11 +24,11 @@
 	w.run(2 * sec)
 	told := map[string]string{}
 	for _, n := range []string{"c1", "c2"} {
-		w.ask("c0", func(id uint64) any { return Abort{id, "job-000001"} }, func(a Answer) {
+		w.ask("c0", func(id uint64) any { return Abort{Req: id, ID: "job-000001"} }, func(a Answer) {
 			if a.Status != 200 {
 				t.Fatalf("abort: %+v", a)
 			}
-			w.ask(n, func(id uint64) any { return Poll{id, "job-000001"} }, func(a Answer) { told[n] = fmt.Sprint(a.Status, " ", a.Body.(wire.JobStatus).Status) })
+			w.ask(n, func(id uint64) any { return Poll{Req: id, ID: "job-000001"} }, func(a Answer) { told[n] = fmt.Sprint(a.Status, " ", a.Body.(wire.JobStatus).Status) })
 		})
 	}
 	w.run(2 * sec)
@@ -51,7 +51,7 @@
 	w.run(5 * sec)
 	before, answered := w.reached["c1"], 0
 	for i := range jobs {
-		w.ask("c1", func(id uint64) any { return Poll{id, fmt.Sprintf("job-%06d", i)} }, func(a Answer) {
+		w.ask("c1", func(id uint64) any { return Poll{Req: id, ID: fmt.Sprintf("job-%06d", i)} }, func(a Answer) {
 			if answered++; a.Status != 200 {
 				t.Errorf("poll: %+v", a)
 			}
--- a/internal/core/ways.go
+++ b/internal/core/ways.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/reach"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
@@ -11,40 +10,6 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// Controllers speak for each other with the state service. A peer on the way is like a
-// slow network: what it sends is what we sent, its answer is the service's answer to a
-// call made after we asked, and a call without an answer may be executed, or not, or late.
-type (
-	// PeerCall is a call of the state service that a peer is asked to make.
-	PeerCall struct {
-		ID       uint64           `msgpack:"id"`
-		Life     uint64           `msgpack:"life"` // of the one who asks: its next one counts anew
-		Hops     int              `msgpack:"hops"` // controllers it has passed
-		Op       int              `msgpack:"op"`
-		Lane     int              `msgpack:"lane,omitempty"`
-		Key      string           `msgpack:"key,omitempty"`
-		After    string           `msgpack:"after,omitempty"`
-		Lease    uint64           `msgpack:"lease,omitempty"`
-		Revision uint64           `msgpack:"revision,omitempty"`
-		HoldMS   int64            `msgpack:"hold_ms,omitempty"`
-		If       []wire.Condition `msgpack:"if,omitempty"`
-		Then     []PeerChange     `msgpack:"then,omitempty"`
-	}
-	// PeerChange is one change of it, its value encoded.
-	PeerChange struct {
-		Put    string `msgpack:"put,omitempty"`
-		Value  []byte `msgpack:"value,omitempty"`
-		Lease  uint64 `msgpack:"lease,omitempty"`
-		Delete string `msgpack:"delete,omitempty"`
-	}
-	// PeerResult is its outcome.
-	PeerResult struct {
-		ID    uint64     `msgpack:"id"`
-		Life  uint64     `msgpack:"life"`
-		Reply StateReply `msgpack:"reply"`
-	}
-)
-
 // ways is what is believed of the link to the state service, and the ways around it.
 type ways struct {
 	link    *reach.Link
@@ -82,7 +47,7 @@
 	c.stateWait[call.ID] = w
 	if via := c.wayAround(); via != "" && via != from && hops < tuning.WayHops {
 		w.via, w.until = via, c.now+tuning.StateTimeout+call.Hold
-		c.tell(via, PeerMessage{Call: call.forPeer(c.life, hops)})
+		c.tell(via, PeerMessage{Call: call.ForPeer(c.life, hops)})
 		return
 	}
 	c.sendDirect(call)
@@ -224,16 +189,16 @@
 // onPeerCall makes a call for a peer, if there is a way.
 func (c *Core) onPeerCall(from string, p *PeerCall) {
 	reply := func(r StateReply) {
-		if r.size() > tuning.PeerCarry {
+		if r.Size() > tuning.PeerCarry {
 			r = StateReply{Err: "too large to pass on"}
 		}
-		c.tell(from, PeerMessage{Result: &PeerResult{p.ID, p.Life, r}})
+		c.tell(from, PeerMessage{Result: &PeerResult{ID: p.ID, Life: p.Life, Reply: r}})
 	}
 	if p.Op < OpGet || p.Op > OpWatch || c.wayFor(from) == 0 || p.Hops >= tuning.WayHops {
 		reply(StateReply{Status: http.StatusServiceUnavailable, Err: "no way to the state service here"})
 		return
 	}
-	c.stateBy(p.call(), reply, p.Hops+1, from)
+	c.stateBy(p.Call(), reply, p.Hops+1, from)
 }
 
 // onPeerResult is the answer to a call that went through a peer.
@@ -245,45 +210,5 @@
 	if s := p.Reply.Status; s == 0 || s == http.StatusServiceUnavailable {
 		c.ways.routes.Offer(c.now, from, -1) // until its next word
 	}
-	c.onStateDone(StateDone{p.ID, p.Reply})
-}
-
-func (s StateCall) forPeer(life uint64, hops int) *PeerCall {
-	p := &PeerCall{ID: s.ID, Life: life, Hops: hops, Op: s.Op, Lane: s.Lane, Key: s.Key, After: s.After, Lease: s.Lease, Revision: s.Revision, HoldMS: s.Hold.Milliseconds(), If: s.Txn.If}
-	for _, ch := range s.Txn.Then {
-		x := PeerChange{Put: ch.Put, Lease: ch.Lease, Delete: ch.Delete}
-		if ch.Put != "" {
-			raw, err := wire.Marshal(ch.Value)
-			if err != nil {
-				panic(err) // our own record: encoding it cannot depend on its content
-			}
-			x.Value = raw
-		}
-		p.Then = append(p.Then, x)
-	}
-	return p
-}
-
-func (p *PeerCall) call() StateCall {
-	s := StateCall{Op: p.Op, Lane: p.Lane, Key: p.Key, After: p.After, Lease: p.Lease, Revision: p.Revision, Hold: time.Duration(p.HoldMS) * time.Millisecond, Txn: wire.Txn{If: p.If}}
-	for _, ch := range p.Then {
-		x := wire.Change{Put: ch.Put, Lease: ch.Lease, Delete: ch.Delete}
-		if ch.Put != "" {
-			x.Value = wire.Raw(ch.Value)
-		}
-		s.Txn.Then = append(s.Txn.Then, x)
-	}
-	return s
-}
-
-// size is about how many bytes an answer takes.
-func (r *StateReply) size() int {
-	n := len(r.Item.Value)
-	for i := range r.List.Items {
-		n += len(r.List.Items[i].Key) + len(r.List.Items[i].Value)
-	}
-	for i := range r.Events.Events {
-		n += len(r.Events.Events[i].Put) + len(r.Events.Events[i].Value) + len(r.Events.Events[i].Delete)
-	}
-	return n
+	c.onStateDone(StateDone{ID: p.ID, Reply: p.Reply})
 }
--- a/internal/core/ways_test.go
+++ b/internal/core/ways_test.go
@@ -81,7 +81,7 @@
 	w.run(10 * sec)
 	ready := func(n string) int {
 		got := 0
-		w.ask(n, func(q uint64) any { return Ready{q} }, func(a Answer) { got = a.Status })
+		w.ask(n, func(q uint64) any { return Ready{Req: q} }, func(a Answer) { got = a.Status })
 		return got
 	}
 	w.outage(8 * sec)
@@ -103,7 +103,7 @@
 		t.Errorf("c1 says %d with no way left", s)
 	}
 	began, code := w.now, 0
-	w.ask("c1", func(q uint64) any { return Poll{q, "job-000001"} }, func(a Answer) { code = a.Status })
+	w.ask("c1", func(q uint64) any { return Poll{Req: q, ID: "job-000001"} }, func(a Answer) { code = a.Status })
 	if code != 503 || w.now != began {
 		t.Errorf("a poll there: %d", code)
 	}
@@ -138,17 +138,17 @@
 		}
 	}
 	step(Tick{})
-	step(StateDone{calls[OpGrant], StateReply{Status: 200, Lease: 1}})
+	step(StateDone{ID: calls[OpGrant], Reply: StateReply{Status: 200, Lease: 1}})
 	step(Tick{})
-	step(Poll{1, "job-000001"})
+	step(Poll{Req: 1, ID: "job-000001"})
 	if calls[OpGet] == 0 || calls[OpList] == 0 {
 		t.Fatalf("no read or no list: %v", calls)
 	}
-	step(StateDone{calls[OpList], StateReply{Status: 200, List: wire.ItemList{Revision: 60}}})
+	step(StateDone{ID: calls[OpList], Reply: StateReply{Status: 200, List: wire.ItemList{Revision: 60}}})
 	if !c.loaded {
 		t.Fatal("the list is read")
 	}
-	step(StateDone{calls[OpGet], StateReply{Status: 200, Item: wire.Item{Key: jobKey("job-000001"), Value: raw, Version: 40}}})
+	step(StateDone{ID: calls[OpGet], Reply: StateReply{Status: 200, Item: wire.Item{Key: jobKey("job-000001"), Value: raw, Version: 40}}})
 	if c.jobs["job-000001"] != nil {
 		t.Error("a read from before the list has brought the job back")
 	}
@@ -198,7 +198,7 @@
 	}
 	leader := w.holders()[0]
 	for range 2 { // held back on their way to two addresses, and sent on
-		w.ask(leader, func(q uint64) any { return WorkerReport{q, late} }, func(Answer) {})
+		w.ask(leader, func(q uint64) any { return WorkerReport{Req: q, Report: late} }, func(Answer) {})
 	}
 	for range 30 {
 		w.run(sec)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -253,13 +253,13 @@
 				f(v)
 			}
 		case StateCall:
-			w.reach(n.name, v, func(r StateReply) { w.at(w.lag(), back(StateDone{v.ID, r})) })
+			w.reach(n.name, v, func(r StateReply) { w.at(w.lag(), back(StateDone{ID: v.ID, Reply: r})) })
 		case CloudCall:
 			if w.noCloud[n.name] {
 				w.at(tuning.CloudTimeout, back(CloudDone{ID: v.ID}))
 				continue
 			}
-			w.at(w.lag(), func() { r := w.callCloud(v); w.at(w.lag(), back(CloudDone{v.ID, r})) })
+			w.at(w.lag(), func() { r := w.callCloud(v); w.at(w.lag(), back(CloudDone{ID: v.ID, Reply: r})) })
 		case Order:
 			if v.For == "" {
 				w.checkOrder(n, v)
@@ -276,7 +276,7 @@
 			if w.noWays {
 				v.Msg.Way = 0
 			}
-			w.at(w.lag(), func() { w.step(w.nodes[v.To], Peer{v.Msg}) })
+			w.at(w.lag(), func() { w.step(w.nodes[v.To], Peer{Msg: v.Msg}) })
 		case Log:
 			if v.Level == 0 || testing.Verbose() {
 				w.t.Logf("%v %s: %s %v", w.now, n.name, v.Msg, v.KV)
@@ -529,7 +529,7 @@
 		return
 	}
 	w.at(w.lag(), func() {
-		w.ask(s.Node, func(id uint64) any { return WorkerReport{id, s.Report} }, func(a Answer) {
+		w.ask(s.Node, func(id uint64) any { return WorkerReport{Req: id, Report: s.Report} }, func(a Answer) {
 			o := worker.Outcome{Status: a.Status}
 			switch b := a.Body.(type) {
 			case wire.ReportReply:
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -36,7 +36,7 @@
 			if m := w.machines[s.Report.Machine]; m.gone && w.stale != nil {
 				w.stale[m.info.Name]++
 			}
-			w.ask(to, func(q uint64) any { return WorkerReport{q, s.Report} }, func(Answer) {})
+			w.ask(to, func(q uint64) any { return WorkerReport{Req: q, Report: s.Report} }, func(Answer) {})
 		})
 	}
 }
--- a/internal/core/world_users_test.go
+++ b/internal/core/world_users_test.go
@@ -33,7 +33,7 @@
 // submit repeats a submission, from node to node, until it is answered.
 func (w *world) submit(s wire.JobSpec) {
 	w.upload(s)
-	w.send(func(id uint64) any { return Submit{id, s} }, func(a Answer, asked time.Duration) bool {
+	w.send(func(id uint64) any { return Submit{Req: id, Spec: s} }, func(a Answer, asked time.Duration) bool {
 		st, _ := a.Body.(wire.JobStatus)
 		w.check.Submitted(w.now, asked, *s.ID, a.Status, st)
 		return a.Status < 429
@@ -62,7 +62,7 @@
 
 func (w *world) abort(id string) {
 	w.check.Aborting(id)
-	w.send(func(q uint64) any { return Abort{q, id} }, func(a Answer, asked time.Duration) bool {
+	w.send(func(q uint64) any { return Abort{Req: q, ID: id} }, func(a Answer, asked time.Duration) bool {
 		w.aborted(id, a, asked)
 		// 404 comes, too, while the job's submission is still being repeated; taken as
 		// the end, it left a service running for ever that held its team's limit.
@@ -77,7 +77,7 @@
 
 func (w *world) poll(node, id string) {
 	asked := w.now
-	w.ask(node, func(q uint64) any { return Poll{q, id} }, func(a Answer) {
+	w.ask(node, func(q uint64) any { return Poll{Req: q, ID: id} }, func(a Answer) {
 		st, _ := a.Body.(wire.JobStatus)
 		w.check.Polled(w.now, asked, id, a.Status, st)
 	})
--- /dev/null
+++ b/internal/step/admin.go
@@ -0,0 +1,85 @@
+package step
+
+import (
+	"github.com/barrowbridge/barrowbridge/internal/reach"
+	"github.com/barrowbridge/barrowbridge/internal/trail"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Inputs of the administration API.
+type (
+	// AdminSettings reads the operators' settings, or changes them.
+	AdminSettings struct {
+		Req   uint64
+		Patch *wire.SettingsPatch
+	}
+	// AdminOverview asks for this controller's view of the cluster.
+	AdminOverview struct{ Req uint64 }
+	// AdminCordon sets or lifts a cordon.
+	AdminCordon struct {
+		Req     uint64
+		Machine string
+		Cordon  *wire.Cordon // nil: lift
+	}
+	// AdminWhy asks why a job waits.
+	AdminWhy struct {
+		Req uint64
+		ID  string
+	}
+)
+
+type (
+	// AdminTrail asks for a controller's trail; another one's is read from the state.
+	AdminTrail struct {
+		Req   uint64
+		Node  string // "": this one's
+		Query trail.Query
+	}
+	// AdminMachine asks for a machine as this controller believes it to be.
+	AdminMachine struct {
+		Req     uint64
+		Machine string
+	}
+)
+
+type (
+	// AdminLadder reads the ladder, or replaces or judges its rungs.
+	AdminLadder struct {
+		Req   uint64
+		Patch *wire.LadderPatch
+	}
+	// AdminOrder asks for the order in which jobs are served.
+	AdminOrder struct{ Req uint64 }
+)
+
+// AdminReach asks what this controller reaches.
+type AdminReach struct{ Req uint64 }
+
+// LinkSeen is an effect: what is believed of a link has changed.
+type LinkSeen struct {
+	To    string
+	Level reach.Level
+}
+
+// Order is a direct call to a worker: stops, or nothing but a higher token, which makes
+// it report at once. Starts go in answers to reports only.
+type Order struct {
+	Machine string
+	Addr    string
+	Orders  wire.Orders
+	Roll    bool   // its outcome is to come back as OrderDone
+	Look    bool   // nothing is ordered: only its report is asked for, and comes back so too
+	For     string // the controller that asked for the call; "": this one
+}
+
+// OrderDone is the outcome of a direct call that was to account for a machine: the report
+// that its worker answered with, Status 0 if none came.
+type OrderDone struct {
+	Machine        string
+	Token, Session uint64 // as they were sent
+	Look           bool   // nothing was ordered, so the report proves nothing
+	For            string // who asked for the call; "": this one
+	Through        bool   // it comes from a peer, so says nothing of what we reach
+	Status         int
+	Report         wire.Report
+}
