--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -15,7 +15,7 @@
 }
 
 func (c *Core) settingsView() wire.SettingsView {
-	return wire.SettingsView{Version: c.ver[wire.KeySettings], Settings: c.settings}
+	return wire.SettingsView{Version: c.ver.Of(wire.KeySettings), Settings: c.settings}
 }
 
 func (c *Core) onAdminSettings(v AdminSettings) {
@@ -41,7 +41,7 @@
 		c.answer(v.Req, 400, wire.Problem{Error: err.Error()})
 		return
 	}
-	if v.Patch.Version != c.ver[wire.KeySettings] {
+	if v.Patch.Version != c.ver.Of(wire.KeySettings) {
 		c.answer(v.Req, 409, c.settingsView())
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -350,7 +350,7 @@
 		}
 	}
 	c.rev = max(c.rev, ev.Revision)
-	c.dropTombs(c.rev)
+	c.ver.Forget(c.rev, c.oldestCall)
 	c.enterShards()
 }
 
@@ -377,13 +377,13 @@
 			c.loadPage(last, began)
 			return
 		}
-		for _, k := range c.keys() {
+		for _, k := range c.ver.Keys() {
 			if !c.listSeen[k] {
 				c.remove(k, c.listRev)
 			}
 		}
 		// Changes made while the pages were read come again with the watch.
-		c.floor = c.listRev
+		c.ver.Read(c.listRev)
 		c.rev, c.loading, c.watching, c.watchOK, c.listSeen = c.listRev, false, false, began, nil
 		c.enterShards()
 		if !c.loaded {
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"math"
-	"sort"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/disruption"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -117,17 +117,21 @@
 			in = append(in, m)
 		}
 	}
-	left := max(1, len(in)/tuning.MoveShare) - moving
-	sort.SliceStable(in, func(i, j int) bool { return c.free(in[i]).CPUs > c.free(in[j]).CPUs })
-	taken := map[*machine]placement.Size{} // of the machines that replicas are moved to
-	for i, m := range in {
-		if left <= 0 || i >= tuning.MoveLook {
-			return
-		}
-		if _, target := taken[m]; target || m.base || !c.movable(m, in, taken) {
-			continue
+	var list []disruption.Machine[*machine]
+	for _, m := range in {
+		x := disruption.Machine[*machine]{Handle: m, Free: c.free(m), Stays: m.base}
+		for _, k := range sortedAttempts(m) {
+			a := m.attempts[k]
+			if !c.movable(a) {
+				x.Stays = true
+				break
+			}
+			j := &c.jobs[a.job].rec
+			x.Moves = append(x.Moves, disruption.Move[*machine]{Size: a.size, Allows: func(o *machine) bool { return !o.moving && o.images[j.Image] && allows(j, o) }})
 		}
-		left--
+		list = append(list, x)
+	}
+	for _, m := range disruption.Consolidate(list, max(1, len(in)/tuning.MoveShare)-moving, tuning.MoveLook) {
 		m.moving = true
 		c.touch(m)
 		for _, k := range sortedAttempts(m) {
@@ -137,36 +141,11 @@
 	}
 }
 
-// movable tells whether everything on a machine could be moved to the others, beside what
-// is moved there already; if so, what it takes there is noted.
-func (c *Core) movable(m *machine, in []*machine, taken map[*machine]placement.Size) bool {
-	for _, a := range m.attempts {
-		e := c.jobs[a.job]
-		if e == nil || e.run == nil || e.rec.Shape != wire.ShapeService || e.rec.OneZone || e.rec.Spread || a.stop ||
-			a.status != wire.TaskRunning || c.now-a.running < tuning.MoveAfter {
-			return false
-		}
-	}
-	more := map[*machine]placement.Size{}
-	for _, k := range sortedAttempts(m) {
-		a := m.attempts[k]
-		j := &c.jobs[a.job].rec
-		found := false
-		for _, o := range in {
-			if o != m && !o.moving && o.images[j.Image] && allows(j, o) && placement.Fits(c.free(o).Sub(taken[o]).Sub(more[o]), a.size) {
-				more[o] = more[o].Add(a.size)
-				found = true
-				break
-			}
-		}
-		if !found {
-			return false
-		}
-	}
-	for o, s := range more {
-		taken[o] = taken[o].Add(s)
-	}
-	return true
+// movable tells whether a task is a replica that has run for a while and is bound to no zone.
+func (c *Core) movable(a *attempt) bool {
+	e := c.jobs[a.job]
+	return e != nil && e.run != nil && e.rec.Shape == wire.ShapeService && !e.rec.OneZone && !e.rec.Spread && !a.stop &&
+		a.status == wire.TaskRunning && c.now-a.running >= tuning.MoveAfter
 }
 
 // retire marks machines to be given back: idle, silent, never up, or taken.
--- a/internal/core/laddering.go
+++ b/internal/core/laddering.go
@@ -16,7 +16,7 @@
 }
 
 func (c *Core) ladderView() wire.LadderView {
-	return wire.LadderView{Version: c.ver[wire.KeyLadder], Ladder: c.rungs, All: c.ladder.Rungs()}
+	return wire.LadderView{Version: c.ver.Of(wire.KeyLadder), Ladder: c.rungs, All: c.ladder.Rungs()}
 }
 
 func (c *Core) onAdminLadder(v AdminLadder) {
@@ -33,7 +33,7 @@
 		c.answer(v.Req, 400, wire.Problem{Error: err.Error()})
 		return
 	}
-	ver := c.ver[wire.KeyLadder]
+	ver := c.ver.Of(wire.KeyLadder)
 	rec := wire.Ladder{Rungs: v.Patch.Rungs, History: append([]wire.LadderChange(nil), c.rungs.History...)}
 	if ver > 0 || len(c.rungs.Rungs) > 0 {
 		was := wire.LadderChange{Version: ver, AtMS: c.wall.UnixMilli(), Node: c.p.Node, Rungs: []string{}}
@@ -69,6 +69,6 @@
 		jobs = append(jobs, &e.rec)
 	}
 	list, digest := c.ladder.Order(jobs)
-	c.answer(v.Req, 200, wire.OrderView{Node: c.p.Node, Revision: c.rev, Version: c.ver[wire.KeyLadder], Digest: digest, Count: len(list),
+	c.answer(v.Req, 200, wire.OrderView{Node: c.p.Node, Revision: c.rev, Version: c.ver.Of(wire.KeyLadder), Digest: digest, Count: len(list),
 		Jobs: list[:min(len(list), tuning.OrderAnswer)]})
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -62,7 +62,7 @@
 		// Free, or held by this node's earlier life, which is dead.
 		if (c.chief.Node == "" || c.chief.Node == c.p.Node) && c.present && !l.claiming && c.now >= c.reaching.stands && c.every("claim", tuning.RetryAfter) {
 			l.claiming = true
-			c.commit(LaneFirst, []wire.Condition{{Key: wire.KeyLeader, Version: c.ver[wire.KeyLeader]}},
+			c.commit(LaneFirst, []wire.Condition{{Key: wire.KeyLeader, Version: c.ver.Of(wire.KeyLeader)}},
 				[]wire.Change{{Put: wire.KeyLeader, Value: wire.Leader{Node: c.p.Node, Boot: c.boot}, Lease: c.grant}}, func(r StateReply) {
 					l.claiming = false
 					c.changed()
@@ -73,8 +73,8 @@
 	if l.since == 0 {
 		l.reset()
 		l.since = c.now
-		c.note(wire.TrailEvent{Kind: trail.Leading, Token: c.ver[wire.KeyLeader]})
-		c.log(1, "leading", "revision", c.ver[wire.KeyLeader])
+		c.note(wire.TrailEvent{Kind: trail.Leading, Token: c.ver.Of(wire.KeyLeader)})
+		c.log(1, "leading", "revision", c.ver.Of(wire.KeyLeader))
 	}
 	for n := range c.nodes {
 		if _, ok := l.nodeUp[n]; !ok {
@@ -96,7 +96,7 @@
 }
 
 func (c *Core) leaderCond() wire.Condition {
-	return wire.Condition{Key: wire.KeyLeader, Version: c.ver[wire.KeyLeader]}
+	return wire.Condition{Key: wire.KeyLeader, Version: c.ver.Of(wire.KeyLeader)}
 }
 
 // homeShards makes the shards, and hands those of dead controllers on whole.
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -8,6 +8,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/boot"
 	"github.com/barrowbridge/barrowbridge/internal/ladder"
+	records "github.com/barrowbridge/barrowbridge/internal/mirror"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -15,9 +16,7 @@
 
 // mirror is this controller's copy of the live keys, in revision order.
 type mirror struct {
-	ver      map[string]uint64 // version of each key present
-	floor    uint64            // all that stood at this revision has been read
-	tombs    map[string]tomb   // keys removed, while older news of them may still come
+	ver      *records.Versions
 	jobs     map[string]*jobEntry
 	blocks   map[string]*blockEntry
 	shards   map[int]*shardEntry
@@ -68,7 +67,7 @@
 }
 
 func newMirror() mirror {
-	return mirror{ver: map[string]uint64{}, tombs: map[string]tomb{}, jobs: map[string]*jobEntry{},
+	return mirror{ver: records.New(), jobs: map[string]*jobEntry{},
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
 		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
 		settings: defaultSettings(), ladder: ladder.Of(wire.Ladder{}), cordons: map[string]wire.Cordon{},
@@ -78,8 +77,6 @@
 func shardKey(i int) string { return wire.PrefixShard + strconv.Itoa(i) }
 func wantKey(i int) string  { return wire.PrefixWant + strconv.Itoa(i) }
 
-func (m *mirror) keys() []string { return sortedKeys(m.ver) }
-
 func (m *mirror) shardIDs() []int {
 	if m.shardList == nil {
 		m.shardList = sortedInts(m.shards)
@@ -187,46 +184,19 @@
 	}
 }
 
-// tomb is a removed key: at which revision, and the last call that had been sent to
-// the state service when that became known.
-type tomb struct{ rev, call uint64 }
-
-// bury remembers a removal. An answer to a call that is under way may be older: a read
-// made before a job's abort came after the watch had told of it, and the job was live
-// again here for ever.
-func (c *Core) bury(key string, rev uint64) {
-	if t, ok := c.tombs[key]; !ok || rev > t.rev {
-		c.tombs[key] = tomb{rev, c.seq}
-	}
-}
-
-// dropTombs forgets removals that the watch has passed, once every call has returned
-// that was under way when they became known.
-func (c *Core) dropTombs(rev uint64) {
-	if len(c.tombs) == 0 {
-		return
-	}
+// oldestCall is the first call of the state service that is under way.
+func (c *Core) oldestCall() uint64 {
 	oldest := c.seq + 1
 	for id := range c.stateWait {
 		oldest = min(oldest, id)
 	}
-	for k, t := range c.tombs {
-		if t.rev <= rev && t.call < oldest {
-			delete(c.tombs, k)
-		}
-	}
+	return oldest
 }
 
 // put applies a write. Older news of the same key changes nothing, whichever
 // way it came: watch, list, read or own commit.
 func (c *Core) put(key string, raw wire.Raw, ver uint64) {
-	if !strings.HasPrefix(key, wire.LivePrefix) || ver <= c.ver[key] || ver <= c.tombs[key].rev {
-		return
-	}
-	// What stood there when all was read, and is not here, had been removed: a poll's read
-	// that was sent before the list, and answered after it, made an aborted job live again
-	// in a controller that had just started.
-	if _, here := c.ver[key]; !here && ver <= c.floor {
+	if !strings.HasPrefix(key, wire.LivePrefix) || !c.ver.News(key, ver) {
 		return
 	}
 	fail := func(err error) { c.log(0, "stored record not readable", "key", key, "err", err.Error()) }
@@ -280,8 +250,7 @@
 	default:
 		c.putWork(key, ver, read, fail)
 	}
-	c.ver[key] = ver
-	delete(c.tombs, key)
+	c.ver.Put(key, ver)
 }
 
 // putWork applies a write of a job, a shard, or what hangs on one.
@@ -290,7 +259,7 @@
 	case strings.HasPrefix(key, wire.PrefixJob):
 		var r wire.Job
 		if read(&r) {
-			c.ver[key] = ver
+			c.ver.Put(key, ver)
 			c.putJob(r, ver)
 		}
 	case strings.HasPrefix(key, wire.PrefixShard):
@@ -299,7 +268,7 @@
 		if err != nil {
 			fail(err)
 		} else if read(&r) {
-			c.ver[key] = ver
+			c.ver.Put(key, ver)
 			old := c.shards[i]
 			c.shards[i] = &shardEntry{r, ver}
 			c.noteTaken(i)
@@ -309,7 +278,7 @@
 	case strings.HasPrefix(key, wire.PrefixStart):
 		var r wire.Starts
 		if read(&r) {
-			c.ver[key] = ver
+			c.ver.Put(key, ver)
 			if err := c.putStarts(key, ver, r); err != nil {
 				fail(err)
 			}
@@ -335,7 +304,7 @@
 		var r wire.Block
 		if read(&r) {
 			id := key[len(wire.PrefixBlock):]
-			c.ver[key] = ver
+			c.ver.Put(key, ver)
 			old := c.blocks[id]
 			c.blocks[id] = &blockEntry{id, r, ver}
 			c.indexBlock(id, old, c.blocks[id])
@@ -370,15 +339,9 @@
 
 // remove applies a deletion known at revision rev.
 func (c *Core) remove(key string, rev uint64) {
-	if !strings.HasPrefix(key, wire.LivePrefix) || c.ver[key] > rev {
-		return
-	}
-	if _, ok := c.ver[key]; !ok {
-		c.bury(key, rev)
+	if !strings.HasPrefix(key, wire.LivePrefix) || !c.ver.Remove(key, rev, c.seq) {
 		return
 	}
-	delete(c.ver, key)
-	c.bury(key, rev)
 	switch {
 	case key == wire.KeyLeader:
 		c.chief = wire.Leader{}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/clearing"
+	"github.com/barrowbridge/barrowbridge/internal/disruption"
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
@@ -175,40 +176,33 @@
 }
 
 func (c *Core) vacateFor(shard int, n wire.Need) {
-	want := n.Tasks
-	ask := needSize(n)
-	best, loss := "", time.Duration(0)
+	var blocks []disruption.Block
 	for _, id := range c.blockIDs() {
 		b := c.blocks[id]
 		if b.rec.Shard != shard || !c.serves(b, n) {
 			continue
 		}
 		full, _ := c.sizeOf(b.rec.Type)
-		if c.vacating[id] || b.rec.Idle {
-			want -= len(b.rec.Machines) * (placement.Beta(full, ask) + 1)
-			continue
-		}
-		lost, ok := time.Duration(0), true
+		x := disruption.Block{Name: id, Emptied: c.vacating[id] || b.rec.Idle, Holds: len(b.rec.Machines) * (placement.Beta(full, needSize(n)) + 1)}
 		for _, bm := range b.rec.Machines {
 			m := c.machines[bm.Name]
 			if m == nil || !c.usable(m) {
-				ok = false
+				x.Fixed = true
 				break
 			}
 			for _, a := range m.attempts {
 				if e := c.jobs[a.job]; e != nil && (e.prio >= urgentRank || e.rank > n.Rung) {
-					ok = false
+					x.Fixed = true
 				}
 				if a.status != wire.TaskEnded {
-					lost += c.now - a.running + time.Second
+					x.Lost += c.now - a.running + time.Second
 				}
 			}
 		}
-		if ok && (best == "" || lost < loss) {
-			best, loss = id, lost
-		}
+		blocks = append(blocks, x)
 	}
-	if want <= 0 || best == "" {
+	best, loss := disruption.Empty(blocks, n.Tasks)
+	if best == "" {
 		return
 	}
 	c.vacating[best] = true
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -324,8 +324,8 @@
 		}
 	}
 	step(StateDone{ID: watch, Reply: StateReply{Status: 200, Events: wire.Events{Revision: 70}}})
-	if len(c.tombs) > 0 {
-		t.Errorf("nothing older can come any more, and %d removals are remembered", len(c.tombs))
+	if c.ver.Remembered() > 0 {
+		t.Errorf("nothing older can come any more, and %d removals are remembered", c.ver.Remembered())
 	}
 }
 
--- a/internal/core/ways_test.go
+++ b/internal/core/ways_test.go
@@ -320,7 +320,7 @@
 			continue
 		}
 		found = true
-		if !slices.ContainsFunc(call.Txn.If, func(x wire.Condition) bool { return x.Key == wire.KeyLeader && x.Version == c.ver[wire.KeyLeader] }) {
+		if !slices.ContainsFunc(call.Txn.If, func(x wire.Condition) bool { return x.Key == wire.KeyLeader && x.Version == c.ver.Of(wire.KeyLeader) }) {
 			t.Errorf("the shard is moved without comparing the leader: %+v", call.Txn.If)
 		}
 	}
