--- a/cmd/barrowbridge/ladder.go
+++ b/cmd/barrowbridge/ladder.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -115,6 +116,11 @@
 		Rung []wire.Rung `toml:"rung"`
 	}
 	if err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(&f); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			row, _ := strict.Errors[0].Position()
+			return nil, fmt.Errorf("%s:%d: %s: no such key", file, row, strings.Join(strict.Errors[0].Key(), "."))
+		}
 		return nil, fmt.Errorf("%s: %s", file, strings.ReplaceAll(err.Error(), "\n", " "))
 	}
 	return f.Rung, nil
