--- /dev/null
+++ b/internal/calendar/plan.go
@@ -0,0 +1,146 @@
+package calendar
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Margins keep work from ending in the last moment.
+type Margins struct {
+	Clock    time.Duration // bound of the controllers' times of day
+	Takeover time.Duration // one change of hands
+	Failures float64       // share of the work that is done again
+	Press    time.Duration // so long before the latest start work goes ahead of other routine work
+}
+
+// Job is one that has to be done before a departure, as records have it.
+type Job struct {
+	ID      string
+	Tasks   int           // not done
+	Seconds time.Duration // of a task, its estimate corrected for its class
+	CPUs    float64       // of a task
+	Due     time.Time     // its own; zero: none
+}
+
+func (j *Job) work() float64 { return float64(j.Tasks) * j.Seconds.Seconds() * j.CPUs }
+
+// Of tells whether a job has to be done before a crew leaves.
+func Of(c *wire.Crew, j *wire.Job, leaves time.Time) bool {
+	return j.Team == c.Team && slices.Contains(c.Classes, j.Class) && (c.Zone == "" || j.Zone == "" || j.Zone == c.Zone) &&
+		j.Shape != wire.ShapeService && j.AcceptedMS < leaves.UnixMilli()
+}
+
+// Plan plans the departure at leaves, with so many CPUs for the crew's team.
+func Plan(c *wire.Crew, now, leaves time.Time, jobs []Job, have float64, m Margins) wire.CrewPlan {
+	p := wire.CrewPlan{Crew: c.Name, LeavesMS: leaves.UnixMilli(), Leaves: leaves.Format("Mon 2006-01-02 15:04 MST"), Jobs: len(jobs), Have: have}
+	due := Due(leaves, m)
+	work, longest := 0.0, time.Duration(0)
+	for i := range jobs {
+		p.Tasks += jobs[i].Tasks
+		work += jobs[i].work()
+		longest = max(longest, jobs[i].Seconds)
+	}
+	work *= 1 + m.Failures
+	takes := max(longest, time.Duration(work/max(have, 1e-9)*float64(time.Second)))
+	if len(jobs) == 0 {
+		takes = 0
+	}
+	start := due.Add(-min(takes, 1e6*time.Second))
+	p.StartMS = start.UnixMilli()
+	if left := due.Sub(now).Seconds(); left > 0 {
+		p.CPUs = math.Ceil(work / left)
+	} else if work > 0 {
+		p.CPUs = math.Ceil(work)
+	}
+	p.Pressed = len(jobs) > 0 && !now.Before(start.Add(-m.Press))
+	p.Miss, p.MissS = misses(jobs, now, leaves, have)
+	p.Say = say(c, &p, leaves)
+	return p
+}
+
+// Due is by when work should be done so that it surely is before the hour.
+func Due(leaves time.Time, m Margins) time.Time { return leaves.Add(-m.Clock - m.Takeover) }
+
+// misses counts the jobs that cannot be done in time if as many as possible are (the least
+// work first), and by how many seconds the last of them ends too late.
+func misses(jobs []Job, now, leaves time.Time, have float64) (n int, by float64) {
+	sorted := slices.Clone(jobs)
+	slices.SortFunc(sorted, func(a, b Job) int { return cmp.Or(cmp.Compare(a.work(), b.work()), cmp.Compare(a.ID, b.ID)) })
+	left, at := leaves.Sub(now).Seconds(), 0.0
+	for i := range sorted {
+		at += sorted[i].work() / max(have, 1e-9)
+		if end := max(at, sorted[i].Seconds.Seconds()); end > left {
+			n, by = n+1, max(by, end-left)
+		}
+	}
+	return n, min(by, 1e6)
+}
+
+func say(c *wire.Crew, p *wire.CrewPlan, leaves time.Time) string {
+	hour := leaves.Format("15:04")
+	switch {
+	case p.Jobs == 0:
+		return "nothing is left to do before " + hour
+	case p.Miss == 0:
+		return fmt.Sprintf("%d jobs will be done before %s", p.Jobs, hour)
+	}
+	why := fmt.Sprintf("%.0f CPUs are there and %.0f needed", p.Have, p.CPUs)
+	if p.Have == 0 {
+		if why = "no machines"; c.Zone != "" {
+			why += " in " + c.Zone
+		}
+	}
+	return fmt.Sprintf("%d of %d jobs will miss %s by up to %s: %s", p.Miss, p.Jobs, hour, (time.Duration(math.Ceil(p.MissS)) * time.Second).String(), why)
+}
+
+// Ahead is how many machines, each of so many CPUs, to rent for expected work of which so
+// many tasks have been accepted already, and from when on: as if it came when it may come
+// last, boot before that. 0: none is expected.
+func Ahead(c *wire.Crew, leaves time.Time, accepted int, limit, machine float64, factor float64, boot time.Duration, m Margins) (machines int, from time.Time) {
+	e := c.Expect
+	tasks := float64(e.Tasks - accepted)
+	if tasks <= 0 || machine <= 0 || limit <= 0 {
+		return 0, time.Time{}
+	}
+	one := e.Seconds * factor
+	per := max(1, math.Floor(machine/e.CPUs))
+	slots := min(tasks, math.Floor(limit/e.CPUs))
+	if slots < 1 {
+		return 0, time.Time{}
+	}
+	rounds := 2.0 // of tasks on one place: a third less machines than one round needs, for one task's time more
+	slots = math.Ceil(min(slots, max(tasks/rounds, 1)))
+	takes := time.Duration(math.Ceil(tasks/slots) * one * (1 + m.Failures) * float64(time.Second))
+	return int(math.Ceil(slots / per)), Due(leaves, m).Add(-takes - boot)
+}
+
+// Booking names a rental ahead. ver is the version of the crew's record that the write of the
+// name compares, so no two writes make the same one.
+func Booking(c *wire.Crew, ver uint64, n int) string {
+	return fmt.Sprintf("crew-%s-%d-%d", c.Name, ver, n)
+}
+
+// Since is from when on the next departure counts: the latest change by operators, or the
+// last departure that has an outcome.
+func Since(c *wire.Crew) time.Time {
+	ms := int64(0)
+	if n := len(c.History); n > 0 {
+		ms = c.History[n-1].AtMS
+	}
+	if n := len(c.Past); n > 0 {
+		ms = max(ms, c.Past[n-1].LeavesMS)
+	}
+	return time.UnixMilli(ms)
+}
+
+// Clean leaves out of a record what concerns departures that are over.
+func Clean(c *wire.Crew, leaves time.Time, keep int) {
+	c.Booked = slices.DeleteFunc(slices.Clone(c.Booked), func(b wire.CrewBooking) bool { return b.LeavesMS != leaves.UnixMilli() })
+	c.Past = c.Past[max(0, len(c.Past)-keep):]
+	c.History = c.History[max(0, len(c.History)-keep):]
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,11 +81,12 @@
 	mirror
 	holder
 	books
-	desk    *prompt.Desk[*machine]       // workers to call directly
-	roll    *takeover.Roll[*machine]     // machines to be accounted for
-	places  map[int]*hold.Book[*machine] // by shard: kept for tasks that fit nowhere
-	kept    map[string]hold.Hold         // by team: of its limit, for a job that does not fit into the rest
-	runs    *forecast.Book
+	desk   *prompt.Desk[*machine]       // workers to call directly
+	roll   *takeover.Roll[*machine]     // machines to be accounted for
+	places map[int]*hold.Book[*machine] // by shard: kept for tasks that fit nowhere
+	kept   map[string]hold.Hold         // by team: of its limit, for a job that does not fit into the rest
+	runs   *forecast.Book
+	crewing
 	addrs   *takeover.Book // where workers listen
 	listing bool           // the cloud's list is being read for that
 	users
@@ -111,6 +112,7 @@
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
+	c.crewing = newCrewing()
 	c.kept = map[string]hold.Hold{}
 	c.places = map[int]*hold.Book[*machine]{}
 	c.runs = forecast.New(forecast.Params{Prior: tuning.ForecastPrior, Keep: tuning.ForecastKeep, Spread: tuning.ForecastSpread})
@@ -154,6 +156,10 @@
 		c.onAdminCordon(v)
 	case AdminLadder:
 		c.onAdminLadder(v)
+	case AdminCrews:
+		c.onAdminCrews(v)
+	case AdminCrew:
+		c.onAdminCrew(v)
 	case AdminOrder:
 		c.onAdminOrder(v)
 	case AdminWhy:
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -322,6 +322,7 @@
 				c.holdBlock(b, !b.rec.Idle, false)
 			}
 		}
+		c.runs.Import(c.biases[biasKey(i)].Classes)
 		c.noteShard(trail.ShardHeld, i, wire.TrailEvent{Token: c.shards[i].ver})
 		c.log(1, "holding shard", "shard", i, "token", c.shards[i].ver, "teams", len(c.shards[i].rec.Teams))
 		for _, id := range sortedKeys(c.jobs) {
@@ -482,6 +483,7 @@
 func (c *Core) hold() {
 	c.watchMachines()
 	c.vacate()
+	c.planCrews()
 	c.planHolds()
 	if c.dirty {
 		c.dirty = false
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -177,7 +177,7 @@
 			why = "taken"
 		case m.moving && len(m.attempts) == 0:
 			why = "moved off"
-		case !m.base && !busy && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > seconds(c.settings.IdleReturnS) &&
+		case !m.base && !busy && !c.awaitsCrew(shard) && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > seconds(c.settings.IdleReturnS) &&
 			(m.spot || c.spareBeyond(shard, m)):
 			why = "idle"
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -92,6 +92,7 @@
 	c.readMachines()
 	c.deleteMachines()
 	c.adopt()
+	c.rentAhead()
 	c.serveWants()
 }
 
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -30,6 +30,8 @@
 	rungs    wire.Ladder // the record that it was read from
 	started  *starts.Book
 	boots    *boot.Book
+	crews    map[string]*crewEntry
+	biases   map[string]wire.Bias // by key
 
 	// Kept up with the records, so that a report or a poll costs the same
 	// however many machines there are; the tests count them afresh.
@@ -70,7 +72,7 @@
 	return mirror{ver: records.New(), jobs: map[string]*jobEntry{},
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
 		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
-		settings: defaultSettings(), ladder: ladder.Of(wire.Ladder{}), cordons: map[string]wire.Cordon{},
+		settings: defaultSettings(), ladder: ladder.Of(wire.Ladder{}), cordons: map[string]wire.Cordon{}, crews: map[string]*crewEntry{}, biases: map[string]wire.Bias{},
 		blockIn: map[string]string{}, dropping: map[string]bool{}, shardHas: map[int]map[string]int{}, newest: map[int]uint64{}, teamHome: map[string]int{}, cached: map[string][]string{}}
 }
 
@@ -232,6 +234,16 @@
 			c.cordons[key[len(wire.PrefixCordon):]] = r
 			c.cordonSeen(key[len(wire.PrefixCordon):])
 		}
+	case strings.HasPrefix(key, wire.PrefixCrew):
+		var r wire.Crew
+		if read(&r) {
+			c.crews[key[len(wire.PrefixCrew):]] = &crewEntry{r, ver}
+		}
+	case strings.HasPrefix(key, wire.PrefixBias):
+		var r wire.Bias
+		if read(&r) {
+			c.biases[key] = r
+		}
 	case strings.HasPrefix(key, wire.PrefixReach):
 		var r wire.Reach
 		if read(&r) {
@@ -355,6 +367,8 @@
 		if m := c.machines[key[len(wire.PrefixCordon):]]; m != nil {
 			c.touch(m)
 		}
+	case strings.HasPrefix(key, wire.PrefixCrew):
+		delete(c.crews, key[len(wire.PrefixCrew):])
 	case strings.HasPrefix(key, wire.PrefixReach):
 		delete(c.words, key[len(wire.PrefixReach):])
 	case strings.HasPrefix(key, wire.PrefixNode):
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -228,6 +228,7 @@
 				return
 			}
 			l.booked[shard] = append(l.booked[shard], infos...)
+			c.rentedAhead(req.Request)
 			c.bookedOf(infos)
 			delete(l.renting, shard)
 			c.lead()
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -5,6 +5,8 @@
 // What the core takes and returns.
 type (
 	Abort         = step.Abort
+	AdminCrew     = step.AdminCrew
+	AdminCrews    = step.AdminCrews
 	AdminCordon   = step.AdminCordon
 	AdminLadder   = step.AdminLadder
 	AdminMachine  = step.AdminMachine
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -68,3 +68,34 @@
 	v := (x.squares+b.p.Prior*b.p.Spread*b.p.Spread)/(x.n+b.p.Prior) - mean*mean
 	return mean, math.Sqrt(max(v, 0.01))
 }
+
+// Export is what is worth keeping: classes of which so many tasks have been seen.
+func (b *Book) Export(least float64) map[string][3]float64 {
+	out := map[string][3]float64{}
+	for class, x := range b.of {
+		if x.n >= least {
+			out[class] = [3]float64{x.n, x.sum, x.squares}
+		}
+	}
+	return out
+}
+
+// Import takes what another has learned, for classes of which less is known here.
+func (b *Book) Import(classes map[string][3]float64) {
+	for class, v := range classes {
+		if x := b.of[class]; (x == nil || x.n < v[0]) && v[0] > 0 && v[0] <= 2*b.p.Keep {
+			b.of[class] = &bias{v[0], v[1], v[2]}
+		}
+	}
+}
+
+// Moved tells whether a class's factor differs by more than a share from what was exported.
+func (b *Book) Moved(was map[string][3]float64, least, share float64) bool {
+	for class := range b.Export(least) {
+		old, known := was[class]
+		if f := b.Factor(class); !known || math.Abs(math.Log(f)-old[1]/(old[0]+b.p.Prior)) > share {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -67,6 +67,9 @@
 	e.GET("/ready", s.ready)
 	e.POST("/hello", s.report)
 	a := e.Group("/admin/v1")
+	a.GET("/crews", s.crews)
+	a.PUT("/crews/:name", s.putCrew)
+	a.DELETE("/crews/:name", s.cancelCrew)
 	a.GET("/ladder", s.ladder)
 	a.PUT("/ladder", s.changeLadder)
 	a.GET("/ladder/order", s.order)
@@ -218,6 +221,29 @@
 	return s.put(c, func(id uint64) any { return core.AdminLadder{Req: id, Patch: &p} })
 }
 
+func (s *Server) crews(c echo.Context) error {
+	return s.put(c, func(id uint64) any { return core.AdminCrews{Req: id} })
+}
+
+func (s *Server) putCrew(c echo.Context) error {
+	var p wire.CrewPatch
+	if why := body(c, &p); why != "" {
+		return send(c, bad(why))
+	}
+	name := c.Param("name")
+	return s.put(c, func(id uint64) any { return core.AdminCrew{Req: id, Name: name, Patch: &p} })
+}
+
+// cancelCrew takes a crew away: ?version=N&dry_run=true.
+func (s *Server) cancelCrew(c echo.Context) error {
+	ver, err := strconv.ParseUint(c.QueryParam("version"), 10, 64)
+	if err != nil {
+		return send(c, bad("version: must be a number"))
+	}
+	name, dry := c.Param("name"), c.QueryParam("dry_run") == "true"
+	return s.put(c, func(id uint64) any { return core.AdminCrew{Req: id, Name: name, Ver: ver, DryRun: dry} })
+}
+
 func (s *Server) order(c echo.Context) error {
 	return s.put(c, func(id uint64) any { return core.AdminOrder{Req: id} })
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -31,6 +31,7 @@
 	Ask      placement.Size // of one task
 	Rest     int            // tasks not done
 	Pending  int            // tasks to start; 0: it only counts against its team's guarantee
+	Pressed  bool           // a departure leaves it no slack: it goes before other work of its rung
 	Begun    bool           // a task of it has been started, as far as records tell
 }
 
@@ -107,6 +108,8 @@
 		return a.Job.Rank > b.Job.Rank
 	case a.Overdue != b.Overdue:
 		return a.Overdue
+	case a.Job.Pressed != b.Job.Pressed:
+		return a.Job.Pressed
 	case a.Within != b.Within:
 		return a.Within
 	case a.Job.Strict != b.Job.Strict:
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -16,7 +16,7 @@
 
 func drawJob(t *rapid.T) Job {
 	n := rapid.IntRange(0, 15).Draw(t, "job")
-	j := Job{ID: fmt.Sprintf("job-%06d", n), Team: []string{"red", "blue"}[n%2], Accepted: int64(n / 3), Rank: n % 2, Strict: n%5 == 0, Service: n%7 == 0,
+	j := Job{ID: fmt.Sprintf("job-%06d", n), Team: []string{"red", "blue"}[n%2], Accepted: int64(n / 3), Rank: n % 2, Strict: n%5 == 0, Service: n%7 == 0, Pressed: n%6 == 1,
 		Due: math.Inf(1), Estimate: float64(rapid.IntRange(1, 9).Draw(t, "estimate")),
 		Ask:  placement.Size{CPUs: float64(1 + n%3), MemGB: float64(1 + n%4)},
 		Rest: rapid.IntRange(1, 6).Draw(t, "rest")}
--- a/internal/step/admin.go
+++ b/internal/step/admin.go
@@ -83,3 +83,16 @@
 	Status         int
 	Report         wire.Report
 }
+
+type (
+	// AdminCrews asks for all crews and what is planned for them.
+	AdminCrews struct{ Req uint64 }
+	// AdminCrew adds or changes a crew, or takes it away.
+	AdminCrew struct {
+		Req    uint64
+		Name   string
+		Patch  *wire.CrewPatch // nil: cancel
+		Ver    uint64          // that was read, for a cancellation
+		DryRun bool
+	}
+)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -466,4 +466,24 @@
 	// one answer about the order; a body has 64 KiB.
 	LadderHistory = 20
 	OrderAnswer   = 500
+	// CrewEvery (duration): between plans of departures. CrewClock, CrewTakeover (duration) and
+	// CrewFailures (share): kept free before the hour: the bound of the times of day, a change of
+	// hands with all machines accounted for, work that is done again. CrewPress (duration):
+	// before the latest start, calendar work goes ahead of other routine work.
+	CrewEvery    = 1 * time.Second
+	CrewClock    = 1 * time.Second
+	CrewTakeover = 10 * time.Second
+	CrewFailures = 0.1
+	CrewPress    = 15 * time.Second
+	// CrewSettle (duration): after the hour, before what is still not done counts as missed by
+	// at least so much. CrewKeep (entries): of past departures and changes in a record.
+	CrewSettle = 10 * time.Minute
+	CrewKeep   = 20
+	// CrewsMost (crews): each costs a plan a second.
+	CrewsMost = 200
+	// BiasEvery (duration): between writes of how far estimates are off; BiasLeast (tasks): of a
+	// class, before it is written; BiasMoved (of the logarithm): by how much it has changed.
+	BiasEvery = 60 * time.Second
+	BiasLeast = 20
+	BiasMoved = 0.15
 )
