--- a/internal/calendar/hours.go
+++ b/internal/calendar/hours.go
@@ -24,7 +24,7 @@
 var name = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
 // first is a crew's first departure. An hour that a change of clocks leaves out is taken an
-// hour later, one that comes twice is the first of the two.
+// hour later, one that comes twice is, in a recurrence, the second of the two.
 func first(c *wire.Crew) (time.Time, error) {
 	at, err := time.LoadLocation(c.TimeZone)
 	if err != nil || c.TimeZone == "" || c.TimeZone == "Local" {
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -52,6 +52,7 @@
 // urgentSize is the largest urgent task a shard has seen lately.
 type urgentSize struct {
 	size placement.Size
+	rank int // of its rung
 	seen Time
 }
 
@@ -179,7 +180,7 @@
 			if u.size != s {
 				c.touchShard(i) // room is counted in tasks of this size
 			}
-			u.size = s
+			u.size, u.rank = s, e.rank
 		}
 		u.seen = c.now
 		c.urgent[i] = u
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -104,7 +104,7 @@
 			left -= placement.Beta(full, u) + 1
 		}
 	}
-	return wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left, Rung: c.ladder.Top()}, left > 0
+	return wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left, Rung: c.urgent[shard].rank}, left > 0 // joins what such a task asks for itself
 }
 
 // underLimit is how many more tasks of a size a team may start before its limit.
