--- a/internal/clearing/clearing.go
+++ b/internal/clearing/clearing.go
@@ -1,6 +1,5 @@
 // Package clearing chooses what work is stopped so that other work that goes before it
-// finds room: on the machine where the least time is lost, that of the work which gives way
-// and that of a fetch of the image together. Pure.
+// finds room: on the machine where the least running time is lost. Pure.
 package clearing
 
 import (
@@ -45,16 +44,16 @@
 
 // Choose finds the machine where the least is lost by making room for a task, takes that
 // room out of it and returns who is to be stopped there; ok false: there is none. Urgent
-// tasks have all victims stopped, others idle and unsent ones only. fetch is how long the task would wait
-// there for its image: a second of it weighs as much as one of lost running time.
-func Choose[M, T any](in []*Machine[M, T], size placement.Size, urgent bool, allowed func(M) bool, fetch func(M) time.Duration) (stop []Victim[T], ok bool) {
+// tasks have all victims stopped, others idle and unsent ones only. A fetch of the image is not weighed: it was
+// tried, and urgent tasks waited longer (docs/rounds.md).
+func Choose[M, T any](in []*Machine[M, T], size placement.Size, urgent bool, allowed func(M) bool) (stop []Victim[T], ok bool) {
 	var best *Machine[M, T]
 	n, loss := 0, time.Duration(math.MaxInt64)
 	for _, x := range in {
 		if !allowed(x.Handle) {
 			continue
 		}
-		f, lost, k := x.Free, fetch(x.Handle), 0
+		f, lost, k := x.Free, time.Duration(0), 0
 		for ; k < len(x.Victims) && !placement.Fits(f, size) && lost < loss && (urgent || x.Victims[k].Idle || x.Victims[k].Unsent); k++ {
 			f = f.Add(x.Victims[k].Size)
 			lost += x.Victims[k].Ran
@@ -63,7 +62,7 @@
 			best, n, loss = x, k, lost
 		}
 		if loss == 0 {
-			break // room that is free or being made, and its image there
+			break // room that is free or being made
 		}
 	}
 	if best == nil {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -85,7 +85,7 @@
 	kinds := c.kinds(e, zonesOf(e))
 	stop, ok := clearing.Choose(in, jobSize(&e.rec), e.prio >= urgentRank, func(m *machine) bool {
 		return kinds(ledger.Kind{Shard: m.shard, Type: m.typ, Zone: m.zone, Spot: m.spot}) && !c.avoids(e, m)
-	}, func(m *machine) time.Duration { return c.fetches(e, m) })
+	})
 	for _, v := range stop {
 		a := v.Handle
 		if v.Unsent { // never told to anybody, so nowhere
