--- /dev/null
+++ b/internal/core/crews_test.go
@@ -0,0 +1,193 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/calendar"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// hourIn is an hour that is at least so long from now, as crews' hours are written.
+func (w *world) hourIn(d time.Duration) time.Time {
+	return time.UnixMilli(1e12).Add(w.now + d + time.Minute - 1).UTC().Truncate(time.Minute)
+}
+
+func crewOf(leaves time.Time) wire.Crew {
+	return wire.Crew{Team: "red", Classes: []string{"door"}, Leaves: leaves.Format(calendar.Hour), TimeZone: "UTC"}
+}
+
+func (w *world) putCrew(node, name string, ver uint64, k wire.Crew) (status int) {
+	w.ask(node, func(q uint64) any {
+		return AdminCrew{Req: q, Name: name, Patch: &wire.CrewPatch{Version: ver, Crew: k}}
+	}, func(a Answer) { status = a.Status })
+	w.run(300 * time.Millisecond)
+	return status
+}
+
+func (w *world) crewRec(name string) (k wire.Crew, ver uint64) {
+	it := w.key(wire.PrefixCrew + name)
+	_ = wire.Unmarshal(it.Value, &k)
+	return k, it.Version
+}
+
+// Scans come a minute or two before a crew leaves, among work of their own team that is due sooner and
+// fills every place. With the crew in the calendar they are done by the hour, whoever ends
+// meanwhile; without it hardly any is.
+func TestScansBeforeTheCrewLeaves(t *testing.T) {
+	done := func(crew bool, ends func(w *world) []string) (n int) {
+		w := crowded(t, 110)
+		leaves := w.hourIn(100 * sec)
+		if crew {
+			if s := w.putCrew("c1", "early", 0, crewOf(leaves)); s != 200 {
+				t.Fatalf("added: %d", s)
+			}
+		}
+		until := leaves.Sub(time.UnixMilli(1e12)) - w.now
+		for i := range 40 { // due sooner, and more than there is room for
+			s := spec(fmt.Sprintf("job-8%05d", i), "red", wire.ShapeBatch, 16)
+			s.DueS = ptr(60.0)
+			w.at(time.Duration(i)*2*sec, func() { w.submit(s) })
+		}
+		for i := range 6 {
+			s := spec(fmt.Sprintf("job-7%05d", i), "red", wire.ShapeBatch, 6)
+			s.Class, s.DueS, s.EstimateS = ptr("door"), nil, ptr(3.0) // its tasks run up to three times as long
+			w.at(30*sec, func() { w.submit(s) })
+		}
+		for k := range 4 {
+			w.at(until*time.Duration(k+1)/5, func() { w.bounce(400*time.Millisecond, ends(w)...) })
+		}
+		w.run(until)
+		for i := range 6 {
+			if w.check.DoneTasks(fmt.Sprintf("job-7%05d", i)) == 6 {
+				n++
+			}
+		}
+		if !crew {
+			return n
+		}
+		w.run(60 * sec)
+		k, _ := w.crewRec("early")
+		if len(k.Past) != 1 || k.Past[0].Met > 6 || k.Past[0].LateS > 0 && n == 6 {
+			t.Errorf("outcome %+v, %d of 6 done", k.Past, n)
+		}
+		return n
+	}
+	nobody := func(*world) []string { return nil }
+	without := done(false, nobody)
+	for name, ends := range map[string]func(w *world) []string{
+		"nobody": nobody,
+		"holder": func(w *world) []string { return []string{w.shardRec("red").Holder} },
+		"all":    func(w *world) []string { return sortedKeys(w.nodes) },
+	} {
+		if n := done(true, ends); n < 6 || without > 2 {
+			t.Errorf("%s ends: %d of 6 jobs done by the hour, %d without the calendar", name, n, without)
+		}
+	}
+}
+
+// Machines are rented ahead once, whoever leads and ends at whatever moment of it, and kept
+// until the hour.
+func TestRentedAheadOnce(t *testing.T) {
+	for _, after := range []time.Duration{-1, 0, 5 * time.Millisecond, 10 * time.Millisecond, 15 * time.Millisecond, 25 * time.Millisecond, 60 * time.Millisecond} {
+		w := newWorld(t, 111, 3)
+		w.run(10 * sec)
+		k := crewOf(w.hourIn(100 * sec))
+		k.Expect = wire.CrewWork{Tasks: 16, Seconds: 20, CPUs: 1, MemoryGB: 2}
+		if s := w.putCrew("c0", "early", 0, k); s != 200 {
+			t.Fatalf("added: %d", s)
+		}
+		for range 200 * 100 {
+			if w.run(10 * time.Millisecond); len(w.booked("early")) > 0 {
+				break
+			}
+		}
+		if after >= 0 { // the names stand in the record; what comes of them is open
+			w.run(after)
+			w.bounce(300*time.Millisecond, w.leaderNode())
+		}
+		w.run(12 * sec)
+		b := w.booked("early")
+		if len(b) != 1 || b[0].Count != 2 || !b[0].Done {
+			t.Fatalf("ended after %v: booked %+v", after, b)
+		}
+		up := 0
+		for _, n := range w.order {
+			if m := w.machines[n]; !m.gone {
+				up++
+			}
+		}
+		if up != 2 {
+			t.Errorf("ended after %v: %d machines for a booking of 2", after, up)
+		}
+		w.run(90 * sec)
+		if left := w.hourIn(0); !w.machines[w.order[0]].gone && time.UnixMilli(b[0].LeavesMS).Before(left.Add(-2*time.Minute)) {
+			t.Error("a machine rented ahead is kept after the hour")
+		}
+	}
+}
+
+func (w *world) booked(name string) []wire.CrewBooking { k, _ := w.crewRec(name); return k.Booked }
+
+// Controllers that know the same plan the same; a departure moved earlier counts at once; of
+// two operators one reads again; what is wrong is refused and changes nothing.
+func TestCrewsAreOneCalendar(t *testing.T) {
+	w := crowded(t, 112)
+	leaves := w.hourIn(3600 * sec)
+	if s := w.putCrew("c0", "early", 0, crewOf(leaves)); s != 200 {
+		t.Fatalf("added: %d", s)
+	}
+	for i := range 8 {
+		s := spec(fmt.Sprintf("job-7%05d", i), "red", wire.ShapeBatch, 30)
+		s.Class, s.DueS = ptr("door"), nil
+		w.submit(s)
+	}
+	w.run(5 * sec)
+	plans := func() map[string]wire.CrewPlan {
+		out := map[string]wire.CrewPlan{}
+		for _, n := range sortedKeys(w.nodes) {
+			w.ask(n, func(q uint64) any { return AdminCrews{Req: q} }, func(a Answer) {
+				if l, ok := a.Body.([]wire.CrewView); ok && len(l) == 1 {
+					out[n] = l[0].Plan
+				}
+			})
+		}
+		return out
+	}
+	p := plans()
+	if len(p) != 3 || p["c0"].LeavesMS != leaves.UnixMilli() || p["c0"].LeavesMS != p["c1"].LeavesMS || p["c1"].Version != p["c2"].Version || p["c0"].Jobs != p["c2"].Jobs || p["c0"].Pressed {
+		t.Errorf("plans %+v", p)
+	}
+	k, ver := w.crewRec("early")
+	k.Leaves = w.hourIn(30 * sec).Format(calendar.Hour)
+	w.at(time.Millisecond, func() { w.bounce(300*time.Millisecond, w.shardRec("red").Holder) })
+	statuses := map[int]int{}
+	for _, n := range sortedKeys(w.nodes) {
+		w.ask(n, func(q uint64) any {
+			return AdminCrew{Req: q, Name: "early", Patch: &wire.CrewPatch{Version: ver, Crew: k}}
+		}, func(a Answer) { statuses[a.Status]++ })
+	}
+	w.run(6 * sec)
+	if now, v := w.crewRec("early"); now.Leaves != k.Leaves || v == ver || statuses[200] > 1 || len(now.History) != 2 {
+		t.Errorf("three operators at once: %v, record %+v", statuses, now)
+	}
+	if q := plans()["c1"]; !q.Pressed || q.Miss == 0 || q.Say == "" {
+		t.Errorf("an hour earlier, with 240 tasks to do: %+v", q)
+	}
+	_, ver = w.crewRec("early")
+	bad := k
+	bad.Team = "mauve"
+	if s := w.putCrew("c2", "early", ver, bad); s != 400 {
+		t.Errorf("an unknown team: %d", s)
+	}
+	if _, v := w.crewRec("early"); v < ver {
+		t.Error("a refused change has changed the record")
+	}
+	w.ask("c1", func(q uint64) any { return AdminCrew{Req: q, Name: "nobody"} }, func(a Answer) {
+		if a.Status != 404 {
+			t.Errorf("cancel of nobody: %d", a.Status)
+		}
+	})
+	w.run(sec)
+}
