--- a/internal/calendar/hours.go
+++ b/internal/calendar/hours.go
@@ -18,8 +18,11 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// Hour is how a crew's departure is written.
-const Hour = "2006-01-02T15:04"
+// Hour is how a crew's departure is written; Second if it is to be told to the second.
+const (
+	Hour   = "2006-01-02T15:04"
+	Second = Hour + ":05"
+)
 
 var name = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
@@ -31,6 +34,9 @@
 		return time.Time{}, fmt.Errorf("time_zone: %q is not known; a name like Europe/Copenhagen", c.TimeZone)
 	}
 	t, err := time.ParseInLocation(Hour, c.Leaves, at)
+	if err != nil {
+		t, err = time.ParseInLocation(Second, c.Leaves, at)
+	}
 	if err != nil {
 		return time.Time{}, fmt.Errorf("leaves: must be like 2026-12-03T06:30, got %q", c.Leaves)
 	}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/calendar"
 	"github.com/barrowbridge/barrowbridge/internal/cborhttp"
 	"github.com/barrowbridge/barrowbridge/internal/checker"
 	"github.com/barrowbridge/barrowbridge/internal/load"
@@ -185,9 +186,22 @@
 // known holds the identities of the processes that run.
 var known sync.Map
 
+// putCrews fills the calendar.
+func (r *rehearsal) putCrews(ctx context.Context) {
+	for _, c := range r.sc.Crews {
+		k := wire.Crew{Team: c.Team, Classes: c.Classes, TimeZone: "UTC", Leaves: time.Now().Add(seconds(c.LeavesS)).UTC().Format(calendar.Second),
+			Expect: wire.CrewWork{Tasks: c.Tasks, Seconds: c.RunS, CPUs: c.CPUs}}
+		_, _, err := cborhttp.RoundTrip(ctx, r.http, http.MethodPut, fmt.Sprintf("http://%s/admin/v1/crews/%s", r.site.Direct(r.site.Names()[0]), c.Name), wire.CrewPatch{Crew: k})
+		if err != nil {
+			r.note(Entry{What: "crew", Scenario: r.sc.Name, Seed: r.seed, Detail: err.Error()})
+		}
+	}
+}
+
 // direct carries the scenario out.
 func (r *rehearsal) direct(ctx context.Context) {
 	r.zero = r.site.Now()
+	r.putCrews(ctx)
 	d := NewDirector(r.sc)
 	t := time.NewTicker(pulse)
 	defer t.Stop()
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -34,6 +34,7 @@
 	Fleet  Fleet    `toml:"fleet"`
 	Teams  []Team   `toml:"teams"`
 	Jobs   []Job    `toml:"jobs"`
+	Crews  []Crew   `toml:"crews"`
 	Faults []Fault  `toml:"faults"`
 	Expect []Expect `toml:"expect"`
 }
@@ -87,6 +88,17 @@
 	AfterS   float64 `toml:"after_s"`
 }
 
+// Crew is put into the calendar as the rehearsal begins.
+type Crew struct {
+	Name    string   `toml:"name"`
+	Team    string   `toml:"team"`
+	Classes []string `toml:"classes"`
+	LeavesS float64  `toml:"leaves_s"` // after the beginning
+	Tasks   int      `toml:"expect_tasks"`
+	RunS    float64  `toml:"expect_run_s"`
+	CPUs    float64  `toml:"expect_cpus"`
+}
+
 // Fault is staged at a time, or so long after a condition holds. Conditions:
 // "running JOB", "done JOB N" (tasks), "noticed N" and "step N STEP" (of the Nth
 // fault), "lifted N".
@@ -285,6 +297,14 @@
 			return err
 		}
 	}
+	for i, c := range s.Crews {
+		if !teams[c.Team] {
+			return &problem{fmt.Sprintf("crews[%d].team", i), fmt.Sprintf("%q is no team of the scenario", c.Team)}
+		}
+		if err := within(fmt.Sprintf("crews[%d].leaves_s", i), c.LeavesS, 1, s.MostS); err != nil {
+			return err
+		}
+	}
 	for i := range s.Faults {
 		if err := s.checkFault(i, ids); err != nil {
 			return err
