--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -72,7 +72,6 @@
 	lastOK                 Time // when our last 200 left
 	addr                   string
 	seenToken              uint64 // the highest its worker has named
-	born                   bool   // rented while we held its shard: its first report is no copy of an earlier one
 	proven                 bool   // has shown what only we can have told it
 	trusted                int    // answers given on reports that prove nothing
 	trustedAt              Time
@@ -320,7 +319,7 @@
 		delete(c.prevDead, i)
 		for _, id := range c.blockIDs() {
 			if b := c.blocks[id]; b.rec.Shard == i {
-				c.holdBlock(b, !b.rec.Idle, false)
+				c.holdBlock(b, !b.rec.Idle)
 			}
 		}
 		c.runs.Import(c.biases[biasKey(i)].Classes)
@@ -367,7 +366,7 @@
 	if b != nil && c.mine(b.rec.Shard) {
 		// Gained while holding: rented just now, or promised empty by another
 		// shard. Nothing of ours can be on it.
-		c.holdBlock(b, false, true)
+		c.holdBlock(b, false)
 		for _, bm := range b.rec.Machines {
 			now[bm.Name] = true
 		}
@@ -394,14 +393,13 @@
 	}
 }
 
-// holdBlock takes up a block's machines: inherited, or gained while its shard was held.
-func (c *Core) holdBlock(b *blockEntry, inherited, gained bool) {
+func (c *Core) holdBlock(b *blockEntry, inherited bool) {
 	for _, bm := range b.rec.Machines {
 		m := c.machines[bm.Name]
 		if m == nil {
 			m = &machine{name: bm.Name, block: b.id, typ: b.rec.Type, zone: b.rec.Zone, spot: b.rec.Spot,
 				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty && (!bm.Fresh || c.everUsed(bm.Name)),
-				born: gained && bm.Fresh, attempts: map[attemptKey]*attempt{}, images: map[string]bool{},
+				attempts: map[attemptKey]*attempt{}, images: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
 			for _, image := range c.cached[bm.Name] {
 				m.images[image] = true
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -75,9 +75,11 @@
 
 // proves tells whether a report is known to be no late copy. Who has held a machine since it
 // was rented knows its reports by their numbers. Who has taken it over knows none: there a
-// report proves itself by naming a token that was given after that.
+// report proves itself by naming a token that was given after that. A machine on which nothing
+// can be from before needs no proof: a copy makes it look up for two reports' time. To ask
+// for one there kept blocks that had just moved from use for a report each.
 func (c *Core) proves(m *machine, r *wire.Report) bool {
-	m.proven = m.proven || m.born || r.Token >= m.takenToken
+	m.proven = m.proven || !m.inherited || r.Token >= m.takenToken
 	return m.proven
 }
 
