--- a/wire/records.go
+++ b/wire/records.go
@@ -15,6 +15,9 @@
 	PrefixCache = "live/cache/"
 	PrefixStart = "live/start/"
 	PrefixFinal = "final/"
+	// PrefixWaiting holds jobs that wait for others. They move to PrefixJob once all of those
+	// are done, or to PrefixFinal.
+	PrefixWaiting = "live/wait/"
 )
 
 // Job is an accepted job as stored: the user's words plus progress.
@@ -51,6 +54,11 @@
 	On []string `cbor:"on,omitempty"`
 	// Done holds half-open ranges [from, to) of completed tasks, in order.
 	Done [][2]int `cbor:"done,omitempty"`
+	// Predecessors are jobs that have to be done before any task of this one starts. A job that
+	// waits for them stands under PrefixWaiting; under PrefixJob they all are done.
+	Predecessors []string `cbor:"awaits,omitempty"`
+	// ReadyMS is when the last predecessor was known to be done (ms, time of day); 0: there are none.
+	ReadyMS int64 `cbor:"ready,omitempty"`
 }
 
 // Starts is what has been written of the starts of many jobs, by job, and of machines that
--- a/wire/user.go
+++ b/wire/user.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 )
 
 // Shapes of a job.
@@ -49,6 +50,8 @@
 	CheckpointEvery *float64 `cbor:"snapshot_every_s"`
 	SaveS           *float64 `cbor:"snapshot_s"`
 	DueS            *float64 `cbor:"due_s"`
+	// Predecessors are jobs that have to be done before any task of this one starts.
+	Predecessors []string `cbor:"awaits"`
 }
 
 var jobID = regexp.MustCompile(`^job-[0-9]{1,18}$`)
@@ -159,6 +162,14 @@
 			return j, err
 		}
 	}
+	for _, id := range s.Predecessors {
+		if !ValidJobID(id) {
+			return j, fmt.Errorf("awaits: must look like job-000412")
+		}
+		if !slices.Contains(j.Predecessors, id) {
+			j.Predecessors = append(j.Predecessors, id)
+		}
+	}
 	return j, nil
 }
 
