--- a/internal/core/meeting_chains_test.go
+++ b/internal/core/meeting_chains_test.go
@@ -142,6 +142,11 @@
 		return out
 	}
 	before := look()
+	for id, got := range w.whole(ids[1:]) {
+		if !slices.Equal(got, []string{wire.JobQueued}) {
+			t.Errorf("%s: %v, want queued at all nodes", id, got)
+		}
+	}
 	w.bounce(3*sec, sortedKeys(w.nodes)...)
 	w.run(20 * sec)
 	if after := look(); !slices.Equal(before, after) {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -174,7 +174,7 @@
 			case known:
 				c.answer(v.Req, 200, finalStatus(v.ID, f))
 			case r.Status == 200 && e == nil && !c.loading && c.waitsForOthers(v.ID):
-				c.judgeWaiting(v.ID, found{job: &wire.Job{ID: v.ID, Tasks: 1}}, true, func(at found) { c.answerFound(v.Req, v.ID, at) })
+				c.judgeWaiting(v.ID, found{job: &wire.Job{ID: v.ID, Tasks: 1}, ok: true}, true, func(at found) { c.answerFound(v.Req, v.ID, at) })
 			case r.Status == 410 || r.Status == 200 && (e == nil || c.loading):
 				c.readFor(v) // ended, never accepted, or the mirror is being read anew
 			case r.Status == 200:
