--- a/internal/core/meeting_late_test.go
+++ b/internal/core/meeting_late_test.go
@@ -48,6 +48,8 @@
 		return "leader"
 	case of(wire.PrefixNode):
 		return "presence"
+	case of(wire.PrefixVersion):
+		return "version"
 	case of(wire.PrefixReach):
 		return "reach"
 	case of(wire.PrefixWant):
@@ -132,7 +134,7 @@
 // is, and what is told of reach and wants is what was told last.
 func TestWritesExecutedLate(t *testing.T) {
 	kinds := []string{"acceptance", "abort", "end", "progress", "starts slot", "block formed", "machines out of blocks, or a block moved",
-		"block marked", "shard given", "shard retaken or settled", "leader", "presence", "reach", "wants", "types", "images", "trail", "cordon", ""}
+		"block marked", "shard given", "shard retaken or settled", "leader", "presence", "version", "reach", "wants", "types", "images", "trail", "cordon", ""}
 	for _, kind := range kinds {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
