What is written as done stays: further records beside a job's own

Cause: addProgress left out a quarter of a job's done ranges, again and again, until the record fitted a value. Tasks that had been written as done, and cleared from their workers, were among them; whoever took the job over started them again.

Change: a job's own record is never given fewer ranges than it has. What does not fit stands in records live/done/JOB/N, one bit for each of 2,048 tasks, written under comparison with shard, job and themselves, and removed by the leader once the job is over.

--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -8,7 +8,6 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
-	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -150,7 +149,7 @@
 	if owes {
 		c.owed[e] = true
 	}
-	if !ended && run.done.Count() > ranges.Count(j.Done) {
+	if !ended && run.done.Count() > c.durable(e).Count() {
 		c.behind[e] = true
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/hold"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/progress"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
@@ -36,6 +37,8 @@
 	Aims                  aims.Aims
 	TxnOps                int
 	ValueBytes            int
+	// Understood: every controller is known to understand what this version has added.
+	Understood bool
 }
 
 // Team is a team's guarantee and limit; +Inf: no limit.
@@ -108,7 +111,7 @@
 	c.trail = trail.New(trail.Limits{Events: tuning.TrailEvents, Bytes: min(tuning.TrailBytes, p.ValueBytes/2), Every: tuning.TrailEvery})
 	c.mirror = newMirror()
 	c.holder = newHolder()
-	c.started, c.boots = newStarts(p), newBoots()
+	c.started, c.boots, c.progress = newStarts(p), newBoots(), progress.New(tuning.DoneSpan)
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -86,20 +86,6 @@
 	}
 }
 
-// addProgress adds a job's progress as it stands now. Its starts are written apart.
-func (b *batch) addProgress(e *jobEntry) {
-	rec := e.rec
-	rec.Done = e.run.done.Clone()
-	raw, err := wire.Marshal(rec)
-	for err == nil && len(rec.Done) > 0 && !wire.FitsIn(raw, b.c.p.ValueBytes) {
-		// Too scattered to keep: what is left out would only run again.
-		rec.Done = rec.Done[:len(rec.Done)*3/4]
-		raw, err = wire.Marshal(rec)
-	}
-	b.bytes += len(raw)
-	b.addJob(e, wire.Change{Put: jobKey(rec.ID), Value: rec})
-}
-
 // send commits the batch, if there is anything in it. busy is set meanwhile; a
 // duty whose write failed pauses; written is called after one that did not, with its revision.
 func (b *batch) send(lane int, busy *bool, duty string, written func(rev uint64)) {
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -161,10 +161,10 @@
 	}
 	fresh := e.run == nil
 	if fresh {
-		e.run = &jobRun{since: c.now, active: map[int]*attempt{}, next: e.rec.Started, done: ranges.Set(e.rec.Done).Clone()}
+		e.run = &jobRun{since: c.now, active: map[int]*attempt{}, next: e.rec.Started, done: c.known(e).Clone()}
 		if e.rec.Started > 0 {
 			e.run.held = e.rec.Started
-			if s, _ := c.started.Of(e.rec.ID); s.Bad && len(e.rec.Done) == 0 {
+			if s, _ := c.started.Of(e.rec.ID); s.Bad && len(e.run.done) == 0 {
 				// Otherwise a whole array that fails everywhere starts anew with each takeover.
 				c.health.Condemn(c.now, e.rec.ID)
 				e.run.notYet = c.health.NotBefore(e.rec.ID)
@@ -196,7 +196,7 @@
 		c.awaitOn(e)
 		c.noteHeld(e, i)
 	}
-	e.run.done = e.run.done.Union(e.rec.Done)
+	e.run.done = e.run.done.Union(c.known(e))
 }
 
 // jobGone is called when a job has left the live keys: done or aborted. What
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -33,6 +33,7 @@
 	backoff    time.Duration
 	cloudAt    Time
 	typing     bool
+	tidying    bool
 	unsure     bool   // a write that forms blocks got no answer, and may be executed yet
 	fence      uint64 // the mirror must have reached this before blocks are formed
 	nodeUp     map[string]Time
@@ -96,6 +97,7 @@
 	c.adopt()
 	c.rentAhead()
 	c.serveWants()
+	c.tidyDone()
 }
 
 func (c *Core) leaderCond() wire.Condition {
--- a/internal/core/meeting_late_test.go
+++ b/internal/core/meeting_late_test.go
@@ -28,8 +28,10 @@
 			return "abort"
 		}
 		return "end"
-	case of(wire.PrefixJob):
+	case of(wire.PrefixJob), of(wire.PrefixDone) && ch.Put != "":
 		return "progress"
+	case of(wire.PrefixDone):
+		return "done tasks of jobs that are over"
 	case of(wire.PrefixStart):
 		return "starts slot"
 	case of(wire.PrefixBlock) && made:
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -9,6 +9,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/boot"
 	"github.com/barrowbridge/barrowbridge/internal/ladder"
 	records "github.com/barrowbridge/barrowbridge/internal/mirror"
+	"github.com/barrowbridge/barrowbridge/internal/progress"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -29,6 +30,7 @@
 	ladder   *ladder.Ladder
 	rungs    wire.Ladder // the record that it was read from
 	started  *starts.Book
+	progress *progress.Book
 	boots    *boot.Book
 	crews    map[string]*crewEntry
 	biases   map[string]wire.Bias // by key
@@ -294,6 +296,15 @@
 				fail(err)
 			}
 		}
+	case strings.HasPrefix(key, wire.PrefixDone):
+		var r wire.Done
+		if read(&r) {
+			if id, err := c.progress.Put(key, ver, r); err != nil {
+				fail(err)
+			} else if e := c.jobs[id]; e != nil {
+				c.jobSeen(e)
+			}
+		}
 	case strings.HasPrefix(key, wire.PrefixWant):
 		var r wire.Want
 		i, err := strconv.Atoi(key[len(wire.PrefixWant):])
@@ -383,6 +394,8 @@
 			c.listJob(e, false)
 			c.jobGone(e)
 		}
+	case strings.HasPrefix(key, wire.PrefixDone):
+		c.progress.Remove(key)
 	case strings.HasPrefix(key, wire.PrefixWant):
 		if i, err := strconv.Atoi(key[len(wire.PrefixWant):]); err == nil {
 			delete(c.wants, i)
--- /dev/null
+++ b/internal/core/progressing.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"github.com/barrowbridge/barrowbridge/internal/ranges"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// doneRecords is the feature that tells of done tasks beside a job's own record.
+const doneRecords = "done-records"
+
+// understood tells whether every controller understands what a feature writes.
+func (c *Core) understood(string) bool { return c.p.Understood }
+
+// known is which of a job's tasks stand as done in the state, as far as this version reads it.
+func (c *Core) known(e *jobEntry) ranges.Set {
+	return ranges.Set(e.rec.Done).Union(c.progress.Of(e.rec.ID))
+}
+
+// durable is which of a job's tasks whoever takes it over knows as done.
+func (c *Core) durable(e *jobEntry) ranges.Set {
+	if !c.understood(doneRecords) {
+		return e.rec.Done
+	}
+	return c.known(e)
+}
+
+// addProgress adds a job's progress as it stands now. Its starts are written apart. What has
+// been written before stays: the tasks are cleared from their workers, and whoever took the
+// job over would start them again.
+func (b *batch) addProgress(e *jobEntry) {
+	c, rec, further := b.c, e.rec, b.max-len(b.then)
+	if !c.understood(doneRecords) {
+		further = 0
+	}
+	p := c.progress.Plan(rec.ID, rec.Done, e.run.done, func(done ranges.Set) bool {
+		rec.Done = done
+		raw, err := wire.Marshal(rec)
+		return err == nil && wire.FitsIn(raw, c.p.ValueBytes)
+	}, further)
+	var changes []wire.Change
+	if rec.Done = p.Record.Clone(); p.Put {
+		changes = append(changes, wire.Change{Put: jobKey(rec.ID), Value: rec})
+		raw, _ := wire.Marshal(rec)
+		b.bytes += len(raw)
+	}
+	for _, x := range p.Parts {
+		b.when = append(b.when, wire.Condition{Key: x.Key, Version: x.Ver})
+		changes = append(changes, wire.Change{Put: x.Key, Value: x.Record})
+	}
+	if len(changes) > 0 {
+		b.addJob(e, changes...)
+	}
+}
+
+// tidyDone removes what tells of done tasks of a job that is over: its own record is gone for
+// good, which the write compares.
+func (c *Core) tidyDone() {
+	if c.leader.tidying || !c.every("tidyDone", tuning.TidyEvery) {
+		return
+	}
+	id, keys := c.progress.Over(func(id string) bool { return c.jobs[id] != nil }, c.p.TxnOps/2)
+	if id == "" {
+		return
+	}
+	var then []wire.Change
+	for _, k := range keys {
+		then = append(then, wire.Change{Delete: k})
+	}
+	c.leader.tidying = true
+	c.commit(LaneLater, []wire.Condition{c.leaderCond(), {Key: jobKey(id)}}, then, func(StateReply) { c.leader.tidying = false })
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -377,7 +376,7 @@
 		switch {
 		case a.status == wire.TaskEnded:
 			// Cleared only once the outcome is written, or has no bearing.
-			if !live || a.cause != wire.CauseDone || ranges.Set(e.rec.Done).Has(a.idx) {
+			if !live || a.cause != wire.CauseDone || c.durable(e).Has(a.idx) {
 				cmds = append(cmds, wire.Command{Verb: wire.VerbClear, Task: k.task, Attempt: k.try})
 			}
 		case !live || a.stop:
--- /dev/null
+++ b/internal/progress/progress_test.go
@@ -0,0 +1,98 @@
+package progress
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/barrowbridge/barrowbridge/internal/ranges"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Whatever tasks end, however little room there is and wherever a write is lost: a book that
+// reads the records knows all that was ever written, and in the end all that is done.
+func TestNothingWrittenIsTakenBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span, tasks, id = 64, 500, "job-000001"
+		stored, ver := map[string]wire.Done{}, map[string]uint64{}
+		var record, done, written ranges.Set
+		rev := uint64(0)
+		read := func() (*Book, ranges.Set) {
+			b := New(span)
+			for k, r := range stored {
+				if got, err := b.Put(k, ver[k], r); err != nil || got != id {
+					t.Fatalf("%s: %s, %v", k, got, err)
+				}
+			}
+			return b, record.Union(b.Of(id))
+		}
+		write := func(room, most int, lost bool) {
+			b, _ := read()
+			fits := func(s ranges.Set) bool { return len(s) <= room }
+			p := b.Plan(id, record, done, fits, most)
+			if n := len(p.Parts); n > most || p.Put && n > max(0, most-1) {
+				t.Fatalf("%d further records beside %v, %d changes at the most", n, p.Put, most)
+			}
+			if lost {
+				return
+			}
+			rev++
+			if p.Put {
+				if !fits(p.Record) {
+					t.Fatalf("%d ranges, room for %d", len(p.Record), room)
+				}
+				record = p.Record.Clone()
+			}
+			for _, x := range p.Parts {
+				if x.Ver != ver[x.Key] {
+					t.Fatalf("%s compared with %d, it is %d", x.Key, x.Ver, ver[x.Key])
+				}
+				stored[x.Key], ver[x.Key] = x.Record, rev
+			}
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "writes") {
+			for range rapid.IntRange(0, 30).Draw(t, "ends") {
+				done = done.Add(rapid.IntRange(0, tasks-1).Draw(t, "task"))
+			}
+			// The limit may be lowered, and further records be understood only later.
+			write(rapid.SampledFrom([]int{2, 5, 40}).Draw(t, "room"), rapid.IntRange(0, 3).Draw(t, "most"), rapid.IntRange(0, 3).Draw(t, "fate") == 0)
+			_, now := read()
+			if lost := written.Minus(now); len(lost) > 0 {
+				t.Fatalf("taken back: %v", lost)
+			}
+			if never := now.Minus(done); len(never) > 0 {
+				t.Fatalf("not done: %v", never)
+			}
+			written = now
+		}
+		for range 20 {
+			write(3, 2, false)
+		}
+		if _, now := read(); len(done.Minus(now)) > 0 {
+			t.Fatalf("never written: %v", done.Minus(now))
+		}
+	})
+}
+
+// Records of jobs that are over are found, a few at a time.
+func TestRecordsOfJobsThatAreOver(t *testing.T) {
+	b := New(64)
+	for _, k := range []string{Key("job-000002", 0), Key("job-000001", 1), Key("job-000001", 0), Key("job-000003", 0)} {
+		if _, err := b.Put(k, 1, wire.Done{Bits: []uint32{5}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	live := func(id string) bool { return id == "job-000003" }
+	if id, keys := b.Over(live, 1); id != "job-000001" || len(keys) != 1 || keys[0] != Key("job-000001", 0) {
+		t.Fatalf("%s: %v", id, keys)
+	}
+	b.Remove(Key("job-000001", 0))
+	b.Remove(Key("job-000001", 1))
+	b.Remove(Key("job-000002", 0))
+	if id, _ := b.Over(live, 9); id != "" || b.Of("job-000001") != nil || !b.Of("job-000003").Has(2) {
+		t.Fatalf("%q, %v", id, b.Of("job-000003"))
+	}
+	if _, err := b.Put(wire.PrefixDone+"job-000001", 1, wire.Done{}); err == nil {
+		t.Fatal("a key without a number was taken")
+	}
+}
--- a/internal/ranges/ranges.go
+++ b/internal/ranges/ranges.go
@@ -80,6 +80,27 @@
 	return out
 }
 
+// Minus returns what is in the set and not in another.
+func (r Set) Minus(o Set) Set {
+	if len(o) == 0 {
+		return r
+	}
+	var out Set
+	for _, x := range r {
+		from := x[0]
+		for k := sort.Search(len(o), func(k int) bool { return o[k][1] > from }); k < len(o) && o[k][0] < x[1]; k++ {
+			if o[k][0] > from {
+				out = append(out, [2]int{from, o[k][0]})
+			}
+			from = max(from, o[k][1])
+		}
+		if from < x[1] {
+			out = append(out, [2]int{from, x[1]})
+		}
+	}
+	return out
+}
+
 // Below counts the indexes of the set under a bound.
 func (r Set) Below(bound int) int {
 	n := 0
--- a/internal/ranges/ranges_test.go
+++ b/internal/ranges/ranges_test.go
@@ -21,6 +21,12 @@
 		for k := range more {
 			in[k] = true
 		}
+		less := a.Minus(b)
+		for k := range 32 {
+			if less.Has(k) != (in[k] && !more[k]) {
+				t.Fatalf("%v without %v is %v", a, b, less)
+			}
+		}
 		u, bound := a.Union(b), rapid.IntRange(0, 32).Draw(t, "bound")
 		n := 0
 		for k := range 32 {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -39,6 +39,12 @@
 	// LazyFlush (duration): completed tasks of a job may wait this long to be
 	// written together; nothing is lost meanwhile since workers keep reporting them.
 	LazyFlush = 10 * time.Second
+	// DoneSpan (tasks): how many each further record of a job's progress tells of. Its 64 words
+	// take at most 0.8 KiB in JSON form, which fits any value limit that fits a job.
+	DoneSpan = 2048
+	// TidyEvery (duration): between removals of what tells of jobs that are over; nothing waits
+	// for it.
+	TidyEvery = 2 * time.Second
 	// LaterEvery (duration): between writes of progress and of marks on blocks.
 	LaterEvery = 200 * time.Millisecond
 	// TxnBytes (bytes): a transaction is closed at this size; the state service
--- a/wire/records.go
+++ b/wire/records.go
@@ -14,6 +14,7 @@
 	PrefixJob   = "live/job/"
 	PrefixCache = "live/cache/"
 	PrefixStart = "live/start/"
+	PrefixDone  = "live/done/"
 	PrefixFinal = "final/"
 )
 
@@ -49,10 +50,18 @@
 	// On names, for a job of few tasks, the machine that each task's last start was
 	// written for, before it was made: the task may be there and nowhere else.
 	On []string `cbor:"on,omitempty"`
-	// Done holds half-open ranges [from, to) of completed tasks, in order.
+	// Done holds half-open ranges [from, to) of completed tasks, in order, as far as there is
+	// room; records under PrefixDone say the rest.
 	Done [][2]int `cbor:"done,omitempty"`
 }
 
+// Done says which tasks of a job are done beside those that its own record names: bit k%32 of
+// word k/32 stands for task From+k. It stands until the job is over.
+type Done struct {
+	From int      `cbor:"from"`
+	Bits []uint32 `cbor:"bits"`
+}
+
 // Starts is what has been written of the starts of many jobs, by job, and of machines that
 // are no longer fresh, by "m:" and their name. The entry of a name with the largest N
 // counts, in whichever slot it stands; beside it what the job's own record says.
