--- a/internal/core/chains.go
+++ b/internal/core/chains.go
@@ -4,13 +4,11 @@
 	"slices"
 
 	"github.com/barrowbridge/barrowbridge/internal/dependency"
+	"github.com/barrowbridge/barrowbridge/internal/rollout"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// chains is the feature without which no job is accepted that waits for others.
-const chains = "chains"
-
 // chaining is what is known of jobs that wait for others (package dependency).
 type chaining struct {
 	chain     *dependency.Graph
@@ -263,7 +261,7 @@
 	refuse := func(status int, why string) {
 		known(func() { c.answer(req, status, wire.Problem{Error: why}) })
 	}
-	if !c.understood(chains) {
+	if !c.understood(rollout.Chains) {
 		refuse(503, "awaits: not before all controllers understand it")
 		return
 	}
@@ -327,6 +325,3 @@
 		c.accept(req, &job, wire.Change{Put: waitingKey(id), Value: job}, status, known)
 	}
 }
-
-// understood is to ask whether all controllers understand a feature.
-func (c *Core) understood(string) bool { return true }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/hold"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/progress"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
 	"github.com/barrowbridge/barrowbridge/internal/rollout"
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
@@ -114,7 +115,7 @@
 	c.mirror = newMirror()
 	c.rollout = rollout.New(rollout.Features(), sortedKeys(p.Nodes), c.nodes)
 	c.holder = newHolder()
-	c.started, c.boots = newStarts(p), newBoots()
+	c.started, c.boots, c.progress = newStarts(p), newBoots(), progress.New(tuning.DoneSpan)
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
--- a/internal/core/meeting_late_test.go
+++ b/internal/core/meeting_late_test.go
@@ -21,15 +21,19 @@
 	of := func(prefix string) bool { return strings.HasPrefix(key, prefix) }
 	made := slices.Contains(v.Txn.If, wire.Condition{Key: key}) // it must not stand there
 	switch {
-	case of(wire.PrefixJob) && made:
+	case of(wire.PrefixJob) && made, of(wire.PrefixWaiting) && made:
 		return "acceptance"
+	case of(wire.PrefixWaiting):
+		return "dependents moved on"
 	case of(wire.PrefixJob) && ch.Delete != "":
 		if f, ok := v.Txn.Then[1].Value.(wire.Final); ok && f.Status == wire.JobAborted {
 			return "abort"
 		}
 		return "end"
-	case of(wire.PrefixJob):
+	case of(wire.PrefixJob), of(wire.PrefixDone) && ch.Put != "":
 		return "progress"
+	case of(wire.PrefixDone):
+		return "done tasks of jobs that are over"
 	case of(wire.PrefixStart):
 		return "starts slot"
 	case of(wire.PrefixBlock) && made:
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -5,6 +5,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/ranges"
+	"github.com/barrowbridge/barrowbridge/internal/rollout"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -59,7 +60,7 @@
 		return
 	}
 	keys := []string{jobKey(id), finalKey(id)}
-	if c.understood(chains) && c.jobs[id] == nil {
+	if c.jobs[id] == nil && (!c.loaded || c.understood(rollout.Chains) || len(c.waitingAt) > 0) {
 		keys = append([]string{waitingKey(id)}, keys...)
 	}
 	c.lookAt(id, keys, f)
@@ -283,7 +284,7 @@
 // accept writes a job that nobody knows yet, and answers its user.
 func (c *Core) accept(req uint64, job *wire.Job, change wire.Change, status wire.JobStatus, known func(otherwise func())) {
 	when := []wire.Condition{{Key: jobKey(job.ID)}, {Key: finalKey(job.ID)}}
-	if c.understood(chains) {
+	if c.understood(rollout.Chains) {
 		when = append(when, wire.Condition{Key: waitingKey(job.ID)})
 	}
 	c.commit(LaneUser, when, []wire.Change{change}, func(r StateReply) {
