A report held back for the next holder no longer has a task run twice

Cause: a report of a machine that is fresh, promised empty or in a block just moved was believed without naming our token. A copy from before the promise, arriving first at a new holder, named a task that had gone to another machine since; X's next report lacked it, and it was started again while the other machine could not be asked.

Change: without the token a report is believed only where nothing can be from before and it names no task. What was started there since bears a token of ours, so a real report that names tasks names it too. Nothing stored or sent changes.

--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -75,12 +75,12 @@
 
 // proves tells whether a report is known to be no late copy. Who has held a machine since it
 // was rented knows its reports by their numbers. Who has taken it over knows none: there a
-// report proves itself by naming a token that was given after that. A machine on which nothing
-// can be from before needs no proof: a copy makes it look up for two reports' time. To ask
-// for one there kept blocks that had just moved from use for a report each.
+// report proves itself by naming a token that was given after that. Where nothing can be from
+// before it may lack that, for it cost blocks that had just moved a report each, but only if it
+// names no task: a copy that did had the task started anew, which by then was elsewhere.
 func (c *Core) proves(m *machine, r *wire.Report) bool {
-	m.proven = m.proven || !m.inherited || r.Token >= m.takenToken
-	return m.proven
+	m.proven = m.proven || r.Token >= m.takenToken
+	return m.proven || !m.inherited && len(r.Attempts) == 0
 }
 
 // trust answers a report that proves nothing, so that the next one can: with our token and
