Every write keeps to the smaller of the present and the next limits of the state service

Cause: the settings may tell limits that the state service will have from some moment on, without notice (params.state.next). They were not read: starts slots were filled to 7/8 of the present value limit, short writes had half of the present changes, and from the moment the limits fell each such write got 400, again and again.

Change: params.state.next is read (absent: none; a known one that can't be is refused at start in one line), and core, the share of the write rate and the share of calls have the smaller of each from the first write on. Short writes have 4 changes where half of the limit would be 2.

Tests: TestNextLimits; TestLongEntry fails with the slots chosen as before (a record over its bytes); TestLargeSlotIsLeft passes with both and holds the drain of large slots.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,6 +101,52 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are limits that the service will have from some moment on, without notice.
+	Next StateNext `toml:"next"`
+}
+
+// StateNext holds limits that are to come; nil: as now.
+type StateNext struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// Least is the smaller of the present and the next limits, each. Nobody says when the next
+// ones begin, so every write keeps to both from the first on.
+func (s State) Least() State {
+	least := func(to *float64, next *float64) {
+		if next != nil {
+			*to = min(*to, *next)
+		}
+	}
+	least(&s.RPS, s.Next.RPS)
+	least(&s.WriteRPS, s.Next.WriteRPS)
+	least(&s.ValueKB, s.Next.ValueKB)
+	if s.Next.TxnOps != nil {
+		s.TxnOps = min(s.TxnOps, *s.Next.TxnOps)
+	}
+	return s
+}
+
+// check refuses limits that are told and can't be.
+func (n StateNext) check(positive func(field string, v float64) error) error {
+	for _, f := range []struct {
+		field string
+		v     *float64
+	}{{"rps", n.RPS}, {"write_rps", n.WriteRPS}, {"value_kb", n.ValueKB}} {
+		if f.v == nil {
+			continue
+		}
+		if err := positive("params.state.next."+f.field, *f.v); err != nil {
+			return err
+		}
+	}
+	if n.TxnOps != nil && *n.TxnOps < 2 {
+		return fmt.Errorf("params.state.next.txn_ops: must be at least 2, got %d", *n.TxnOps)
+	}
+	return nil
 }
 
 // Cloud holds the cloud API's limits.
@@ -207,6 +253,7 @@
 		positive("params.state.value_kb", c.Params.State.ValueKB),
 		positive("params.cloud.rps", c.Params.Cloud.RPS),
 	)
+	errs = append(errs, c.Params.State.Next.check(positive))
 	if c.Params.State.TxnOps < 2 {
 		errs = append(errs, fmt.Errorf("params.state.txn_ops: must be at least 2, got %d", c.Params.State.TxnOps))
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -82,3 +82,42 @@
 		}
 	}
 }
+
+// What the state service will have from some moment on is kept to from the first write.
+func TestNextLimits(t *testing.T) {
+	next := func(lines string) string {
+		return strings.Replace(good, "[params.cloud]", "[params.state.next]\n"+lines+"\n[params.cloud]", 1)
+	}
+	c, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := c.Params.State.Least(); l != c.Params.State {
+		t.Fatalf("without next limits: %+v", l)
+	}
+	c, err = Parse([]byte(next("write_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 5\nlater = 1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := c.Params.State.Least(); l.RPS != 80 || l.WriteRPS != 15 || l.ValueKB != 2 || l.TxnOps != 5 {
+		t.Fatalf("least: %+v", l)
+	}
+	c, err = Parse([]byte(next("write_rps = 30.0\ntxn_ops = 4")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := c.Params.State.Least(); l.WriteRPS != 20 || l.ValueKB != 16 || l.TxnOps != 4 {
+		t.Fatalf("one larger, one absent: %+v", l)
+	}
+	for _, bad := range []struct{ lines, field string }{
+		{"value_kb = 0.0", "params.state.next.value_kb"},
+		{"write_rps = nan", "params.state.next.write_rps"},
+		{"rps = -1.0", "params.state.next.rps"},
+		{"txn_ops = 1", "params.state.next.txn_ops"},
+		{`value_kb = "2"`, "value_kb"},
+	} {
+		if _, err := Parse([]byte(next(bad.lines))); err == nil || !strings.Contains(err.Error(), bad.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", bad.lines, err)
+		}
+	}
+}
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -39,6 +39,9 @@
 	return &batch{c: c, max: max(2, min(most, c.p.TxnOps)), shard: map[int]bool{}}
 }
 
+// shortOps is how many changes a write has that lets others in between.
+func (c *Core) shortOps() int { return min(c.p.TxnOps, max(tuning.ShortOps, c.p.TxnOps/2)) }
+
 func (b *batch) full() bool { return len(b.then)+2 > b.max || b.bytes > tuning.TxnBytes }
 
 func (b *batch) add(shard int, cond *wire.Condition, changes ...wire.Change) {
@@ -132,7 +135,7 @@
 	if c.flushing || c.now < c.retryAt["flushJobs"] {
 		return
 	}
-	b := c.newBatch(c.p.TxnOps / 2) // short, so that acceptances get in between
+	b := c.newBatch(c.shortOps()) // short, so that acceptances get in between
 	finals := map[string]wire.Final{}
 	c.update()
 	for _, e := range sortedJobs(c.owed) {
@@ -267,7 +270,7 @@
 	if c.flushingLater || !c.every("flushLater", tuning.LaterEvery) {
 		return
 	}
-	b := c.newBatch(c.p.TxnOps / 2)
+	b := c.newBatch(c.shortOps())
 	for _, id := range c.blockIDs() {
 		x := c.blocks[id]
 		if !c.mine(x.rec.Shard) || c.used[id] || b.full() {
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -30,7 +30,7 @@
 			c.changed()
 			return
 		}
-		n := min(len(rest), max(1, c.p.TxnOps/2))
+		n := min(len(rest), c.shortOps())
 		when := []wire.Condition{c.leaderCond()}
 		var then []wire.Change
 		for k := range rest[:n] {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,12 +27,13 @@
 
 // Params turns settings into what the core needs.
 func Params(cfg *config.Config) core.Params {
+	state := cfg.Params.State.Least()
 	p := core.Params{
 		Node: cfg.Node, Zone: cfg.Zone,
 		Nodes: map[string]string{cfg.Node: cfg.Zone}, Teams: map[string]core.Team{},
 		Lease: seconds(cfg.Params.Workers.LeaseS), Cancel: seconds(cfg.Params.Workers.CancelS),
 		Report: seconds(cfg.Params.Workers.ReportS), ListLag: seconds(cfg.Params.Cloud.ListLagS),
-		TxnOps: cfg.Params.State.TxnOps, ValueBytes: int(cfg.Params.State.ValueKB * 1024),
+		TxnOps: state.TxnOps, ValueBytes: int(state.ValueKB * 1024),
 	}
 	for _, n := range cfg.Peers {
 		p.Nodes[n.Node] = n.Zone
@@ -78,10 +79,11 @@
 	if mb := cfg.Params.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb * 0.6 * 1024 * 1024)) // the runtime's own share stays below the kill limit
 	}
+	limits := cfg.Params.State.Least()
 	n := &node{
 		first: make(chan any, tuning.InboxSize), inbox: make(chan any, tuning.InboxSize), log: log,
 		workers: make(chan request, tuning.InboxSize), users: make(chan request, tuning.UserQueue),
-		state:   statestore.New(cfg.Services.State, cfg.Params.State.RPS, cfg.Params.State.WriteRPS),
+		state:   statestore.New(cfg.Services.State, limits.RPS, limits.WriteRPS),
 		cloud:   cloud.New(cfg.Services.Cloud, cfg.Params.Cloud.RPS),
 		waiting: map[uint64]chan httpapi.Reply{},
 	}
--- a/internal/starts/starts.go
+++ b/internal/starts/starts.go
@@ -120,24 +120,28 @@
 func (b *Book) Plan(shard int, entries []Entry, live func(name string) bool) Write {
 	var best *slot
 	var kept map[string]wire.Start
-	next := 0
+	next, size := 0, 0
 	for _, s := range b.slots {
 		if s.shard != shard {
 			continue
 		}
 		next = max(next, s.number+1)
-		k := b.keep(s, live)
-		if best == nil || len(k) < len(kept) || len(k) == len(kept) && s.number < best.number {
-			best, kept = s, k
+		k, n := b.keep(s, live), 0
+		for name, x := range k {
+			n += sizeOf(name, x)
+		}
+		// Full by its bytes as well: a first entry that made the value too large would be
+		// refused, and tried again, for ever. One that a controller with larger limits has
+		// filled is left as it is until enough in it has ended: what is new of its jobs goes
+		// to other slots, where it counts by its number.
+		if len(k)*4 > b.limits.Entries*3 || n*4 > b.limits.Bytes*3 || n+sizeOf(entries[0].Name, entries[0].Start) > b.limits.Bytes {
+			continue
+		}
+		if best == nil || n < size || n == size && s.number < best.number {
+			best, kept, size = s, k, n
 		}
 	}
-	size := 0
-	for name, s := range kept {
-		size += sizeOf(name, s)
-	}
-	// Full by its bytes as well: a first entry that made the value too large would be
-	// refused, and tried again, for ever.
-	if best == nil || len(kept)*4 > b.limits.Entries*3 || size*4 > b.limits.Bytes*3 {
+	if best == nil {
 		best, kept, size = &slot{shard: shard, number: next}, map[string]wire.Start{}, 0
 	}
 	w := Write{Key: Key(shard, best.number), Ver: best.ver, Record: wire.Starts{Entries: kept}}
--- a/internal/starts/starts_test.go
+++ b/internal/starts/starts_test.go
@@ -75,6 +75,77 @@
 
 func keysOf[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
+// A slot that a version with larger limits has filled is read, and not written again while
+// it is too large: a start of a job that stands in it goes to another slot, and counts there.
+func TestLargeSlotIsLeft(t *testing.T) {
+	const jobs = 90
+	b := New(Limits{Entries: 96, Bytes: 2048 * 7 / 8})
+	old := wire.Starts{Entries: map[string]wire.Start{}}
+	name := func(k int) string { return fmt.Sprintf("job-%06d", k) }
+	for k := range jobs {
+		old.Entries[name(k)] = wire.Start{N: 7, Started: 1, On: []string{fmt.Sprintf("n-%06d", k), "n-000001", "n-000002", "n-000003"}}
+	}
+	stored := map[string]wire.Starts{Key(1, 0): old}
+	if _, err := b.Put(Key(1, 0), 1, old); err != nil {
+		t.Fatal(err)
+	}
+	over := map[string]bool{}
+	live := func(n string) bool { return !over[n] }
+	for k := range jobs {
+		w := b.Plan(1, []Entry{{name(k), wire.Start{Started: 2, On: []string{"n-000009"}}}}, live)
+		raw, err := wire.Marshal(w.Record)
+		if err != nil || !wire.FitsIn(raw, 2048) {
+			t.Fatalf("start %d: %s would have %d entries, more than 2 KiB (%v)", k, w.Key, len(w.Record.Entries), err)
+		}
+		stored[w.Key] = w.Record
+		if _, err := b.Put(w.Key, uint64(k+2), w.Record); err != nil {
+			t.Fatal(err)
+		}
+		if s, _ := b.Of(name(k)); s.Started != 2 || s.N != 8 {
+			t.Fatalf("start %d: %+v counts", k, s)
+		}
+	}
+	again := New(Limits{Entries: 96, Bytes: 14 << 10}) // one with larger limits reads the same
+	for _, key := range keysOf(stored) {
+		if _, err := again.Put(key, 1, stored[key]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for k := range jobs {
+		if s, _ := again.Of(name(k)); s.Started != 2 {
+			t.Fatalf("%s is read as %+v", name(k), s)
+		}
+	}
+	// Once what stood in it has ended the slot is used again.
+	for k := range jobs {
+		over[name(k)] = true
+	}
+	if w := b.Plan(1, []Entry{{"job-000500", wire.Start{Started: 1}}}, live); w.Key != Key(1, 0) || len(w.Record.Entries) != 1 {
+		t.Fatalf("written to %s with %d entries", w.Key, len(w.Record.Entries))
+	}
+}
+
+// A slot that is not full yet may still be too full for one long entry.
+func TestLongEntry(t *testing.T) {
+	b := New(Limits{Entries: 96, Bytes: 1024 * 7 / 8})
+	part := wire.Starts{Entries: map[string]wire.Start{}}
+	for k := range 9 {
+		part.Entries[fmt.Sprintf("job-%06d", k)] = wire.Start{N: 100, Started: 100}
+	}
+	if _, err := b.Put(Key(1, 0), 1, part); err != nil {
+		t.Fatal(err)
+	}
+	long := wire.Start{Started: 4}
+	for k := range 4 {
+		long.On = append(long.On, fmt.Sprintf("machine-of-a-very-long-name-in-a-zone-of-a-long-name-as-well-and-of-a-type-of-a-long-name-%09d", k))
+	}
+	w := b.Plan(1, []Entry{{"job-000500", long}}, func(string) bool { return true })
+	if raw, err := wire.Marshal(w.Record); err != nil || !wire.FitsIn(raw, 1024*7/8) {
+		n, _ := wire.JSONSize(raw)
+		t.Fatalf("%s: %d bytes (%v)", w.Key, n, err)
+	}
+}
+
 func TestBadKey(t *testing.T) {
 	if _, err := New(Limits{}).Put(wire.PrefixStart+"1", 1, wire.Starts{}); err == nil {
 		t.Fatal("a key without a slot is taken")
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -44,6 +44,9 @@
 	// TxnBytes (bytes): a transaction is closed at this size; the state service
 	// takes 64 KiB.
 	TxnBytes = 40 << 10
+	// ShortOps (changes): least of a short write, if a transaction holds as many. Half of a
+	// limit of 4 or 5 would be one block or one end of a job a write.
+	ShortOps = 4
 	// StateShare (share): part of the state service's request limit that one
 	// controller allows itself, since a burst rarely comes from all at once.
 	StateShare = 0.5
