A test of starts slots fails with its subject taken out

TestLongEntry as committed before passed with the earlier choice of slots too: its entries were shorter than their bound, so the record stayed within its bytes.

--- a/internal/starts/starts_test.go
+++ b/internal/starts/starts_test.go
@@ -129,15 +129,18 @@
 func TestLongEntry(t *testing.T) {
 	b := New(Limits{Entries: 96, Bytes: 1024 * 7 / 8})
 	part := wire.Starts{Entries: map[string]wire.Start{}}
-	for k := range 9 {
-		part.Entries[fmt.Sprintf("job-%06d", k)] = wire.Start{N: 100, Started: 100}
+	machine := func(k int) string {
+		return fmt.Sprintf("machine-of-a-very-long-name-in-a-zone-of-a-long-name-as-well-and-of-a-type-of-a-long-name-%09d", k)
+	}
+	for k := range 4 {
+		part.Entries[fmt.Sprintf("job-%06d", k)] = wire.Start{N: 100, Started: 100, On: []string{machine(k)}}
 	}
 	if _, err := b.Put(Key(1, 0), 1, part); err != nil {
 		t.Fatal(err)
 	}
 	long := wire.Start{Started: 4}
 	for k := range 4 {
-		long.On = append(long.On, fmt.Sprintf("machine-of-a-very-long-name-in-a-zone-of-a-long-name-as-well-and-of-a-type-of-a-long-name-%09d", k))
+		long.On = append(long.On, machine(k))
 	}
 	w := b.Plan(1, []Entry{{"job-000500", long}}, func(string) bool { return true })
 	if raw, err := wire.Marshal(w.Record); err != nil || !wire.FitsIn(raw, 1024*7/8) {
