A controller that takes two shards over waits for a small job's own machine

Cause: a job of up to four tasks waits, after a change of hands, for the machines its tasks were last started on. As one is accounted for the job is looked at again, with the machine's shard instead of the job's. A machine on which a task had ended may have moved to another shard; seen from there the machine of another task "has left the shard", and the task is started again while that machine cannot be asked. It takes one controller that holds both shards unsettled.

Change: settleOn uses the job's own shard. Nothing stored or sent changes.

--- a/internal/core/meeting_reports_test.go
+++ b/internal/core/meeting_reports_test.go
@@ -129,3 +129,94 @@
 		})
 	}
 }
+
+// Old reports of all machines, of this session and of earlier ones, reach every controller just
+// as a new leader begins, or as it has taken a shard over, or a while after, while some machines
+// can't be asked within their leases. Tasks have moved between machines before, and empty
+// blocks between shards. No task runs twice, and all is as before in the end.
+func TestOldReportsReachEverybodyAsALeaderBegins(t *testing.T) {
+	for _, after := range []time.Duration{0, 30, 300, 1500, 4000} { // ms after a shard has been taken over
+		t.Run(fmt.Sprint(int64(after), " ms after"), func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(820); seed < 826; seed++ {
+				w := newWorld(t, seed, 3, func(w *world) {
+					w.capacity, w.lease, w.keep = 2, 16*sec, map[string][]wire.Report{}
+					w.taskRuns = func(i int) time.Duration { return time.Duration(10+i*17%60) * sec }
+					for n := range w.teams {
+						w.teams[n] = Team{CPUs: 16, CPUsMax: 30}
+					}
+				})
+				for i := range 14 {
+					w.addMachine([]string{"n", "s"}[i%2], false, sec)
+				}
+				w.pollAll()
+				w.run(8 * sec)
+				id, handed := 0, 0
+				for range 4 {
+					for k := range 5 {
+						s := spec(fmt.Sprintf("job-%06d", id), []string{"red", "blue", "green"}[w.rng.IntN(3)], wire.ShapeBatch, 1+w.rng.IntN(9))
+						s.CPUs, s.ImageGB, s.DueS = ptr([]float64{1, 2, 4}[w.rng.IntN(3)]), ptr(0.01), nil
+						id++
+						w.at(time.Duration(k)*sec, func() { w.submit(s) })
+					}
+					w.run(6 * sec)
+					hang := func(d time.Duration) {
+						m := w.machines[w.order[w.rng.IntN(len(w.order))]]
+						if len(m.tasks()) > 0 && !m.Fault.Hung {
+							w.hang(m)
+							w.at(d, func() { w.resume(m) })
+						}
+					}
+					for range 6 { // what they run goes elsewhere
+						hang(w.lease + 12*sec)
+					}
+					w.run(w.lease + 14*sec)
+					old := map[string][]wire.Report{}
+					for n, list := range w.keep {
+						old[n] = list
+					}
+					for range 4 { // and these can't be asked
+						hang(w.lease - 3*sec)
+					}
+					began := map[string]bool{w.leaderNode(): true}
+					w.bounce(time.Duration(200+w.rng.IntN(9000))*time.Millisecond, w.leaderOr(), w.anyNode())
+					flood := func() {
+						for _, n := range sortedKeys(old) {
+							list := old[n]
+							for range min(3, len(list)) {
+								r := list[max(0, len(list)-1-w.rng.IntN(25))]
+								handed++
+								for _, c := range sortedKeys(w.nodes) {
+									w.hand(c, r)
+								}
+							}
+						}
+					}
+					held := map[string]uint64{}
+					for range 2500 {
+						w.run(4 * time.Millisecond)
+						if n := w.leaderNode(); n != "" && !began[n] {
+							began[n] = true
+							flood()
+						}
+						for _, n := range sortedKeys(w.nodes) {
+							if c := w.nodes[n].core; c != nil {
+								for _, i := range sortedInts(c.held) {
+									if key := fmt.Sprint(n, i); held[key] != c.shards[i].ver {
+										held[key] = c.shards[i].ver
+										w.at(after*time.Millisecond, flood)
+									}
+								}
+							}
+						}
+					}
+				}
+				w.run(60 * sec)
+				w.calm(t)
+				if u := w.unfinished(); u != nil || handed < 100 {
+					t.Errorf("seed %d: not done: %v; %d old reports came", seed, u, handed)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -61,9 +61,9 @@
 	if !c.unsettle[m.shard] {
 		return
 	}
-	for _, e := range c.waitsOn[m.name] {
+	for _, e := range c.waitsOn[m.name] { // one that has moved here since may be of a job of another shard
 		if c.jobs[e.rec.ID] == e && e.run != nil && e.run.held > 0 && contains(e.rec.On, m.name) {
-			c.settleJob(e, m.shard, true)
+			c.settleJob(e, c.shardOf(e.rec.Team), true)
 		}
 	}
 	delete(c.waitsOn, m.name)
