--- a/internal/core/world_users_test.go
+++ b/internal/core/world_users_test.go
@@ -39,6 +39,9 @@
 	w.send(func(id uint64) any { return Submit{Req: id, Spec: s} }, func(a Answer, asked time.Duration) bool {
 		st, _ := a.Body.(wire.JobStatus)
 		w.check.Submitted(w.now, asked, *s.ID, a.Status, st)
+		if len(s.Predecessors) > 0 && (a.Status == 400 || a.Status == 422) { // it names accepted jobs only
+			w.t.Errorf("%v: %s, which needs %v, gets %d: %v", w.now, *s.ID, s.Predecessors, a.Status, a.Body)
+		}
 		return a.Status < 429
 	})
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -215,7 +215,8 @@
 	tasks := int64(r.Tasks)
 	s := wire.JobSpec{ID: &r.ID, Class: &r.Class, Team: &r.Team, Shape: &r.Shape, Priority: &r.Priority, Tasks: &tasks,
 		CPUs: &r.CPUs, GPUs: &r.GPUs, MemoryGB: &r.MemoryGB, Types: r.Types, OneZone: &r.OneZone, Spread: &r.Spread, Spot: &r.Spot,
-		Image: &r.Image, ImageGB: &r.ImageGB, EstimateS: &r.EstimateS, CheckpointEvery: &r.CheckpointEvery, SaveS: &r.SaveS}
+		Image: &r.Image, ImageGB: &r.ImageGB, EstimateS: &r.EstimateS, CheckpointEvery: &r.CheckpointEvery, SaveS: &r.SaveS,
+		Predecessors: r.Predecessors}
 	if r.Zone != "" {
 		s.Zone = &r.Zone
 	}
