--- a/internal/core/world_users_test.go
+++ b/internal/core/world_users_test.go
@@ -45,6 +45,9 @@
 				f()
 			}
 		}
+		if len(s.Predecessors) > 0 && (a.Status == 400 || a.Status == 422) { // it names accepted jobs only
+			w.t.Errorf("%v: %s, which needs %v, gets %d: %v", w.now, *s.ID, s.Predecessors, a.Status, a.Body)
+		}
 		return a.Status < 429
 	})
 }
