--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -159,7 +159,7 @@
 
 func workOf(j *wire.Job) aims.Work {
 	due, ready := j.DueS, float64(j.ReadySince())/1000
-	if due > 0 { // it counts from the submission, all else from when the job could run
+	if due > 0 && j.ReadyMS > 0 { // it counts from the submission, all else from when the job could run
 		due = max(math.SmallestNonzeroFloat64, due-ready+float64(j.AcceptedMS)/1000)
 	}
 	return aims.Work{Class: j.Class, Accepted: ready, DueS: due, CPUs: j.CPUs, Tasks: j.Tasks, Estimate: j.EstimateS}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -354,7 +354,7 @@
 		e = &jobEntry{rec: r}
 		c.jobs[r.ID] = e
 		c.listJob(e, true)
-	} else if e.rec.AcceptedMS != r.AcceptedMS || e.rec.Number != r.Number {
+	} else if e.rec.ReadySince() != r.ReadySince() || e.rec.Number != r.Number {
 		c.jobList = nil
 	}
 	c.overlay(&r)
--- a/internal/core/recount_test.go
+++ b/internal/core/recount_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/google/go-cmp/cmp"
@@ -210,6 +211,19 @@
 	return u
 }
 
+// plainInherited is what the jobs that wait for one ask of it, directly or through others.
+func (c *Core) plainInherited(id string) (prio, rank int, due float64) {
+	prio, rank, due = -1, -1, math.Inf(1)
+	for _, e := range c.waitingAt {
+		if slices.Contains(e.rec.Predecessors, id) {
+			p, r, d := c.plainInherited(e.rec.ID)
+			own := c.chain.Own(e.rec.ID)
+			prio, rank, due = max(prio, own.Priority, p), max(rank, own.Rank, r), min(due, min(own.Due, d)-own.Length)
+		}
+	}
+	return prio, rank, due
+}
+
 // placing is one job in a placement pass.
 type placing struct {
 	e       *jobEntry
@@ -255,6 +269,14 @@
 		p.work = float64(rest) * e.rec.EstimateS * s.CPUs
 		if e.rec.DueS > 0 {
 			p.due = float64(e.rec.AcceptedMS)/1000 + e.rec.DueS
+			if ready := float64(e.rec.ReadyMS) / 1000; ready > 0 { // in the steps of workOf, to the last bit
+				p.due = ready + max(math.SmallestNonzeroFloat64, e.rec.DueS-ready+float64(e.rec.AcceptedMS)/1000)
+			}
+		}
+		prio, rank, due := c.plainInherited(e.rec.ID)
+		p.due = min(p.due, due)
+		if own := wire.PriorityRank(e.rec.Priority); e.prio != max(own, prio) || e.rank != max(c.ladder.Rank(&e.rec), rank) {
+			p.strict = -1 // shows as a difference
 		}
 		if e.rec.Zone != "" || e.rec.OneZone {
 			p.strict = 1
@@ -283,7 +305,7 @@
 	}
 	for _, p := range all {
 		if p.pending > 0 {
-			p.overdue = p.e.rec.Started == 0 && p.e.run.next == 0 && float64(p.e.rec.AcceptedMS)/1000 <= now-tuning.BeginAfter.Seconds()
+			p.overdue = p.e.rec.Started == 0 && p.e.run.next == 0 && float64(p.e.rec.ReadySince())/1000 <= now-tuning.BeginAfter.Seconds()
 			q = append(q, p)
 		}
 	}
@@ -314,7 +336,7 @@
 
 // turn orders jobs due at the same time: those with less work need not wait for long.
 func turn(e *jobEntry) float64 {
-	return float64(e.rec.AcceptedMS)/1000 + float64(e.rec.Tasks)*e.rec.EstimateS*e.rec.CPUs/tuning.TurnCPUs
+	return float64(e.rec.ReadySince())/1000 + float64(e.rec.Tasks)*e.rec.EstimateS*e.rec.CPUs/tuning.TurnCPUs
 }
 
 // markLate finds the jobs of one team to give up being on time for, so that as
--- a/internal/dependency/dependency.go
+++ b/internal/dependency/dependency.go
@@ -120,6 +120,9 @@
 	return nil, false
 }
 
+// Own is what a job that waits asks of those before it, as it was put.
+func (g *Graph) Own(id string) Demand { return g.waiting[id].own }
+
 // Dependents lists the jobs that wait for one directly, in order.
 func (g *Graph) Dependents(id string) []string {
 	list := make([]string, 0, len(g.dependents[id]))
--- a/internal/ladder/ladder.go
+++ b/internal/ladder/ladder.go
@@ -71,10 +71,11 @@
 	return in(r.Classes, j.Class) && (in(r.Teams, j.Team) || slices.Contains(r.Teams, "*")) && in(r.Priorities, j.Priority) && in(r.Shapes, j.Shape)
 }
 
-// Older orders jobs of one rung: by the number written with their acceptance. Jobs accepted
-// by versions that wrote none go by the day's time, before all others.
+// Older orders jobs of one rung: by the number written with their acceptance, or as the last job
+// that they waited for was done. Jobs accepted by versions that wrote none go by the day's time,
+// before all others.
 func Older(a, b *wire.Job) bool {
-	return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.AcceptedMS, b.AcceptedMS), cmp.Compare(a.ID, b.ID)) < 0
+	return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.ReadySince(), b.ReadySince()), cmp.Compare(a.ID, b.ID)) < 0
 }
 
 // Order lists jobs in the order of rung and number, with a digest of all of it.
