No machine is returned or taken before the ends it told are written

A machine that its holder had returned, that the cloud had announced to take, or whose lease was over, went with its ends; when the holder ended as well, its successor ran them again.

--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -26,6 +26,7 @@
 	coming    map[*machine]bool      // held and not up, or not accounted for: may have room soon
 	owed      map[*jobEntry]bool     // jobs with starts or their end to write
 	behind    map[*jobEntry]bool     // jobs with progress to write
+	hasty     map[*jobEntry]bool     // those of them whose machines will be gone, or are
 	idlers    map[*machine]int       // machines with work that gives way to all other, and how many
 	open      map[int]int            // by shard: inherited machines not accounted for
 	waitsOn   map[string][]*jobEntry // machine -> jobs whose tasks may be on it, after a takeover
@@ -37,7 +38,7 @@
 		guarantees[n] = placement.Size{CPUs: t.CPUs, GPUs: t.GPUs}
 	}
 	return books{room: ledger.New[*machine](), order: queue.New[*jobEntry](guarantees), coming: map[*machine]bool{}, owed: map[*jobEntry]bool{},
-		behind: map[*jobEntry]bool{}, idlers: map[*machine]int{}, open: map[int]int{}, waitsOn: map[string][]*jobEntry{}}
+		behind: map[*jobEntry]bool{}, hasty: map[*jobEntry]bool{}, idlers: map[*machine]int{}, open: map[int]int{}, waitsOn: map[string][]*jobEntry{}}
 }
 
 // touch has a machine's facts put anew before they are next asked for.
@@ -111,6 +112,11 @@
 			}
 		}
 	}
+	if m.drop || m.notice {
+		for _, a := range m.attempts {
+			c.hasten(a)
+		}
+	}
 	x := c.sumOf(m)
 	full, known := c.sizeOf(m.typ)
 	n := x.unknown
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -121,6 +121,7 @@
 	b := c.newBatch(c.p.TxnOps / 2) // short, so that acceptances get in between
 	finals := map[string]wire.Final{}
 	c.update()
+	c.addHasty(b)
 	for _, e := range sortedJobs(c.owed) {
 		if b.full() {
 			break
@@ -174,7 +175,7 @@
 			continue
 		}
 		bm.Fresh = m.fresh // written among the starts; no change by itself
-		if m.drop {
+		if m.drop && !c.keepsEnds(m) {
 			if empty := m.accounted && len(m.attempts) == 0; !bm.Drop || empty && !bm.Empty {
 				bm.Drop, bm.Empty, change = true, bm.Empty || empty, true
 			}
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -448,6 +448,7 @@
 // attemptGone takes an attempt off its machine; its task is started again
 // unless it is done.
 func (c *Core) attemptGone(a *attempt, why string) {
+	c.hasten(a)
 	c.dropAttempt(a)
 	c.dirty = true
 	e := c.jobs[a.job]
--- a/internal/core/progressing.go
+++ b/internal/core/progressing.go
@@ -53,6 +53,43 @@
 	}
 }
 
+// owesEnd tells whether an attempt has completed its task, and that does not stand in the state.
+func (c *Core) owesEnd(a *attempt) bool {
+	e := c.jobs[a.job]
+	return e != nil && e.run != nil && a.status == wire.TaskEnded && a.cause == wire.CauseDone && !c.durable(e).Has(a.idx)
+}
+
+// keepsEnds tells whether a machine's worker has told ends that do not stand in the state:
+// until they do it is not returned. If we ended then, nobody would know of them.
+func (c *Core) keepsEnds(m *machine) bool {
+	for _, a := range m.attempts {
+		if c.owesEnd(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasten has an end written at once that its worker will not tell for long, or no more.
+func (c *Core) hasten(a *attempt) {
+	if c.owesEnd(a) {
+		c.hasty[c.jobs[a.job]] = true
+	}
+}
+
+// addHasty adds the progress of jobs that cannot wait for others to end.
+func (c *Core) addHasty(b *batch) {
+	for _, e := range sortedJobs(c.hasty) {
+		switch {
+		case !c.behind[e]:
+			delete(c.hasty, e) // written, or ended as a whole, or no longer ours
+		case !b.full() && !e.run.writing && c.now-e.run.wrote >= tuning.HastyFlush:
+			e.run.wrote = c.now
+			b.addProgress(e)
+		}
+	}
+}
+
 // tidyDone removes what tells of done tasks of a job that is over: its own record is gone for
 // good, which the write compares.
 func (c *Core) tidyDone() {
--- a/internal/core/progressing_test.go
+++ b/internal/core/progressing_test.go
@@ -82,3 +82,92 @@
 		}
 	}
 }
+
+// Ends that a machine's worker has told, and that only its holder knows of once the machine is
+// gone, stand in the state before: a drained machine is returned after that, one that the cloud
+// will take has them written at once, and so has one that has just gone or whose lease is over.
+// The holder ends a second later; nothing that was done runs again.
+func TestEndsOutliveTheirMachineAndItsHolder(t *testing.T) {
+	drained := func(w *world, m *host) {
+		w.ask("c1", func(q uint64) any { return AdminCordon{Req: q, Machine: m.info.Name, Cordon: &wire.Cordon{Drain: true}} }, func(Answer) {})
+		for end := w.now + 15*sec; !m.gone && w.now < end; {
+			w.run(20 * time.Millisecond)
+		}
+		if !m.gone {
+			w.t.Error("the machine is not returned")
+		}
+	}
+	for what, trouble := range map[string]func(w *world, m *host){
+		"drained": drained,
+		"drained while progress is not written": func(w *world, m *host) {
+			w.lateWrites(100, map[string]int{}, "progress")
+			w.at(5*sec, func() { w.noAnswer = nil })
+			drained(w, m)
+		},
+		"to be taken": func(w *world, m *host) {
+			m.Notice(w.now + 4*sec)
+			w.run(2 * sec)
+			w.at(sec, func() { w.vanish(m.info.Name) })
+		},
+		"lease over": func(w *world, m *host) {
+			name, holder := m.info.Name, w.nodes[w.holderOf(m.info.Name)].core
+			w.hang(m)
+			for end := w.now + 20*sec; !holder.machines[name].over && w.now < end; {
+				w.run(20 * time.Millisecond)
+			}
+			w.run(800 * time.Millisecond)
+			w.at(sec, func() { w.vanish(name) })
+		},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(710); seed < 714; seed++ {
+				w := newWorld(t, seed, 3, func(w *world) {
+					w.lease, w.reportS = 4*sec, sec // over before progress is written at leisure
+					w.taskRuns = func(i int) time.Duration {
+						switch {
+						case i == 0:
+							return sec
+						case i%2 == 0:
+							return 5 * sec
+						}
+						return 100 * sec
+					}
+				})
+				for i := range 6 {
+					w.addMachine([]string{"n", "s"}[i%2], false, sec)
+				}
+				w.run(8 * sec)
+				s := spec("job-000001", "red", wire.ShapeBatch, 8)
+				s.DueS = nil
+				w.submit(s)
+				for end := w.now + 20*sec; len(w.completed) < 4 && w.now < end; {
+					w.run(50 * time.Millisecond)
+				}
+				w.run(600 * time.Millisecond) // reported, and not all written
+				var m *host
+				for _, n := range w.order {
+					ended := 0
+					for _, a := range w.machines[n].tasks() {
+						if a.Status == wire.TaskEnded {
+							ended++
+						}
+					}
+					if ended > 0 {
+						m = w.machines[n]
+					}
+				}
+				if m == nil {
+					t.Fatalf("seed %d: no worker keeps an end, %d are done", seed, len(w.completed))
+				}
+				holder := w.holderOf(m.info.Name)
+				trouble(w, m)
+				w.kill(holder)
+				w.run(40 * sec)
+				if len(w.repeated) > 0 {
+					t.Errorf("seed %d: done, and started again: %v", seed, w.repeated)
+				}
+			}
+		})
+	}
+}
