What the state service refuses for its form is learned from, divided, told, passed by

Cause: a value or transaction that is too large gets 400. It was sent again alike, ten times a second, at debug only; the starts of a whole shard waited behind one entry that could not be written, and machines were rented and returned for tasks that could not start.

Change: internal/limits.Form (pure) lowers the bounds of a write below what was refused, by the service's words if it says which (a third at a time, down to 512 bytes and 2 changes); slots, transactions, the trail, wants, biases, crews and the ladder's history keep to the bounds from then on. What is refused as small as it gets is found by writing one by one and passed by for 10 s, doubling to 5 min; others go on. While no start can be written nothing is asked for, nor given back; for a job that is passed by nothing is asked for. A refusal is a warning with kind, bytes, changes and conditions (at once when something is learned, else each 30 s and kind), barrowbridge_refused_writes_total, and stands in admin overview. Submissions and operators' changes that the service does not take get 422 with its word. A shard's record leaves out past lives (then unknown: leases are waited for) rather than grow beyond a value.

The emulated state service can be given other limits at a moment.

--- a/cmd/barrowbridge/client.go
+++ b/cmd/barrowbridge/client.go
@@ -299,6 +299,13 @@
 	for _, s := range o.Shards {
 		fmt.Fprintf(&b, "shard %d: holder %s (home %s), token %d, settled %v, teams %s\n", s.Shard, s.Holder, s.Home, s.Token, s.Settled, strings.Join(s.Teams, " "))
 	}
+	if o.Limits.Stuck {
+		b.WriteString("no start can be written: the state service refuses them\n")
+	}
+	for _, r := range o.Limits.Refused {
+		fmt.Fprintf(&b, "refused for its form: %s, %d times, the last with %d bytes and %d changes: %s (writes keep to %d bytes and %d changes now)\n",
+			r.Kind, r.Count, r.Bytes, r.Changes, r.Why, o.Limits.ValueBytes, o.Limits.TxnOps)
+	}
 	for _, t := range o.Teams {
 		if t.Known {
 			most := "no limit"
--- a/internal/calendar/plan.go
+++ b/internal/calendar/plan.go
@@ -138,6 +138,22 @@
 	return time.UnixMilli(ms)
 }
 
+// Shorter leaves the oldest of what is kept of the past out of a record, and tells whether
+// there was any.
+func Shorter(c *wire.Crew) bool {
+	switch {
+	case len(c.Past) > 1 && len(c.Past) >= len(c.History): // the last tells what is over
+		c.Past = c.Past[1:]
+	case len(c.History) > 0:
+		c.History = c.History[1:]
+	case len(c.Past) > 1:
+		c.Past = c.Past[1:]
+	default:
+		return false
+	}
+	return true
+}
+
 // Clean leaves out of a record what concerns departures that are over.
 func Clean(c *wire.Crew, leaves time.Time, keep int) {
 	c.Booked = slices.DeleteFunc(slices.Clone(c.Booked), func(b wire.CrewBooking) bool { return b.LeavesMS != leaves.UnixMilli() })
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -50,6 +50,10 @@
 	})
 }
 
+func notTaken(why string) wire.Problem {
+	return wire.Problem{Error: "the state service does not take this record: " + why}
+}
+
 // adminDone answers a change by how its write went.
 func (c *Core) adminDone(req uint64, r StateReply, body func() any) {
 	switch r.Status {
@@ -58,6 +62,8 @@
 		c.answer(req, 200, body())
 	case 409:
 		c.answer(req, 409, wire.Problem{Error: "changed meanwhile, read again"})
+	case 400:
+		c.answer(req, 422, notTaken(r.Err))
 	default:
 		c.answer(req, 503, unavailable("state service not reached"))
 	}
@@ -142,6 +148,7 @@
 		}
 		o.Teams = append(o.Teams, v)
 	}
+	o.Limits = wire.LimitsView{ValueBytes: c.p.ValueBytes, TxnOps: c.p.TxnOps, Stuck: c.form.Stuck(c.now), Refused: c.form.Tell()}
 	c.answer(v.Req, 200, o)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,16 +5,20 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/aims"
+	"github.com/barrowbridge/barrowbridge/internal/duty"
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/hold"
+	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
+	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -94,6 +98,7 @@
 	ways ways
 	reaching
 	leader leaderState
+	form   *limits.Form // what the state service takes
 }
 
 // New returns a core that has yet to read the state.
@@ -105,10 +110,10 @@
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(p.Node))
 	c.jitter = rand.New(rand.NewPCG(seed.Sum64(), 0))
-	c.trail = trail.New(trail.Limits{Events: tuning.TrailEvents, Bytes: min(tuning.TrailBytes, p.ValueBytes/2), Every: tuning.TrailEvery})
+	c.trail = trail.New(trail.Limits{Events: tuning.TrailEvents, Every: tuning.TrailEvery})
 	c.mirror = newMirror()
 	c.holder = newHolder()
-	c.started, c.boots = newStarts(p), newBoots()
+	c.started, c.boots = starts.New(starts.Limits{}), newBoots()
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
@@ -122,6 +127,8 @@
 	c.ways = newWays()
 	c.reaching = newReaching(p)
 	c.leader.reset()
+	c.form = limits.NewForm(formParams, limits.Bounds{ValueBytes: p.ValueBytes, Changes: p.TxnOps})
+	c.keepTo(c.form.Bounds())
 	return c
 }
 
@@ -439,18 +446,7 @@
 // takeShard writes a new holder; the write's revision is the shard's token.
 func (c *Core) takeShard(i int, node string, boot uint64, when ...wire.Condition) {
 	e := c.shards[i]
-	rec := e.rec
-	// Two crashes in a row used to hide who had held the shard before the last
-	// one, and its tasks then waited half a minute for machines that never answer.
-	last := wire.Life{Node: rec.Holder, Boot: rec.Boot}
-	if rec.Settled {
-		rec.Past, rec.Known = []wire.Life{last}, true
-	} else if len(rec.Past) < tuning.PastLives {
-		rec.Past = append(append([]wire.Life(nil), rec.Past...), last)
-	} else {
-		rec.Known = false
-	}
-	rec.Holder, rec.Boot, rec.Settled = node, boot, false
+	rec := duty.NextHolder(e.rec, node, boot, tuning.PastLives, c.p.ValueBytes)
 	key := shardKey(i)
 	if !c.every("take:"+key, tuning.RetryAfter) {
 		return
@@ -471,8 +467,11 @@
 func (c *Core) commit(lane int, when []wire.Condition, then []wire.Change, f func(StateReply)) {
 	c.state(StateCall{Op: OpCommit, Lane: lane, Txn: wire.Txn{If: when, Then: then}}, func(r StateReply) {
 		switch r.Status {
+		case 400:
+			c.refusedForm(when, then, r.Err)
 		case 200:
 			for _, ch := range then {
+				c.form.Taken(limits.KindOf(ch.Put))
 				if ch.Delete != "" {
 					c.remove(ch.Delete, r.Txn.Revision)
 				} else if raw, err := wire.Marshal(ch.Value); err == nil {
@@ -501,10 +500,7 @@
 }
 
 func sortedKeys[V any](m map[string]V) []string {
-	ks := make([]string, 0, len(m))
-	for k := range m {
-		ks = append(ks, k)
-	}
-	sort.Strings(ks)
+	ks := slices.AppendSeq(make([]string, 0, len(m)), maps.Keys(m))
+	slices.Sort(ks)
 	return ks
 }
--- a/internal/core/crews.go
+++ b/internal/core/crews.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/calendar"
+	"github.com/barrowbridge/barrowbridge/internal/forecast"
+	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
@@ -186,6 +188,7 @@
 
 // putCrew writes a crew's record, compared with the version that is known.
 func (c *Core) putCrew(x *crewEntry, rec wire.Crew, when []wire.Condition, f func(StateReply)) {
+	rec = limits.Fit(rec, c.p.ValueBytes, calendar.Shorter)
 	key := wire.PrefixCrew + rec.Name
 	c.crewBusy[rec.Name] = true
 	c.commit(LaneLater, append(when, wire.Condition{Key: key, Version: x.ver}), []wire.Change{{Put: key, Value: rec}}, func(r StateReply) {
@@ -294,7 +297,7 @@
 	}
 	for _, i := range c.shardIDs() {
 		if was := c.biases[biasKey(i)]; c.mine(i) && c.runs.Moved(was.Classes, tuning.BiasLeast, tuning.BiasMoved) {
-			c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: biasKey(i), Value: wire.Bias{Classes: c.runs.Export(tuning.BiasLeast)}}}, func(StateReply) {})
+			c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: biasKey(i), Value: limits.Fit(wire.Bias{Classes: c.runs.Export(tuning.BiasLeast)}, c.p.ValueBytes, forecast.Shorter)}}, func(StateReply) {})
 		}
 	}
 }
@@ -362,6 +365,7 @@
 	} else if err == nil {
 		err = fmt.Errorf("leaves: it never leaves from now on")
 	}
+	rec = limits.Fit(rec, c.p.ValueBytes, calendar.Shorter)
 	if raw, e := wire.Marshal(rec); err == nil && (e != nil || !wire.FitsIn(raw, c.p.ValueBytes)) {
 		err = fmt.Errorf("crew: too large to keep")
 	}
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -35,13 +35,15 @@
 	shard map[int]bool
 }
 
-func (c *Core) newBatch(most int) *batch {
-	return &batch{c: c, max: max(2, min(most, c.p.TxnOps)), shard: map[int]bool{}}
+// newBatch begins a short write: what users wait for gets in between.
+func (c *Core) newBatch() *batch {
+	b := &batch{c: c, max: c.form.Bounds().Short(tuning.ShortOps), shard: map[int]bool{}}
+	if c.form.Alone(c.now) {
+		b.max = 2
+	}
+	return b
 }
 
-// shortOps is how many changes a write has that lets others in between.
-func (c *Core) shortOps() int { return min(c.p.TxnOps, max(tuning.ShortOps, c.p.TxnOps/2)) }
-
 func (b *batch) full() bool { return len(b.then)+2 > b.max || b.bytes > tuning.TxnBytes }
 
 func (b *batch) add(shard int, cond *wire.Condition, changes ...wire.Change) {
@@ -135,14 +137,14 @@
 	if c.flushing || c.now < c.retryAt["flushJobs"] {
 		return
 	}
-	b := c.newBatch(c.shortOps()) // short, so that acceptances get in between
+	b := c.newBatch() // short, so that acceptances get in between
 	finals := map[string]wire.Final{}
 	c.update()
 	for _, e := range sortedJobs(c.owed) {
 		if b.full() {
 			break
 		}
-		if e.run.writing {
+		if e.run.writing || c.form.Aside(c.now, jobKey(e.rec.ID)) {
 			continue
 		}
 		if _, ended, _ := c.owes(e); !ended {
@@ -156,7 +158,7 @@
 		x := c.blocks[id]
 		if x == nil || !c.mine(x.rec.Shard) {
 			delete(c.used, id)
-		} else if !b.full() {
+		} else if !b.full() && !c.form.Aside(c.now, blockKey(id)) {
 			if rec, change := c.markBlock(x); change {
 				b.addBlock(x, rec)
 			} else {
@@ -270,10 +272,10 @@
 	if c.flushingLater || !c.every("flushLater", tuning.LaterEvery) {
 		return
 	}
-	b := c.newBatch(c.shortOps())
+	b := c.newBatch()
 	for _, id := range c.blockIDs() {
 		x := c.blocks[id]
-		if !c.mine(x.rec.Shard) || c.used[id] || b.full() {
+		if !c.mine(x.rec.Shard) || c.used[id] || b.full() || c.form.Aside(c.now, blockKey(id)) {
 			continue
 		}
 		if rec, change := c.markBlock(x); change {
@@ -286,7 +288,7 @@
 			break
 		}
 		// Progress of a job that still has starts to write goes with them.
-		if e.run.writing || c.now-e.run.wrote < tuning.LazyFlush {
+		if e.run.writing || c.now-e.run.wrote < tuning.LazyFlush || c.form.Aside(c.now, jobKey(e.rec.ID)) {
 			continue
 		}
 		e.run.wrote = c.now
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -436,11 +437,8 @@
 	for k := range m.attempts {
 		ks = append(ks, k)
 	}
-	sort.Slice(ks, func(i, j int) bool {
-		if ks[i].task != ks[j].task {
-			return ks[i].task < ks[j].task
-		}
-		return ks[i].try < ks[j].try
+	slices.SortFunc(ks, func(a, b attemptKey) int {
+		return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.try, b.try))
 	})
 	return ks
 }
--- a/internal/core/laddering.go
+++ b/internal/core/laddering.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/barrowbridge/barrowbridge/internal/ladder"
+	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -43,6 +44,7 @@
 		rec.History = append(rec.History, was)
 	}
 	rec.History = rec.History[max(0, len(rec.History)-tuning.LadderHistory):]
+	rec = limits.Fit(rec, c.p.ValueBytes, ladder.Shorter)
 	if raw, err := wire.Marshal(rec); err != nil || !wire.FitsIn(raw, c.p.ValueBytes) {
 		c.answer(v.Req, 400, wire.Problem{Error: "rungs: too large to keep"})
 		return
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/duty"
@@ -394,12 +395,7 @@
 		done[id] = true
 		b := c.blocks[id]
 		rec := b.rec
-		rec.Machines = nil
-		for _, bm := range b.rec.Machines {
-			if !l.goneReady[bm.Name] {
-				rec.Machines = append(rec.Machines, bm)
-			}
-		}
+		rec.Machines = slices.DeleteFunc(slices.Clone(rec.Machines), func(bm wire.BlockMachine) bool { return l.goneReady[bm.Name] })
 		when = append(when, wire.Condition{Key: blockKey(id), Version: b.ver})
 		if len(rec.Machines) == 0 {
 			then = append(then, wire.Change{Delete: blockKey(id)})
--- /dev/null
+++ b/internal/core/limits_test.go
@@ -0,0 +1,196 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/standin/state"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// someJobs submits so many jobs of three teams: arrays, and every third a service.
+func (w *world) someJobs(from, n int) {
+	for k := from; k < from+n; k++ {
+		shape, tasks := wire.ShapeBatch, 1+k%9
+		if k%3 == 2 {
+			shape, tasks = wire.ShapeService, 1+k%4
+		}
+		s := spec(fmt.Sprintf("job-%06d", k), []string{"red", "blue", "green"}[k%3], shape, tasks)
+		if shape == wire.ShapeService {
+			s.Priority, s.DueS = ptr("urgent"), nil
+		}
+		w.submit(s)
+	}
+}
+
+func roomy(w *world) {
+	w.limits.ValueBytes, w.limits.TxnOps, w.capacity = 16<<10, 16, 40
+	w.teams = map[string]Team{"red": {CPUs: 60, CPUsMax: 200}, "blue": {CPUs: 60, CPUsMax: 200}, "green": {CPUs: 60, CPUsMax: 200}, "guest": {CPUsMax: inf, GPUsMax: inf}}
+}
+
+// The state service has lower limits than anybody told, from one moment on: what is refused
+// is learned from within seconds, and work goes on starting and ending.
+func TestLimitsFallUntold(t *testing.T) {
+	for seed := uint64(700); seed < 704; seed++ {
+		w := newWorld(t, seed, 3, roomy)
+		for i := range 12 {
+			w.addMachine([]string{"n", "s"}[i%2], false, sec)
+		}
+		w.pollAll()
+		w.run(5 * sec)
+		w.someJobs(0, 90)
+		w.run(20 * sec)
+		w.lower(state.Limits{ValueBytes: 1024, TxnOps: 3, WriteRPS: 15}, false)
+		w.someJobs(90, 60)
+		w.run(30 * sec)
+		learned := w.malformed
+		if learned == 0 || learned > 60 {
+			t.Errorf("seed %d: %d writes refused for their form", seed, learned)
+		}
+		w.run(200 * sec)
+		if w.malformed > learned {
+			t.Errorf("seed %d: %d writes refused for their form in the first half minute, %d later", seed, learned, w.malformed-learned)
+		}
+		if u := w.unfinished(); u != nil {
+			t.Fatalf("seed %d: accepted and not done: %v", seed, u)
+		}
+		told := wire.Overview{}
+		w.ask("c0", func(q uint64) any { return AdminOverview{Req: q} }, func(a Answer) { told, _ = a.Body.(wire.Overview) })
+		w.run(sec)
+		if n := len(told.Limits.Refused); n == 0 && told.Limits.ValueBytes != 16<<10 {
+			t.Errorf("seed %d: operators are told %+v", seed, told.Limits)
+		}
+	}
+}
+
+// Random days on which controllers that know the next limits follow ones that don't, whose
+// records are larger. The limits fall within a cut, a takeover, an outage; no write is
+// refused for its form then, and everything accepted is done.
+func TestLimitsFallAsTold(t *testing.T) {
+	for seed := uint64(800); seed < 800+schedules/2; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed, 3, roomy)
+			for i := range 12 {
+				w.addMachine([]string{"n", "s"}[i%2], false, sec)
+			}
+			w.pollAll()
+			w.run(5 * sec)
+			w.someJobs(0, 130)
+			w.run(15 * sec)
+			largest := 0
+			w.store.Scan(wire.PrefixStart, func(it wire.Item) {
+				if n, err := wire.JSONSize(it.Value); err == nil {
+					largest = max(largest, n)
+				}
+			})
+			if largest < 2048 {
+				t.Fatalf("the largest slot has %d bytes: nothing to be divided", largest)
+			}
+			next := state.Limits{ValueBytes: 2048, TxnOps: 4 + int(seed%2), WriteRPS: 15}
+			w.limits.ValueBytes, w.limits.TxnOps = next.ValueBytes, next.TxnOps // as told to those that start from now on
+			for _, n := range sortedKeys(w.nodes) {
+				w.kill(n)
+				w.run(time.Duration(500+w.rng.IntN(4000)) * time.Millisecond)
+				w.start(n)
+			}
+			id := 1000
+			w.at(time.Duration(w.rng.IntN(60))*sec, func() { w.lower(next, true) })
+			for range 25 {
+				if w.rng.IntN(3) == 0 {
+					w.newTrouble()
+				}
+				id = w.mishap(id)
+				w.run(time.Duration(w.rng.IntN(5000)) * time.Millisecond)
+			}
+			w.run(60 * sec)
+			w.unsure = 0
+			for _, id := range sortedKeys(w.jobs) {
+				if j := w.jobs[id]; *j.spec.Shape == wire.ShapeService || w.fails[id] {
+					w.abort(id)
+				}
+			}
+			w.run(240 * sec)
+			if u := w.unfinished(); u != nil {
+				t.Fatalf("accepted and not done: %v", u)
+			}
+			if b := w.check.FinishDay(w.now); len(b) > 0 {
+				t.Fatalf("the day fails: %v", b)
+			}
+		})
+	}
+}
+
+// A start that the state service refuses in any form stops no other one, its refusal is told
+// to operators, and it is not tried without end.
+func TestOneStartRefused(t *testing.T) {
+	w := newWorld(t, 710, 1, roomy)
+	for i := range 12 {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.pollAll()
+	w.run(5 * sec)
+	w.untold = true
+	tries := 0
+	w.refusing = func(c StateCall) string {
+		for _, ch := range c.Txn.Then {
+			if r, ok := ch.Value.(wire.Starts); ok && strings.HasPrefix(ch.Put, wire.PrefixStart) {
+				if _, bad := r.Entries["job-000001"]; bad {
+					tries++
+					return "the value is not allowed"
+				}
+			}
+		}
+		return ""
+	}
+	w.someJobs(0, 12)
+	w.run(40 * sec)
+	for k := range 12 {
+		id := fmt.Sprintf("job-%06d", k)
+		if k%3 != 2 && k != 1 && w.check.Final(id) == "" {
+			t.Errorf("%s is not done", id)
+		}
+	}
+	if w.check.Final("job-000001") != "" || tries < 2 || tries > 20 {
+		t.Errorf("the one that is refused: %q after %d tries", w.check.Final("job-000001"), tries)
+	}
+	var o wire.Overview
+	w.ask("c0", func(q uint64) any { return AdminOverview{Req: q} }, func(a Answer) { o, _ = a.Body.(wire.Overview) })
+	if len(o.Limits.Refused) != 1 || o.Limits.Refused[0].Kind != "start" || o.Limits.Refused[0].Count != tries || o.Limits.Stuck {
+		t.Errorf("operators are told %+v, tries %d", o.Limits, tries)
+	}
+	w.refusing = nil
+	w.run(60 * sec)
+	if w.check.Final("job-000001") == "" {
+		t.Error("not done once it is taken")
+	}
+}
+
+// While no start can be written nothing is rented for what waits, and nothing given back.
+func TestNothingIsRentedForWhatCannotStart(t *testing.T) {
+	w := newWorld(t, 711, 1, roomy)
+	w.addMachine("n", false, sec)
+	w.pollAll()
+	w.run(5 * sec)
+	w.untold = true
+	w.refusing = func(c StateCall) string {
+		if len(c.Txn.Then) > 0 && strings.HasPrefix(c.Txn.Then[0].Put, wire.PrefixStart) {
+			return "the value is not allowed"
+		}
+		return ""
+	}
+	w.someJobs(0, 6)
+	w.run(20 * sec)
+	had := len(w.order)
+	w.someJobs(6, 30)
+	w.run(400 * sec)
+	if n := len(w.order); n > had {
+		t.Errorf("%d machines, %d before", n, had)
+	}
+	w.refusing = nil
+	w.run(400 * sec)
+	if u := w.unfinished(); u != nil {
+		t.Fatalf("accepted and not done: %v", u)
+	}
+}
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
+	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
 	"github.com/barrowbridge/barrowbridge/internal/supply"
@@ -140,7 +141,7 @@
 		return anyRoom(team)
 	}, func(p *queue.Place[*jobEntry]) bool {
 		e, j := p.Handle, &p.Handle.rec
-		if e.run == nil || c.health.Trial(j.ID) {
+		if e.run == nil || c.health.Trial(j.ID) || c.form.Aside(c.now, jobKey(j.ID)) {
 			return true
 		}
 		size, team := jobSize(j), c.p.Teams[j.Team]
@@ -205,11 +206,15 @@
 		if !c.mine(i) {
 			continue
 		}
-		w := wire.Want{Needs: c.needs(i), Seen: c.newestBlock(i)}
-		c.retire(i, len(w.Needs) > 0)
-		if len(w.Needs) == 0 {
-			c.moveOff(i)
+		w := wire.Want{Seen: c.newestBlock(i)}
+		if !c.form.Stuck(c.now) { // nothing is rented for what can't start, nor given back for want of it
+			w.Needs = c.needs(i)
+			c.retire(i, len(w.Needs) > 0)
+			if len(w.Needs) == 0 {
+				c.moveOff(i)
+			}
 		}
+		w = limits.Fit(w, c.p.ValueBytes, wants.Shorter)
 		if c.tellers[i] == nil {
 			c.tellers[i] = wants.NewTeller(wantPace)
 		}
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -30,7 +30,7 @@
 			c.changed()
 			return
 		}
-		n := min(len(rest), c.shortOps())
+		n := min(len(rest), c.form.Bounds().Short(tuning.ShortOps))
 		when := []wire.Condition{c.leaderCond()}
 		var then []wire.Change
 		for k := range rest[:n] {
--- a/internal/core/starting.go
+++ b/internal/core/starting.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -11,8 +12,28 @@
 // machineEntry names a machine among the starts.
 const machineEntry = "m:"
 
-func newStarts(p Params) *starts.Book {
-	return starts.New(starts.Limits{Entries: tuning.StartEntries, Bytes: p.ValueBytes * 7 / 8})
+var formParams = limits.FormParams{Least: limits.Bounds{ValueBytes: tuning.FormLeast, Changes: 2}, Factor: tuning.FormFactor,
+	Aside: tuning.FormAside, AsideM: tuning.FormAsideMax, Alone: tuning.FormAlone, Stuck: tuning.FormStuck, Again: tuning.FormAgain}
+
+// refusedForm learns from a write that the state service calls malformed.
+func (c *Core) refusedForm(when []wire.Condition, then []wire.Change, why string) {
+	if strings.Contains(why, "lease") {
+		return // it has ended: its holder takes another
+	}
+	w := limits.Describe(when, then)
+	c.out = append(c.out, WriteRefused{Kind: w.Kind})
+	if c.form.Refused(c.now, w, why) {
+		b := c.form.Bounds()
+		c.log(3, "a write was refused for its form", "kind", w.Kind, "bytes", w.Bytes, "changes", w.Changes, "conditions", w.Conditions, "err", why, "now_bytes", b.ValueBytes, "now_changes", b.Changes)
+	}
+	c.keepTo(c.form.Bounds())
+}
+
+// keepTo has all that is written from now on keep to bounds.
+func (c *Core) keepTo(b limits.Bounds) {
+	c.p.ValueBytes, c.p.TxnOps = b.ValueBytes, b.Changes
+	c.started.KeepTo(starts.Limits{Entries: tuning.StartEntries, Bytes: b.ValueBytes * 7 / 8})
+	c.trail.KeepTo(min(tuning.TrailBytes, b.ValueBytes/2))
 }
 
 // overlay brings a job's record up to what has been written of its starts apart from it.
@@ -94,12 +115,15 @@
 				break // conditions in one call
 			}
 			started, ended, owes := c.owes(e)
-			if e.run == nil || e.run.writing || ended || !owes || c.shardOf(e.rec.Team) != i {
+			if e.run == nil || e.run.writing || ended || !owes || c.shardOf(e.rec.Team) != i || c.form.Aside(c.now, jobKey(e.rec.ID)) {
 				continue
 			}
 			of[e.rec.ID] = e
 			entries = append(entries, starts.Entry{Name: e.rec.ID, Start: c.startOf(e, started)})
 		}
+		if c.form.Alone(c.now) && len(of) > 0 {
+			entries = entries[len(entries)-len(of):][:1] // one by one, to find the one that is refused
+		}
 		if len(entries) > 0 {
 			c.writeStarts(i, entries, of)
 		}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -43,6 +43,7 @@
 	Tick          = step.Tick
 	WorkerAddr    = step.WorkerAddr
 	WorkerReport  = step.WorkerReport
+	WriteRefused  = step.WriteRefused
 )
 
 const (
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -249,7 +249,7 @@
 		return
 	}
 	job.AcceptedMS, job.Number = c.wall.UnixMilli(), c.topRev
-	if raw, err := wire.Marshal(job); err != nil || !wire.FitsIn(raw, c.p.ValueBytes-1024) { // room for its progress
+	if raw, err := wire.Marshal(job); err != nil || !wire.FitsIn(raw, c.p.ValueBytes-min(1024, c.p.ValueBytes/2)) { // room for its progress
 		known(func() { c.answer(v.Req, 422, wire.Problem{Error: "job description too large to keep"}) })
 		return
 	}
@@ -263,6 +263,8 @@
 			case 409, 0:
 				// Known already, or no answer: what is stored decides.
 				known(func() { c.answer(v.Req, 503, unavailable("not accepted, try again")) })
+			case 400:
+				known(func() { c.answer(v.Req, 422, notTaken(r.Err)) })
 			default:
 				c.answer(v.Req, 503, unavailable("state service not reached"))
 			}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -377,6 +377,12 @@
 		}
 		call.Txn.Then = append(call.Txn.Then, x)
 	}
+	if w.refusing != nil {
+		if why := w.refusing(c); why != "" {
+			reply(StateReply{Status: 400, Err: why})
+			return
+		}
+	}
 	w.callID++
 	w.calls[w.callID] = reply
 	w.answers(w.store.Do(w.now, w.callID, call))
@@ -403,6 +409,9 @@
 			r.Events = b
 		case wire.Problem:
 			if r.Err = b.Error; a.Status == 400 && b.Error != "no such lease" {
+				if w.malformed++; w.untold {
+					break // its limits are lower than anybody was told
+				}
 				w.t.Fatalf("%v: the state service refuses a call as malformed: %s", w.now, b.Error)
 			}
 		}
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/standin/state"
 	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -20,6 +21,11 @@
 	keep     map[string][]wire.Report    // by machine, if not nil
 	stale    map[string]int              // machines that are gone: copies of their reports that have come
 
+	untold    bool // the state service has lower limits than anybody was told
+	malformed int  // calls that it refused as malformed
+
+	refusing func(StateCall) string // calls that it refuses as malformed whatever its limits; nil: none
+
 	taskRuns   func(index int) time.Duration // how long tasks run; nil: runS and a little
 	holdOrders time.Duration                 // calls of workers are held for up to so long, then delivered
 	slowState  time.Duration                 // the state service answers so much later
@@ -196,3 +202,10 @@
 		m.lapsed = false
 	}
 }
+
+// lower gives the state service lower limits from now on. If they were told, no write may be
+// refused for its form any more.
+func (w *world) lower(l state.Limits, told bool) {
+	l.PageItems, w.untold = w.limits.PageItems, !told
+	w.store.Limit(w.now, l)
+}
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -7,6 +7,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
 )
 
 // Params bound what is learned.
@@ -80,6 +82,18 @@
 	return out
 }
 
+// Shorter leaves out the class of which least is known, and tells whether there was one.
+func Shorter(b *wire.Bias) bool {
+	least, found := "", false
+	for class, v := range b.Classes {
+		if x := b.Classes[least]; !found || v[0] < x[0] || v[0] == x[0] && class < least {
+			least, found = class, true
+		}
+	}
+	delete(b.Classes, least)
+	return found
+}
+
 // Import takes what another has learned, for classes of which less is known here.
 func (b *Book) Import(classes map[string][3]float64) {
 	for class, v := range classes {
--- a/internal/ladder/ladder.go
+++ b/internal/ladder/ladder.go
@@ -149,3 +149,12 @@
 	}
 	return nil
 }
+
+// Shorter leaves the oldest change out of a record, and tells whether there was one.
+func Shorter(l *wire.Ladder) bool {
+	if len(l.History) == 0 {
+		return false
+	}
+	l.History = l.History[1:]
+	return true
+}
--- /dev/null
+++ b/internal/limits/form.go
@@ -0,0 +1,204 @@
+package limits
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// Bounds are what one write of the state service may have.
+type Bounds struct {
+	ValueBytes int // of each value, in JSON form
+	Changes    int // puts and deletes; four times as many conditions
+}
+
+// Write is the form of a write.
+type Write struct {
+	Kind       string // of its first change's record
+	Bytes      int    // of its largest value, in JSON form
+	Changes    int
+	Conditions int
+	Subjects   []string // keys of the jobs and blocks that share it
+}
+
+// Describe tells the form of a write.
+func Describe(when []wire.Condition, then []wire.Change) Write {
+	w := Write{Changes: len(then), Conditions: len(when)}
+	for _, x := range when {
+		if strings.HasPrefix(x.Key, wire.PrefixJob) || strings.HasPrefix(x.Key, wire.PrefixBlock) {
+			w.Subjects = append(w.Subjects, x.Key)
+		}
+	}
+	for i, ch := range then {
+		if i == 0 {
+			w.Kind = KindOf(ch.Put + ch.Delete)
+		}
+		if ch.Put == "" {
+			continue
+		}
+		if raw, err := wire.Marshal(ch.Value); err == nil {
+			if n, err := wire.JSONSize(raw); err == nil {
+				w.Bytes = max(w.Bytes, n)
+			}
+		}
+	}
+	return w
+}
+
+// KindOf names the kind of record that stands under a key.
+func KindOf(key string) string {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(key, wire.LivePrefix), "/")
+	return kind
+}
+
+// FormParams bound what is learned of refusals.
+type FormParams struct {
+	Least  Bounds        // nothing lower is believed
+	Factor float64       // of what was refused, that is tried next
+	Aside  time.Duration // a subject whose write is refused at its smallest is passed by for so long, twice as long each time
+	AsideM time.Duration // and at most
+	Alone  time.Duration // subjects are written one by one for so long, to find the one that is refused
+	Stuck  time.Duration // starts that have been refused for so long are stuck
+	Again  time.Duration // between warnings of one kind that tell nothing new
+}
+
+// refusals counts the writes of one kind that were refused for their form.
+type refusals struct {
+	count int
+	last  Write
+	why   string
+	said  time.Duration
+}
+
+// Form learns what the state service takes from what it refuses as malformed. The settings
+// tell its limits, but it may have lower ones than told: without this the same write was
+// sent and refused again and again, and all that stood behind it in its record or
+// transaction waited with it.
+type Form struct {
+	p      FormParams
+	now    Bounds
+	kinds  map[string]*refusals
+	aside  map[string]aside
+	alone  time.Duration // until then
+	starts struct {      // refused ones with none written in between
+		any         bool
+		first, last time.Duration
+	}
+}
+
+type aside struct{ until, pause time.Duration }
+
+// NewForm begins with what the settings tell.
+func NewForm(p FormParams, told Bounds) *Form {
+	return &Form{p: p, now: told, kinds: map[string]*refusals{}, aside: map[string]aside{}}
+}
+
+// Short is how many changes a write has that lets others in between: half of the limit, or
+// least if that is more and allowed.
+func (b Bounds) Short(least int) int { return min(b.Changes, max(least, b.Changes/2)) }
+
+// Bounds are what writes are to keep to.
+func (f *Form) Bounds() Bounds { return f.now }
+
+// Refused takes note of a write that was refused for its form, with what the service said,
+// and tells whether it is worth a warning. What was refused is not sent again alike: the bounds fall below it, or, where it
+// is as small as they get, its subjects are written one by one, and the one that is refused
+// even so is passed by for a while.
+func (f *Form) Refused(now time.Duration, w Write, why string) (warn bool) {
+	k := f.kinds[w.Kind]
+	if k == nil {
+		k = &refusals{said: -f.p.Again}
+		f.kinds[w.Kind] = k
+	}
+	k.count++
+	k.last, k.why = w, why
+	was := f.now
+	f.lower(w, why)
+	if s := &f.starts; w.Kind == startKind {
+		if !s.any || now-s.last > f.p.Stuck {
+			s.any, s.first = true, now
+		}
+		s.last = now
+	}
+	if f.now == was {
+		if len(w.Subjects) > 1 {
+			f.alone = now + f.p.Alone
+		} else if len(w.Subjects) == 1 {
+			a := f.aside[w.Subjects[0]]
+			a.pause = min(max(2*a.pause, f.p.Aside), f.p.AsideM)
+			a.until = now + a.pause
+			f.aside[w.Subjects[0]], f.alone = a, now
+		}
+	}
+	if warn = f.now != was || now-k.said >= f.p.Again; warn {
+		k.said = now
+	}
+	return warn
+}
+
+const startKind = "start"
+
+// lower takes the bounds below what was refused: those that the service names, or both.
+func (f *Form) lower(w Write, why string) {
+	value := strings.Contains(why, "value")
+	ops := strings.Contains(why, "operation") || strings.Contains(why, "change") || strings.Contains(why, "condition")
+	if !value && !ops {
+		value, ops = true, true
+	}
+	if value && w.Bytes > f.p.Least.ValueBytes {
+		f.now.ValueBytes = min(f.now.ValueBytes, max(f.p.Least.ValueBytes, int(float64(w.Bytes)*f.p.Factor)))
+	}
+	if n := max(w.Changes, (w.Conditions+3)/4); ops && n > f.p.Least.Changes {
+		f.now.Changes = min(f.now.Changes, max(f.p.Least.Changes, int(float64(n)*f.p.Factor)))
+	}
+}
+
+// Taken takes note that a write of a kind was taken.
+func (f *Form) Taken(kind string) {
+	if kind == startKind {
+		f.starts.any = false
+	}
+}
+
+// Alone tells whether subjects are to be written one by one.
+func (f *Form) Alone(now time.Duration) bool { return now < f.alone }
+
+// Aside tells whether a subject is to be passed by: others are not to wait behind it.
+func (f *Form) Aside(now time.Duration, subject string) bool {
+	a, ok := f.aside[subject]
+	if ok && now > a.until+f.p.AsideM {
+		delete(f.aside, subject) // written since, or gone
+	}
+	return ok && now < a.until
+}
+
+// Stuck tells whether no start can be written at present: machines that are rented for
+// tasks that can't start are paid for nothing, and given back for nothing. One that is
+// passed by is tried too rarely to make it so.
+func (f *Form) Stuck(now time.Duration) bool {
+	s := &f.starts
+	return s.any && s.last-s.first >= f.p.Stuck && now-s.last < f.p.Stuck
+}
+
+// Tell lists what was refused, by kind.
+func (f *Form) Tell() []wire.RefusedWrites {
+	out := []wire.RefusedWrites{}
+	for _, kind := range slices.Sorted(maps.Keys(f.kinds)) {
+		k := f.kinds[kind]
+		out = append(out, wire.RefusedWrites{Kind: kind, Count: k.count, Bytes: k.last.Bytes, Changes: k.last.Changes, Conditions: k.last.Conditions, Why: k.why})
+	}
+	return out
+}
+
+// Fit shortens a record until it has at most so many bytes in JSON form, or shorten finds
+// nothing more to leave out.
+func Fit[T any](v T, bytes int, shorten func(*T) bool) T {
+	for {
+		if raw, err := wire.Marshal(v); err != nil || wire.FitsIn(raw, bytes) || !shorten(&v) {
+			return v
+		}
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -17,6 +17,7 @@
 	calls    *prometheus.HistogramVec
 	steps    prometheus.Histogram
 	links    *prometheus.GaugeVec
+	refused  *prometheus.CounterVec
 }
 
 // New returns the metrics; queue tells the length of the core's queue.
@@ -33,7 +34,9 @@
 	}
 	m.links = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "barrowbridge_link_level",
 		Help: "What is believed of a link: 0 unknown, 1 up, 2 doubt, 3 down."}, []string{"to"})
-	m.reg.MustRegister(m.requests, m.calls, m.steps, m.links, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "barrowbridge_refused_writes_total",
+		Help: "Writes that the state service called malformed, too large a value or transaction mostly, by kind of record."}, []string{"kind"})
+	m.reg.MustRegister(m.requests, m.calls, m.steps, m.links, m.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "barrowbridge_queue_inputs", Help: "Inputs waiting for the core."}, queue))
 	return m
 }
@@ -56,3 +59,6 @@
 
 // Step records one input to the core.
 func (m *Metrics) Step(d time.Duration) { m.steps.Observe(d.Seconds()) }
+
+// Refused counts a write that the state service called malformed.
+func (m *Metrics) Refused(kind string) { m.refused.WithLabelValues(kind).Inc() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,7 +207,7 @@
 	}
 }
 
-var levels = [3]slog.Level{slog.LevelError, slog.LevelInfo, slog.LevelDebug}
+var levels = [4]slog.Level{slog.LevelError, slog.LevelInfo, slog.LevelDebug, slog.LevelWarn}
 
 func (n *node) carryOut(ctx context.Context, e any) {
 	switch v := e.(type) {
@@ -250,6 +250,8 @@
 		}
 	case core.PeerSend:
 		n.peers.Send(v.To, v.Msg)
+	case core.WriteRefused:
+		n.metrics.Refused(v.Kind)
 	case core.LinkSeen:
 		n.metrics.Link(v.To, int(v.Level))
 	case core.Log:
--- a/internal/standin/state/store.go
+++ b/internal/standin/state/store.go
@@ -149,6 +149,22 @@
 	return s
 }
 
+// Limit replaces the limits at a moment, without notice. What is stored stays readable.
+func (s *Store) Limit(now Time, l Limits) {
+	if l.PageItems == 0 || l.PageItems > pageItems {
+		l.PageItems = pageItems
+	}
+	s.lim = l
+	for lim, rps := range map[*rate.Limiter]float64{s.calls: l.RPS, s.writes: l.WriteRPS} {
+		if rps <= 0 {
+			lim.SetLimitAt(time.Unix(0, 0).Add(now), rate.Inf)
+			continue
+		}
+		lim.SetLimitAt(time.Unix(0, 0).Add(now), rate.Limit(rps))
+		lim.SetBurstAt(time.Unix(0, 0).Add(now), max(1, int(rps)))
+	}
+}
+
 // allow takes n from a limiter at a steady time.
 func allow(l *rate.Limiter, now Time, n int) bool {
 	return l.Limit() == rate.Inf || l.AllowN(time.Unix(0, 0).Add(now), n)
--- a/internal/starts/starts.go
+++ b/internal/starts/starts.go
@@ -49,6 +49,9 @@
 	return &Book{limits: l, slots: map[string]*slot{}, latest: map[string]where{}}
 }
 
+// KeepTo has records that are planned from now on keep to other limits.
+func (b *Book) KeepTo(l Limits) { b.limits = l }
+
 // Key is where a slot stands in the state service.
 func Key(shard, number int) string {
 	return fmt.Sprintf("%s%d.%d", wire.PrefixStart, shard, number)
--- a/internal/step/admin.go
+++ b/internal/step/admin.go
@@ -55,6 +55,9 @@
 // AdminReach asks what this controller reaches.
 type AdminReach struct{ Req uint64 }
 
+// WriteRefused is an effect: the state service has called a write of a kind of record malformed.
+type WriteRefused struct{ Kind string }
+
 // LinkSeen is an effect: what is believed of a link has changed.
 type LinkSeen struct {
 	To    string
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -95,7 +95,7 @@
 		Rent  wire.RentRequest
 		Names []string
 	}
-	// Log is one line for the operator. Level: 0 error, 1 info, 2 debug.
+	// Log is one line for the operator. Level: 0 error, 1 info, 2 debug, 3 warning.
 	Log struct {
 		Level int
 		Msg   string
--- a/internal/trail/record.go
+++ b/internal/trail/record.go
@@ -23,6 +23,12 @@
 	t.trim()
 }
 
+// KeepTo has the record keep to so many bytes from now on.
+func (t *Trail) KeepTo(bytes int) {
+	t.lim.Bytes = bytes
+	t.trim()
+}
+
 // Record is what is to be written now, if it is time: when something lasting has
 // happened since the last write, and that was long enough ago. Several events of
 // one failure come within moments and share a write.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -47,6 +47,22 @@
 	// ShortOps (changes): least of a short write, if a transaction holds as many. Half of a
 	// limit of 4 or 5 would be one block or one end of a job a write.
 	ShortOps = 4
+	// FormLeast (bytes of a value): nothing lower is believed of the state service, and
+	// FormFactor (share) of what it refused for its form is tried next: from 16 KiB to 2 in
+	// six writes.
+	FormLeast  = 512
+	FormFactor = 0.67
+	// FormAside and FormAsideMax (duration): what is refused for its form even alone and at
+	// its smallest is passed by for so long, twice as long each time. FormAlone (duration):
+	// what shares writes goes one by one for so long, to find it.
+	FormAside    = 10 * time.Second
+	FormAsideMax = 5 * time.Minute
+	FormAlone    = 5 * time.Second
+	// FormStuck (duration): starts that are refused for their form for so long are stuck;
+	// lower limits are learned within a second.
+	FormStuck = 3 * time.Second
+	// FormAgain (duration): between warnings of such writes of one kind.
+	FormAgain = 30 * time.Second
 	// StateShare (share): part of the state service's request limit that one
 	// controller allows itself, since a burst rarely comes from all at once.
 	StateShare = 0.5
--- a/internal/wants/wants.go
+++ b/internal/wants/wants.go
@@ -89,6 +89,16 @@
 	return record
 }
 
+// Shorter leaves out the last need, and tells whether there was one: those beyond what a
+// record holds are asked for once the first are served.
+func Shorter(w *wire.Want) bool {
+	if len(w.Needs) == 0 {
+		return false
+	}
+	w.Needs = w.Needs[:len(w.Needs)-1]
+	return true
+}
+
 // Same tells whether two wants ask for the same. Which blocks were known matters only
 // while something is asked for.
 func Same(x, y wire.Want) bool {
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -64,6 +64,28 @@
 	Shards []ShardView `cbor:"shards" json:"shards"`
 	Blocks []BlockView `cbor:"blocks" json:"blocks"`
 	Teams  []TeamView  `cbor:"teams" json:"teams"`
+	// Limits are what this controller's writes to the state service keep to, and what was
+	// refused for its form since it began.
+	Limits LimitsView `cbor:"limits" json:"limits"`
+}
+
+// LimitsView tells the limits of a write: bytes of a value, changes of a transaction.
+type LimitsView struct {
+	ValueBytes int             `cbor:"value_bytes" json:"value_bytes"`
+	TxnOps     int             `cbor:"txn_ops" json:"txn_ops"`
+	Stuck      bool            `cbor:"stuck" json:"starts_stuck"` // no start can be written
+	Refused    []RefusedWrites `cbor:"refused" json:"refused"`
+}
+
+// RefusedWrites counts the writes of one kind of record that the state service called
+// malformed, with the form of the last and what it said of it.
+type RefusedWrites struct {
+	Kind       string `cbor:"kind" json:"kind"`
+	Count      int    `cbor:"count" json:"count"`
+	Bytes      int    `cbor:"bytes" json:"bytes"`
+	Changes    int    `cbor:"changes" json:"changes"`
+	Conditions int    `cbor:"conditions" json:"conditions"`
+	Why        string `cbor:"why" json:"why"`
 }
 
 // ShardView tells who holds a shard.
