--- a/internal/core/chains.go
+++ b/internal/core/chains.go
@@ -154,7 +154,7 @@
 // moveOn writes several waiting jobs to the live keys or, cancelled by others, to their end. Who
 // does so is of no matter: what it rests on never changes, and the record that waits is compared.
 func (c *Core) moveOn(ids []string, by map[string]string) {
-	b, finals, lane := c.newBatch(c.p.TxnOps), map[string]wire.Final{}, LaneUser
+	b, finals, lane := c.newBatch(), map[string]wire.Final{}, LaneUser
 	if by != nil {
 		lane = LaneLater
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -44,6 +44,7 @@
 	Tick          = step.Tick
 	WorkerAddr    = step.WorkerAddr
 	WorkerReport  = step.WorkerReport
+	WriteRefused  = step.WriteRefused
 )
 
 const (
--- a/internal/step/admin.go
+++ b/internal/step/admin.go
@@ -58,6 +58,9 @@
 // AdminVersion asks who runs which version, and what is held back for whom.
 type AdminVersion struct{ Req uint64 }
 
+// WriteRefused is an effect: the state service has called a write of a kind of record malformed.
+type WriteRefused struct{ Kind string }
+
 // LinkSeen is an effect: what is believed of a link has changed.
 type LinkSeen struct {
 	To    string
