load plays pipelines: jobs that await others, late last ones, cancelled ones

Cause: no load submitted job chains.

Change: [[pipeline]] in load files: stages of classes with a number of jobs, needs by earlier stages, at will the latest accepted job of another class; deadline and priority on the last stage only; a share of late last stages, and of pipelines of which a job is cancelled. Jobs are submitted as soon as what they need is accepted, or over. The observer is told of each submission before it is sent, so that a checker knows the predecessors. Jobs done by their deadline are counted.

Tests: order, shares and repeatability of the schedule; an emulated face that refuses what needs an unknown job; what needs a refused job is not sent. Taken out alone and seen to fail: late waits for the end (0 late), the checker is told (panics), refused ones hold back (0 not sent), earlier jobs (0 need one). Not run against a service that knows awaits: there is none yet.

--- a/cmd/barrowbridge/load.go
+++ b/cmd/barrowbridge/load.go
@@ -86,6 +86,10 @@
 	add("planned", "jobs", float64(o.Planned))
 	add("not sent", "jobs", float64(o.NotSent+o.LeftOut))
 	add("not over", "jobs", float64(o.Open))
+	if o.Due > 0 {
+		add("done that have a deadline", "jobs", float64(o.Due))
+		add("done by their deadline", "jobs", float64(o.Met))
+	}
 	for _, c := range o.Classes {
 		for _, h := range c.Each() {
 			if h.H.TotalCount() == 0 {
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -25,6 +25,7 @@
 
 // Observer is told what users ask and hear. asked is when a request was sent.
 type Observer interface {
+	Submitting(spec wire.JobSpec)
 	Submitted(asked time.Duration, id string, status int, st wire.JobStatus)
 	Polled(asked time.Duration, id string, status int, st wire.JobStatus)
 	Aborting(id string)
@@ -51,6 +52,7 @@
 // nobody is an Observer that remembers only when it began.
 type nobody time.Time
 
+func (nobody) Submitting(wire.JobSpec)                              {}
 func (nobody) Submitted(time.Duration, string, int, wire.JobStatus) {}
 func (nobody) Polled(time.Duration, string, int, wire.JobStatus)    {}
 func (nobody) Aborting(string)                                      {}
@@ -120,6 +122,7 @@
 
 // Submit submits a job until it is accepted or refused for good.
 func (c *Client) Submit(ctx context.Context, spec wire.JobSpec) (wire.JobStatus, error) {
+	c.obs.Submitting(spec)
 	r, err := c.retry(ctx, http.MethodPost, "/v1/jobs", spec, func(asked time.Duration, r reply) {
 		c.obs.Submitted(asked, *spec.ID, r.status, r.body)
 	})
--- a/internal/load/observe.go
+++ b/internal/load/observe.go
@@ -14,6 +14,11 @@
 // Now is the site's time.
 func (u SiteUsers) Now() time.Duration { return u.Site.Now() }
 
+// Submitting tells that a user is about to submit.
+func (u SiteUsers) Submitting(spec wire.JobSpec) {
+	u.Site.Check(func(_ time.Duration, c *checker.Checker) { c.Submitting(spec) })
+}
+
 // Submitted tells of an answer to a submission.
 func (u SiteUsers) Submitted(asked time.Duration, id string, status int, st wire.JobStatus) {
 	u.Site.Check(func(now time.Duration, c *checker.Checker) { c.Submitted(now, asked, id, status, st) })
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -22,6 +22,8 @@
 	Most     int     `toml:"most"`      // submissions in all
 	InFlight int     `toml:"in_flight"` // requests under way at once; what comes then is not sent
 	Classes  []Class `toml:"class"`
+
+	Pipelines []Pipeline `toml:"pipeline"`
 }
 
 // Class is one kind of jobs.
@@ -30,7 +32,7 @@
 	Team     string  `toml:"team"`
 	Shape    string  `toml:"shape"`
 	Priority string  `toml:"priority"`
-	Rate     float64 `toml:"rate"` // jobs a second
+	Rate     float64 `toml:"rate"` // jobs a second; 0: of pipelines only
 	Bursts   []Burst `toml:"burst"`
 	Tasks    Dist    `toml:"tasks"`
 	CPUs     float64 `toml:"cpus"`
@@ -65,7 +67,12 @@
 	At    time.Duration
 	Class int
 	Spec  wire.JobSpec
-	Lasts time.Duration // of a service: until it is cancelled
+	Lasts time.Duration // until it is cancelled: a service, or a job of a pipeline; 0: never
+
+	pipe    *pipe         // of which it is a job; nil: none
+	needs   []int         // jobs of its pipeline, by their place in it
+	earlier string        // also the latest accepted job of this class
+	late    time.Duration // submitted so long after those that it needs are over; 0: as soon as they are accepted
 }
 
 // Bounds of a plan.
@@ -118,13 +125,16 @@
 		if wire.PriorityRank(c.Priority) < 0 {
 			errs = append(errs, fmt.Errorf("%spriority: must be production, urgent, normal or idle", k))
 		}
-		errs = append(errs, within(k+"rate", c.Rate, 0.0001, 10000), within(k+"cpus", c.CPUs, 0.001, 1e6), within(k+"memory_gb", c.MemoryGB, 0, 1e6),
+		errs = append(errs, within(k+"rate", c.Rate, p.leastRate(c.Name), 10000), within(k+"cpus", c.CPUs, 0.001, 1e6), within(k+"memory_gb", c.MemoryGB, 0, 1e6),
 			within(k+"images", float64(c.Images), 0, 1000), within(k+"image_gb", c.ImageGB, 0, 1e4), c.Tasks.check(k+"tasks", 1, wire.MaxTasks), c.RunS.check(k+"run_s", 0.01, longest))
 		for j, x := range c.Bursts {
 			kb := fmt.Sprintf("%sburst[%d].", k, j)
 			errs = append(errs, within(kb+"at_s", x.AtS, 0, p.ForS), within(kb+"for_s", x.ForS, 0.01, longest), within(kb+"factor", x.Factor, 0, 1000))
 		}
 	}
+	for i := range p.Pipelines {
+		errs = append(errs, p.checkPipeline(fmt.Sprintf("pipeline[%d].", i), &p.Pipelines[i]))
+	}
 	for _, err := range errs {
 		if err != nil {
 			return err
@@ -210,6 +220,9 @@
 			out = append(out, c.arrival(i, at, src))
 		}
 	}
+	for i := range p.Pipelines {
+		out = p.draw(out, i, rand.New(rand.NewPCG(seed, uint64(len(p.Classes)+i))))
+	}
 	// Classes are drawn one by one and go in one order; ids follow it.
 	sortArrivals(out)
 	if len(out) > p.Most {
@@ -218,6 +231,7 @@
 	for i := range out {
 		id := fmt.Sprintf("job-%06d", first+uint64(i))
 		out[i].Spec.ID = &id
+		out[i].name()
 	}
 	return out, left
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -40,6 +40,8 @@
 	Refused   int                     // for good
 	Lost      int                     // no controller took it within a minute
 	Open      int                     // not over at the end
+	Due       int                     // done, of those with a deadline
+	Met       int                     // done by it
 	SendDelay *hdrhistogram.Histogram // milliseconds between the intended and the true time
 	Classes   []*Latencies
 	Why       map[string]int // refusals by reason
@@ -54,6 +56,7 @@
 // live is a job that is accepted and not over.
 type live struct {
 	a        Arrival
+	due      time.Time // when its user meant to submit it
 	running  bool
 	cancelAt time.Time
 }
@@ -64,16 +67,19 @@
 	users *Client
 	begun time.Time
 
-	mu   sync.Mutex
-	out  *Outcome
-	live map[string]*live
+	fates map[string]*fate // of the jobs of pipelines
+
+	mu     sync.Mutex
+	out    *Outcome
+	live   map[string]*live
+	latest map[string]string // the latest accepted job of each class
 }
 
 // Run offers a plan's load to the controllers and follows every job until it is over
 // or the time to drain is up. It ends by itself.
 func Run(ctx context.Context, p *Plan, seed, first uint64, users *Client, progress io.Writer) *Outcome {
 	arrivals, left := p.Schedule(seed, first)
-	r := &runner{plan: p, users: users, begun: time.Now(), live: map[string]*live{},
+	r := &runner{plan: p, users: users, begun: time.Now(), live: map[string]*live{}, fates: fates(arrivals), latest: map[string]string{},
 		out: &Outcome{Planned: len(arrivals), LeftOut: left, SendDelay: histogram(), Why: map[string]int{}}}
 	for _, c := range p.Classes {
 		r.out.Classes = append(r.out.Classes, &Latencies{Class: c.Name, Accepted: histogram(), Running: histogram(), Done: histogram()})
@@ -112,23 +118,40 @@
 		}
 		late := time.Since(due)
 		r.count(func(o *Outcome) { _ = o.SendDelay.RecordValue(max(1, late.Milliseconds())) })
-		select {
-		case slots <- struct{}{}:
-		default:
-			late = lateMost + 1
-		}
 		if late > lateMost {
-			r.count(func(o *Outcome) { o.NotSent++ })
+			r.drop(&a)
 			continue
 		}
 		wg.Go(func() {
-			defer func() { <-slots }()
-			r.submit(ctx, a, due)
+			if a.pipe != nil {
+				if !r.ready(ctx, &a) {
+					r.drop(&a)
+					return
+				}
+				if len(a.needs) > 0 {
+					due = time.Now()
+				}
+			}
+			select {
+			case slots <- struct{}{}:
+				defer func() { <-slots }()
+				r.submit(ctx, a, due)
+			default:
+				r.drop(&a)
+			}
 		})
 	}
 	wg.Wait()
 }
 
+// drop does not send a job.
+func (r *runner) drop(a *Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out.NotSent++
+	r.settled(a, false)
+}
+
 func (r *runner) count(f func(*Outcome)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -140,10 +163,11 @@
 	_, err := r.users.Submit(ctx, a.Spec)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.settled(&a, err == nil)
 	switch {
 	case err == nil:
 		_ = r.out.Classes[a.Class].Accepted.RecordValue(since(due))
-		r.live[*a.Spec.ID] = &live{a: a, cancelAt: time.Now().Add(a.Lasts)}
+		r.live[*a.Spec.ID] = &live{a: a, due: due, cancelAt: time.Now().Add(a.Lasts)}
 	case strings.HasPrefix(err.Error(), "refused"):
 		r.out.Refused++
 		r.out.Why[err.Error()]++
@@ -205,14 +229,16 @@
 	wg.Wait()
 }
 
-// look polls a job once, and cancels a service whose time is up.
+// look polls a job once, and cancels one whose time is up.
 func (r *runner) look(ctx context.Context, id string) {
 	r.mu.Lock()
 	j := *r.live[id]
 	r.mu.Unlock()
 	if j.a.Lasts > 0 && time.Now().After(j.cancelAt) {
-		if _, err := r.users.Abort(ctx, id); err == nil {
-			r.forget(id)
+		if st, err := r.users.Abort(ctx, id); err == nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.over(&j, st.Status)
 		}
 		return
 	}
@@ -220,28 +246,22 @@
 	if status != 200 {
 		return
 	}
-	due, class := r.begun.Add(j.a.At), r.out.Classes[j.a.Class]
+	class := r.out.Classes[j.a.Class]
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	done := st.Status == wire.JobDone
 	if !j.running && (done || st.Running != nil && int64(*st.Running) >= *j.a.Spec.Tasks) {
 		r.live[id].running = true
-		_ = class.Running.RecordValue(since(due))
+		_ = class.Running.RecordValue(since(j.due))
 	}
 	if done {
-		_ = class.Done.RecordValue(since(due))
+		_ = class.Done.RecordValue(since(j.due))
 	}
 	if done || st.Status == wire.JobAborted {
-		delete(r.live, id)
+		r.over(&j, st.Status)
 	}
 }
 
-func (r *runner) forget(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.live, id)
-}
-
 // cancelAll cancels what is left, so that a run leaves no work behind.
 func (r *runner) cancelAll() {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -254,6 +274,9 @@
 	fmt.Fprintf(out, "%d jobs planned: %d sent, %d not sent, %d beyond the most; %d refused, %d lost, %d not over at the end\n",
 		o.Planned, o.Sent, o.NotSent, o.LeftOut, o.Refused, o.Lost, o.Open)
 	fmt.Fprintf(out, "sent late by: p50 %d ms, p99 %d ms, at most %d ms\n", o.SendDelay.ValueAtQuantile(50), o.SendDelay.ValueAtQuantile(99), o.SendDelay.Max())
+	if o.Due > 0 {
+		fmt.Fprintf(out, "of %d done that have a deadline %d met it\n", o.Due, o.Met)
+	}
 	for why, n := range o.Why {
 		fmt.Fprintf(out, "  %d times: %s\n", n, why)
 	}
