--- /dev/null
+++ b/cmd/barrowbridge/chain.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// addAwaits adds the jobs named by a flag to those that a job's file names.
+func addAwaits(spec map[string]any, more []string) error {
+	if len(more) == 0 {
+		return nil
+	}
+	list, ok := spec["awaits"].([]any)
+	if !ok && spec["awaits"] != nil {
+		return fmt.Errorf("awaits: must be a list of jobs")
+	}
+	for _, id := range more {
+		if !wire.ValidJobID(id) {
+			return fmt.Errorf("awaits: must look like job-000412, got %q", id)
+		}
+		list = append(list, id)
+	}
+	spec["awaits"] = list
+	return nil
+}
+
+// withChain adds what the controllers tell of a job's chain; a job that is alone, or controllers
+// that do not tell, add nothing.
+func (c *client) withChain(v jobView) jobView {
+	if v.Status != wire.JobQueued && v.Status != wire.JobAborted {
+		return v
+	}
+	one := &client{servers: c.servers, timeout: min(askWait, c.timeout)}
+	var k wire.Chain
+	if one.call(http.MethodGet, "/admin/v1/chain/"+v.Job, nil, &k) != nil {
+		return v
+	}
+	status := map[string]string{}
+	for _, j := range k.Jobs {
+		status[j.ID] = j.Status
+	}
+	for _, j := range k.Jobs {
+		switch {
+		case j.ID != v.Job:
+		case v.Status == wire.JobAborted:
+			v.CancelledBy = j.CancelledBy
+		case j.WaitingSinceMS > 0:
+			v.WaitingSinceMS, v.ExpectedStartMS = j.WaitingSinceMS, j.ExpectedStartMS
+			for _, a := range j.Awaits {
+				if status[a] != wire.JobDone {
+					v.Awaits = append(v.Awaits, a)
+				}
+			}
+		}
+	}
+	return v
+}
+
+// chained is the lines about a job's chain.
+func (v jobView) chained() string {
+	switch {
+	case v.CancelledBy == v.Job && v.Job != "":
+		return "\n  cancelled by its user"
+	case v.CancelledBy != "":
+		return fmt.Sprintf("\n  cancelled with %s, which it awaits and whose user cancelled it", v.CancelledBy)
+	case v.WaitingSinceMS == 0:
+		return ""
+	}
+	out := "\n  waits for " + strings.Join(v.Awaits, ", ") + " since " + clock(v.WaitingSinceMS)
+	if v.ExpectedStartMS > 0 {
+		out += ", expected to start at " + clock(v.ExpectedStartMS)
+	}
+	return out
+}
+
+// clock is a time of day, "-" for none.
+func clock(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return time.UnixMilli(ms).Format(time.TimeOnly)
+}
+
+func (c *client) chainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "chain JOB", Short: "Draw the jobs that a job awaits and those that await it", Args: cobra.ExactArgs(1),
+		Long: "Draw the jobs that a job awaits and those that await it, directly or through others.\n\n" +
+			"A job stands in the stage after the last of those that it awaits. * marks the critical\n" +
+			"path, > the job that was asked for. A due time in brackets is inherited: by then a job\n" +
+			"has to be done so that those after it can meet their deadlines. Slack is what is left\n" +
+			"between the expected end and the due time; negative: late by so much.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			if !wire.ValidJobID(args[0]) {
+				return &exitError{exitFailed, fmt.Sprintf("%q: must look like job-000412", args[0])}
+			}
+			var k wire.Chain
+			if err := c.call(http.MethodGet, "/admin/v1/chain/"+args[0], nil, &k); err != nil {
+				if exitCode(err) == exitUnknown {
+					return &exitError{exitFailed, args[0] + ": " + err.Error()}
+				}
+				return err
+			}
+			return c.print(k, showChain(k))
+		},
+	}
+}
+
+// stages puts each job in the stage after the last of those that it awaits.
+func stages(jobs []wire.ChainJob) (out [][]wire.ChainJob) {
+	at := map[string]int{}
+	for _, j := range jobs {
+		s := 0
+		for _, a := range j.Awaits {
+			if n, known := at[a]; known {
+				s = max(s, n+1)
+			}
+		}
+		at[j.ID] = s
+		for len(out) <= s {
+			out = append(out, nil)
+		}
+		out[s] = append(out[s], j)
+	}
+	return out
+}
+
+func showChain(k wire.Chain) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s as %s sees it: %d jobs\n", k.Job, k.Node, len(k.Jobs))
+	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "stage\t  \tjob\tclass\tteam\tpriority\tstate\ttasks\tstarts\tdue\tslack\tawaits")
+	for i, list := range stages(k.Jobs) {
+		for _, j := range list {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d/%d\t%s\t%s\t%s\t%s\n", i+1, mark(k.Job, j), j.ID, j.Class, j.Team, priority(j), state(j), j.Done, j.Tasks,
+				clock(j.ExpectedStartMS), dueTime(j), slackTime(j), awaits(j))
+		}
+	}
+	_ = w.Flush()
+	return b.String() + critical(k.Jobs)
+}
+
+func mark(asked string, j wire.ChainJob) string {
+	m := []byte("  ")
+	if j.ID == asked {
+		m[0] = '>'
+	}
+	if j.Critical {
+		m[1] = '*'
+	}
+	return string(m)
+}
+
+func awaits(j wire.ChainJob) string {
+	if len(j.Awaits) == 0 {
+		return "-"
+	}
+	return strings.Join(j.Awaits, " ")
+}
+
+func priority(j wire.ChainJob) string {
+	if j.InheritedPriority != "" {
+		return fmt.Sprintf("%s (%s)", j.Priority, j.InheritedPriority)
+	}
+	return j.Priority
+}
+
+func state(j wire.ChainJob) string {
+	switch {
+	case j.Status == "":
+		return "not known"
+	case j.CancelledBy != "" && j.CancelledBy != j.ID:
+		return j.Status + " with " + j.CancelledBy
+	case j.WaitingSinceMS > 0:
+		return "waits since " + clock(j.WaitingSinceMS)
+	}
+	return j.Status
+}
+
+func dueTime(j wire.ChainJob) string {
+	if j.InheritedDueMS > 0 && (j.DueMS == 0 || j.InheritedDueMS < j.DueMS) {
+		return "(" + clock(j.InheritedDueMS) + ")"
+	}
+	return clock(j.DueMS)
+}
+
+func slackTime(j wire.ChainJob) string {
+	if j.SlackS == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f s", *j.SlackS)
+}
+
+// critical is the line about the critical path.
+func critical(jobs []wire.ChainJob) string {
+	i := slices.IndexFunc(jobs, func(j wire.ChainJob) bool { return j.Critical })
+	if i < 0 {
+		return "critical path: not known"
+	}
+	var path []string
+	end := jobs[i]
+	for _, j := range jobs {
+		if j.Critical {
+			path, end = append(path, j.ID), j
+		}
+	}
+	s := "critical path: " + strings.Join(path, " -> ")
+	if end.ExpectedEndMS > 0 {
+		s += ", expected to end at " + clock(end.ExpectedEndMS)
+	}
+	if end.DueMS > 0 {
+		s += ", due at " + clock(end.DueMS)
+	}
+	return s
+}
--- a/cmd/barrowbridge/client.go
+++ b/cmd/barrowbridge/client.go
@@ -42,6 +42,7 @@
 }
 
 func (c *client) flags(cmd *cobra.Command) {
+	cmd.PersistentPreRun = func(cmd *cobra.Command, _ []string) { c.out = cmd.OutOrStdout() }
 	cmd.PersistentFlags().StringSliceVar(&c.servers, "server", []string{"127.0.0.1:8080"}, "controllers to ask, ip:port, in this order")
 	cmd.PersistentFlags().DurationVar(&c.timeout, "timeout", time.Minute, "how long to try")
 	cmd.PersistentFlags().BoolVar(&c.json, "json", false, "print JSON")
@@ -97,15 +98,22 @@
 	return err
 }
 
-// jobView is how a job's status is printed.
+// jobView is how a job's status is printed. What comes after Running is told of chains only.
 type jobView struct {
 	Job     string `json:"job"`
 	Status  string `json:"status"`
 	Done    int    `json:"done"`
 	Running int    `json:"running"`
+
+	Awaits          []string `json:"awaits,omitempty"` // those that are not done yet
+	WaitingSinceMS  int64    `json:"waiting_since_ms,omitempty"`
+	ExpectedStartMS int64    `json:"expected_start_ms,omitempty"`
+	CancelledBy     string   `json:"cancelled_by,omitempty"`
 }
 
-func (c *client) printJob(s wire.JobStatus) error {
+func (c *client) printJob(s wire.JobStatus) error { return c.printView(viewOf(s)) }
+
+func viewOf(s wire.JobStatus) jobView {
 	v := jobView{Job: s.ID, Status: s.Status}
 	if s.Done != nil {
 		v.Done = *s.Done
@@ -113,38 +121,49 @@
 	if s.Running != nil {
 		v.Running = *s.Running
 	}
-	return c.print(v, fmt.Sprintf("%s %s (%d done, %d running)", v.Job, v.Status, v.Done, v.Running))
+	return v
+}
+
+func (c *client) printView(v jobView) error {
+	return c.print(v, fmt.Sprintf("%s %s (%d done, %d running)", v.Job, v.Status, v.Done, v.Running)+v.chained())
 }
 
 func jobCommand() *cobra.Command {
-	c := &client{out: os.Stdout}
+	c := &client{}
 	cmd := &cobra.Command{Use: "job", Short: "Submit, watch and abort jobs"}
 	c.flags(cmd)
 	get := func(id string) (wire.JobStatus, error) {
 		var s wire.JobStatus
 		return s, c.call(http.MethodGet, "/v1/jobs/"+id, nil, &s)
 	}
-	cmd.AddCommand(&cobra.Command{
+	var awaits []string
+	submit := &cobra.Command{
 		Use: "submit FILE", Short: "Submit the job described by a JSON file (- for standard input)", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			spec, err := readSpec(args[0])
 			if err != nil {
 				return &exitError{exitRefused, err.Error()}
 			}
+			if err := addAwaits(spec, awaits); err != nil {
+				return &exitError{exitRefused, err.Error()}
+			}
 			var s wire.JobStatus
 			if err := c.call(http.MethodPost, "/v1/jobs", spec, &s); err != nil {
 				return err
 			}
 			return c.printJob(s)
 		},
-	}, &cobra.Command{
-		Use: "get JOB", Short: "Print a job's state", Args: cobra.ExactArgs(1),
+	}
+	submit.Flags().StringSliceVar(&awaits, "awaits", nil, "jobs that have to be done before any task starts, beside those that FILE names")
+	cmd.AddCommand(submit, &cobra.Command{
+		Use: "status JOB", Aliases: []string{"get"}, Args: cobra.ExactArgs(1),
+		Short: "Print a job's state: what it waits for, and on whose account it was cancelled",
 		RunE: func(_ *cobra.Command, args []string) error {
 			s, err := get(args[0])
 			if err != nil {
 				return err
 			}
-			return c.printJob(s)
+			return c.printView(c.withChain(viewOf(s)))
 		},
 	}, &cobra.Command{
 		Use: "wait JOB", Short: "Wait until a job is done or aborted", Args: cobra.ExactArgs(1),
@@ -156,7 +175,7 @@
 					return err
 				}
 				if s.Status == wire.JobDone || s.Status == wire.JobAborted {
-					return c.printJob(s)
+					return c.printView(c.withChain(viewOf(s)))
 				}
 				if time.Now().After(end) {
 					return &exitError{exitUnavailable, "still " + s.Status}
@@ -212,7 +231,7 @@
 }
 
 func adminCommand() *cobra.Command {
-	c := &client{out: os.Stdout}
+	c := &client{}
 	cmd := &cobra.Command{Use: "admin", Short: "Look into and steer a running cluster"}
 	c.flags(cmd)
 	overview := &cobra.Command{
@@ -286,7 +305,7 @@
 				return c.print(map[string]string{"machine": args[0], "did": use}, use+" "+args[0])
 			}}
 	}
-	cmd.AddCommand(overview, why, settings, c.trailCommand(), c.machineCommand(), c.reachCommand(), c.ladderCommand(), c.crewCommand(),
+	cmd.AddCommand(overview, why, c.chainCommand(), settings, c.trailCommand(), c.machineCommand(), c.reachCommand(), c.ladderCommand(), c.crewCommand(),
 		cordon("cordon", "Start nothing more on a machine", &wire.Cordon{}),
 		cordon("drain", "Stop what runs on a machine and give it back", &wire.Cordon{Drain: true}),
 		cordon("uncordon", "Let a cordoned machine be used again", nil))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -166,6 +166,8 @@
 		c.onAdminWhy(v)
 	case AdminTrail:
 		c.onAdminTrail(v)
+	case AdminChain:
+		c.onAdminChain(v)
 	case AdminReach:
 		c.onAdminReach(v)
 	case AdminMachine:
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -5,6 +5,7 @@
 // What the core takes and returns.
 type (
 	Abort         = step.Abort
+	AdminChain    = step.AdminChain
 	AdminCrew     = step.AdminCrew
 	AdminCrews    = step.AdminCrews
 	AdminCordon   = step.AdminCordon
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -67,6 +67,7 @@
 	e.GET("/ready", s.ready)
 	e.POST("/hello", s.report)
 	a := e.Group("/admin/v1")
+	a.GET("/chain/:id", s.chain)
 	a.GET("/crews", s.crews)
 	a.PUT("/crews/:name", s.putCrew)
 	a.DELETE("/crews/:name", s.cancelCrew)
@@ -253,6 +254,14 @@
 	return s.put(c, func(id uint64) any { return core.AdminWhy{Req: id, ID: job} })
 }
 
+func (s *Server) chain(c echo.Context) error {
+	job := c.Param("id")
+	if !wire.ValidJobID(job) {
+		return send(c, bad("id: must look like job-000412"))
+	}
+	return s.put(c, func(id uint64) any { return core.AdminChain{Req: id, ID: job} })
+}
+
 // trail answers with events after a number: ?after=N&most=M&node=NAME&machine=NAME&job=ID.
 func (s *Server) trail(c echo.Context) error {
 	q := trail.Query{Machine: c.QueryParam("machine"), Job: c.QueryParam("job"), Most: tuning.TrailAnswer}
--- a/internal/step/admin.go
+++ b/internal/step/admin.go
@@ -26,6 +26,11 @@
 		Req uint64
 		ID  string
 	}
+	// AdminChain asks for the jobs that a job awaits and those that await it.
+	AdminChain struct {
+		Req uint64
+		ID  string
+	}
 )
 
 type (
