--- /dev/null
+++ b/internal/core/chains_admin.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"github.com/barrowbridge/barrowbridge/internal/dependency"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// onAdminChain draws the chain of a job.
+func (c *Core) onAdminChain(v AdminChain) {
+	if !c.loaded || !wire.ValidJobID(v.ID) {
+		c.answerFound(v.Req, v.ID, found{ok: c.loaded})
+		return
+	}
+	if c.jobs[v.ID] != nil || c.waitsForOthers(v.ID) {
+		c.answer(v.Req, 200, dependency.View(c.p.Node, v.ID, float64(c.wall.UnixMilli())/1000, c.chainOf(v.ID)))
+		return
+	}
+	c.look(v.ID, func(at found) {
+		if !at.ok || at.fin == nil {
+			c.answerFound(v.Req, v.ID, at)
+			return
+		}
+		f := at.fin
+		seen := map[string]dependency.Seen{v.ID: {Status: finalStatus(v.ID, *f), By: f.By}}
+		c.answer(v.Req, 200, dependency.View(c.p.Node, v.ID, float64(c.wall.UnixMilli())/1000, seen))
+	})
+}
+
+// chainOf is all that a job awaits and all that awaits it, as far as this controller sees it.
+func (c *Core) chainOf(id string) map[string]dependency.Seen {
+	seen, todo := map[string]dependency.Seen{}, append([]string{id}, c.chain.After(id)...)
+	for ; len(todo) > 0; todo = todo[1:] {
+		id := todo[0]
+		if _, is := seen[id]; is {
+			continue
+		}
+		e, x := c.jobs[id], dependency.Seen{}
+		if w := c.waitingAt[id]; w != nil {
+			e, x.Waits, x.Status = w, true, c.statusOf(&w.rec)
+			if v := c.chain.Judge(id, c.accepted); v.Outcome == dependency.Cancelled {
+				x.Status.Status, x.By = wire.JobAborted, v.By
+			}
+		} else if e != nil {
+			x.Status = c.statusOf(&e.rec)
+		} else if f, known := c.finals[id]; known {
+			x.Status, x.By = finalStatus(id, f), f.By
+		}
+		if e != nil {
+			own := c.demandOf(&e.rec)
+			x.Job, x.Length, x.Due, x.Inherited = &e.rec, own.Length, own.Due, c.chain.Inherited(id)
+			todo = append(todo, e.rec.Predecessors...)
+		}
+		seen[id] = x
+	}
+	return seen
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -182,6 +182,8 @@
 		c.onAdminTrail(v)
 	case AdminVersion:
 		c.onAdminVersion(v)
+	case AdminChain:
+		c.onAdminChain(v)
 	case AdminReach:
 		c.onAdminReach(v)
 	case AdminMachine:
--- a/wire/user.go
+++ b/wire/user.go
@@ -74,6 +74,16 @@
 	return -1
 }
 
+// PriorityName is the name that ranks so; "" for none.
+func PriorityName(rank int) string {
+	for _, p := range []string{"idle", "normal", "urgent", "production"} {
+		if PriorityRank(p) == rank {
+			return p
+		}
+	}
+	return ""
+}
+
 // Validate checks every field and returns a job without pointers.
 func (s *JobSpec) Validate() (Job, error) {
 	var j Job
