--- a/internal/calendar/plan.go
+++ b/internal/calendar/plan.go
@@ -39,6 +39,11 @@
 // Plan plans the departure at leaves, with so many CPUs for the crew's team.
 func Plan(c *wire.Crew, now, leaves time.Time, jobs []Job, have float64, m Margins) wire.CrewPlan {
 	p := wire.CrewPlan{Crew: c.Name, LeavesMS: leaves.UnixMilli(), Leaves: leaves.Format("Mon 2006-01-02 15:04 MST"), Jobs: len(jobs), Have: have}
+	for _, b := range c.Booked {
+		if b.LeavesMS == p.LeavesMS {
+			p.Ahead += b.Count
+		}
+	}
 	due := Due(leaves, m)
 	work, longest := 0.0, time.Duration(0)
 	for i := range jobs {
@@ -125,6 +130,16 @@
 	return fmt.Sprintf("crew-%s-%d-%d", c.Name, ver, n)
 }
 
+// Book adds bookings for so many machines in all, none of more than most, to the record that
+// stands at ver. Their names follow from that, so whoever books them asks for the same.
+func Book(c *wire.Crew, ver uint64, all wire.CrewBooking, most int) {
+	for k, left := 0, all.Count; left > 0; k++ {
+		all.Request, all.Count = Booking(c, ver, k), min(left, most)
+		c.Booked = append(c.Booked, all)
+		left -= all.Count
+	}
+}
+
 // Since is from when on the next departure counts: the latest change by operators, or the
 // last departure that has an outcome.
 func Since(c *wire.Crew) time.Time {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,8 +5,9 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -509,10 +510,7 @@
 }
 
 func sortedKeys[V any](m map[string]V) []string {
-	ks := make([]string, 0, len(m))
-	for k := range m {
-		ks = append(ks, k)
-	}
-	sort.Strings(ks)
+	ks := slices.AppendSeq(make([]string, 0, len(m)), maps.Keys(m))
+	slices.Sort(ks)
 	return ks
 }
--- a/internal/core/crews.go
+++ b/internal/core/crews.go
@@ -28,22 +28,13 @@
 // jobs that are done can be made again from records.
 type crewing struct {
 	departs  map[string]departing // by job
-	seen     map[string]*departure
+	seen     map[string]*calendar.Departure
 	crewAsks map[string]bool // bookings under way
 	crewBusy map[string]bool // crews whose record is being written
 }
 
-// departure is what has been seen of one.
-type departure struct {
-	leavesMS int64
-	jobs     map[string]bool // true: done
-	met      int
-	lateS    float64
-	miss     int
-}
-
 func newCrewing() crewing {
-	return crewing{departs: map[string]departing{}, seen: map[string]*departure{}, crewAsks: map[string]bool{}, crewBusy: map[string]bool{}}
+	return crewing{departs: map[string]departing{}, seen: map[string]*calendar.Departure{}, crewAsks: map[string]bool{}, crewBusy: map[string]bool{}}
 }
 
 func biasKey(shard int) string { return wire.PrefixBias + strconv.Itoa(shard) }
@@ -130,11 +121,6 @@
 	}
 	p := calendar.Plan(&x.rec, c.wall, leaves, jobs, min(have, c.p.Teams[x.rec.Team].CPUsMax), crewMargins)
 	p.Version = x.ver
-	for _, b := range x.rec.Booked {
-		if b.LeavesMS == p.LeavesMS {
-			p.Ahead += b.Count
-		}
-	}
 	return p
 }
 
@@ -142,41 +128,22 @@
 // writes how it went.
 func (c *Core) followCrew(x *crewEntry, leaves time.Time, shard int, p *wire.CrewPlan) {
 	d := c.seen[x.rec.Name]
-	if d == nil || d.leavesMS != p.LeavesMS {
-		d = &departure{leavesMS: p.LeavesMS, jobs: map[string]bool{}}
+	if d == nil || d.LeavesMS != p.LeavesMS {
+		d = calendar.NewDeparture(p.LeavesMS)
 		c.seen[x.rec.Name] = d
 	}
-	open := 0
-	for _, id := range c.crewJobs(x, leaves) {
-		d.jobs[id] = false
-		open++
-	}
-	for _, id := range sortedKeys(d.jobs) {
-		switch f, over := c.finals[id]; {
-		case d.jobs[id] || c.jobs[id] != nil:
-		case !over || f.Status != wire.JobDone:
-			delete(d.jobs, id) // cancelled: what ends here is written here
-		default:
-			d.jobs[id] = true
-			if late := c.wall.Sub(leaves).Seconds(); late > 0 {
-				d.lateS = max(d.lateS, late)
-			} else {
-				d.met++
-			}
-		}
-	}
-	if (p.Miss > 0) != (d.miss > 0) {
+	open := c.crewJobs(x, leaves)
+	d.Follow(c.wall, leaves, open, func(id string) (live, done bool) {
+		return c.jobs[id] != nil, c.finals[id].Status == wire.JobDone // what ends here is written here
+	})
+	if d.Misses(p.Miss) {
 		c.noteShard(trail.CrewMiss, shard, wire.TrailEvent{Count: p.Miss, Why: x.rec.Name + ": " + p.Say})
 		c.log(1, "departure", "crew", x.rec.Name, "plan", p.Say)
 	}
-	d.miss = p.Miss
-	if c.wall.Before(leaves) || open > 0 && c.wall.Sub(leaves) < tuning.CrewSettle || c.crewBusy[x.rec.Name] {
+	o, over := d.Outcome(c.wall, leaves, len(open), tuning.CrewSettle, p.Say)
+	if !over || c.crewBusy[x.rec.Name] {
 		return
 	}
-	o := wire.CrewOutcome{LeavesMS: p.LeavesMS, Jobs: len(d.jobs), Met: d.met, LateS: d.lateS}
-	if open > 0 {
-		o.LateS, o.Why = max(o.LateS, c.wall.Sub(leaves).Seconds()), p.Say
-	}
 	rec := x.rec
 	rec.Past = append(append([]wire.CrewOutcome(nil), rec.Past...), o)
 	calendar.Clean(&rec, time.Time{}, tuning.CrewKeep)
@@ -251,11 +218,7 @@
 	}
 	rec := x.rec
 	calendar.Clean(&rec, leaves, tuning.CrewKeep)
-	for k := 0; count > 0; k++ {
-		part := min(count, tuning.RentMax)
-		rec.Booked = append(rec.Booked, wire.CrewBooking{LeavesMS: leaves.UnixMilli(), Request: calendar.Booking(&rec, x.ver, k), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: part})
-		count -= part
-	}
+	calendar.Book(&rec, x.ver, wire.CrewBooking{LeavesMS: leaves.UnixMilli(), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: count}, tuning.RentMax)
 	c.putCrew(x, rec, []wire.Condition{c.leaderCond()}, func(StateReply) { c.changed() })
 }
 
@@ -340,11 +303,10 @@
 		}
 		return
 	}
-	rec, ver, what := v.Patch.Crew, uint64(0), "added"
-	rec.Name, rec.Booked, rec.Past, rec.History = v.Name, nil, nil, nil
+	var was *wire.Crew
+	ver := uint64(0)
 	if x != nil {
-		ver, what = x.ver, "changed, was to leave "+x.rec.Leaves+" "+x.rec.TimeZone+" "+x.rec.Rule
-		rec.Booked, rec.Past, rec.History = x.rec.Booked, x.rec.Past, append([]wire.CrewChange(nil), x.rec.History...)
+		was, ver = &x.rec, x.ver
 	}
 	team := func(t string) bool { _, ok := c.p.Teams[t]; return ok }
 	zone := func(z string) bool {
@@ -355,13 +317,7 @@
 		}
 		return false
 	}
-	err := calendar.Check(&rec, team, zone)
-	rec.History = append(rec.History, wire.CrewChange{AtMS: c.wall.UnixMilli(), Node: c.p.Node, What: what})
-	if leaves, ok := calendar.Next(&rec, c.wall); err == nil && ok {
-		calendar.Clean(&rec, leaves, tuning.CrewKeep)
-	} else if err == nil {
-		err = fmt.Errorf("leaves: it never leaves from now on")
-	}
+	rec, err := calendar.Revise(was, v.Patch.Crew, v.Name, c.wall, c.p.Node, tuning.CrewKeep, team, zone)
 	if raw, e := wire.Marshal(rec); err == nil && (e != nil || !wire.FitsIn(raw, c.p.ValueBytes)) {
 		err = fmt.Errorf("crew: too large to keep")
 	}
--- a/internal/core/meeting_late_test.go
+++ b/internal/core/meeting_late_test.go
@@ -155,7 +155,7 @@
 				for _, n := range sortedKeys(w.nodes) {
 					r := wire.Reach{Boot: w.nodes[n].core.boot} // none: nothing to tell
 					_ = wire.Unmarshal(w.key(wire.PrefixReach+n).Value, &r)
-					if own := w.nodes[n].core.ownWord(); !sameRecord(r, own) {
+					if own := w.nodes[n].core.ownWord(); !wire.Same(r, own) {
 						t.Errorf("seed %d: the word of %s is %+v, it says %+v", seed, n, r, own)
 					}
 				}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,9 +1,9 @@
 package core
 
 import (
+	"maps"
 	"math"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
@@ -341,11 +341,8 @@
 }
 
 func sortedInts[V any](m map[int]V) []int {
-	ks := make([]int, 0, len(m))
-	for k := range m {
-		ks = append(ks, k)
-	}
-	sort.Ints(ks)
+	ks := slices.AppendSeq(make([]int, 0, len(m)), maps.Keys(m))
+	slices.Sort(ks)
 	return ks
 }
 
--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"sort"
@@ -252,7 +251,7 @@
 	if stands.Boot != c.boot {
 		stands = wire.Reach{Boot: c.boot} // an earlier life's, or none: it goes with its grant
 	}
-	if sameRecord(w, stands) || r.writing || !c.present || !c.every("tellReach", tuning.TellReach) {
+	if wire.Same(w, stands) || r.writing || !c.present || !c.every("tellReach", tuning.TellReach) {
 		return
 	}
 	if w.Lacks != stands.Lacks {
@@ -262,13 +261,6 @@
 	c.commit(LaneLater, []wire.Condition{{Key: key, Version: c.ver.Of(key)}}, []wire.Change{{Put: key, Value: w, Lease: c.grant}}, func(StateReply) { r.writing = false })
 }
 
-// sameRecord tells whether two values are stored alike.
-func sameRecord(a, b any) bool {
-	x, errX := wire.Marshal(a)
-	y, errY := wire.Marshal(b)
-	return errX == nil && errY == nil && bytes.Equal(x, y)
-}
-
 // mayGoHome tells whether a shard may go back to the controller it is homed at.
 func (c *Core) mayGoHome(shard int, held map[string]int) bool {
 	s := c.shards[shard]
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"bytes"
 	"errors"
 
 	"github.com/fxamacker/cbor/v2"
@@ -41,6 +42,13 @@
 	return dec.Unmarshal(b, v)
 }
 
+// Same tells whether two messages are encoded alike.
+func Same(a, b any) bool {
+	x, errX := Marshal(a)
+	y, errY := Marshal(b)
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
+
 // IsMap tells whether an encoded message is a map (CBOR major type 5).
 func IsMap(b []byte) bool { return len(b) > 0 && b[0]>>5 == 5 }
 
