--- /dev/null
+++ b/internal/core/meeting_copies_test.go
@@ -0,0 +1,90 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// set writes a record by hand.
+func (w *world) set(key string, v any) {
+	w.t.Helper()
+	w.callStore("hand", StateCall{Op: OpCommit, Txn: wire.Txn{Then: []wire.Change{{Put: key, Value: v}}}}, func(r StateReply) {
+		if r.Status != 200 {
+			w.t.Errorf("%s not written: %d", key, r.Status)
+		}
+	})
+}
+
+// A task was on a machine, and is on another since. Its holder marks the block of the first,
+// which is empty, as idle, and ends. The second hangs for a while within its lease. Of the first
+// a copy of an old report reaches the successor before any other: it names the task. That the
+// next report does not says nothing of where it is: it waits for the machine that hangs.
+func TestCopyOfAnOldReportNamesATaskOnAnIdleMachine(t *testing.T) {
+	for _, tasks := range []int{1, 6} { // where each is is written; that of a larger job is not
+		t.Run(fmt.Sprint(tasks, " tasks"), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 730, 3, func(w *world) {
+				w.teams, w.capacity = map[string]Team{"red": {CPUs: 80, CPUsMax: 80}}, 0
+				w.keep, w.runS = map[string][]wire.Report{}, 300*sec
+			})
+			a, b := w.addMachine("n", false, sec), w.addMachine("s", false, sec)
+			w.run(8 * sec)
+			s := spec("job-000001", "red", wire.ShapeBatch, tasks)
+			s.DueS, s.CPUs = nil, ptr(0.6)
+			w.submit(s)
+			w.run(8 * sec)
+			named := func(name string) (n int) {
+				for _, x := range w.machines[name].tasks() {
+					if x.Status == wire.TaskRunning {
+						n++
+					}
+				}
+				return n
+			}
+			if named(a) == 0 {
+				a, b = b, a
+			}
+			old := w.keep[a][len(w.keep[a])-1]
+			if len(old.Attempts) == 0 {
+				t.Fatal("nothing runs")
+			}
+			w.hang(w.machines[a])
+			w.run(16 * sec) // its lease is over, all is on the other
+			w.resume(w.machines[a])
+			w.run(3 * sec)
+			if named(a) != 0 || named(b) != tasks {
+				t.Fatalf("%d tasks on the one, %d on the other", named(a), named(b))
+			}
+			w.kill(w.holderOf(a))
+			var rec wire.Block
+			if err := wire.Unmarshal(w.key(blockKey(a)).Value, &rec); err != nil {
+				t.Fatal(err)
+			}
+			rec.Idle = true
+			w.set(blockKey(a), rec)
+			w.hang(w.machines[b])
+			w.at(8*sec, func() { w.resume(w.machines[b]) })
+			copied := false
+			for range 160 {
+				w.run(sec / 20)
+				n := w.nodes[w.shardRec("red").Holder]
+				if n.core == nil || copied {
+					continue
+				}
+				if m := n.core.machines[a]; m != nil && !m.reported {
+					copied = true
+					w.ask(n.name, func(q uint64) any { return WorkerReport{Req: q, Report: old} }, func(Answer) {})
+				}
+			}
+			if !copied {
+				t.Fatal("the copy found no successor")
+			}
+			w.run(20 * sec)
+			if n := named(a) + named(b); n != tasks {
+				t.Errorf("%d of %d tasks run", n, tasks)
+			}
+		})
+	}
+}
--- a/internal/core/progressing_test.go
+++ b/internal/core/progressing_test.go
@@ -89,7 +89,9 @@
 // The holder ends a second later; nothing that was done runs again.
 func TestEndsOutliveTheirMachineAndItsHolder(t *testing.T) {
 	drained := func(w *world, m *host) {
-		w.ask("c1", func(q uint64) any { return AdminCordon{Req: q, Machine: m.info.Name, Cordon: &wire.Cordon{Drain: true}} }, func(Answer) {})
+		w.ask("c1", func(q uint64) any {
+			return AdminCordon{Req: q, Machine: m.info.Name, Cordon: &wire.Cordon{Drain: true}}
+		}, func(Answer) {})
 		for end := w.now + 15*sec; !m.gone && w.now < end; {
 			w.run(20 * time.Millisecond)
 		}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -245,7 +245,12 @@
 				a.size, a.team, a.known, a.lesser, a.idle = jobSize(&e.rec), e.rec.Team, true, e.prio < urgentRank, e.prio <= idleRank
 				c.touchJob(e)
 				if e.run != nil && t.Status != wire.TaskEnded {
-					if o := e.run.active[idx]; o != nil {
+					if o := e.run.active[idx]; c.before(m, r) {
+						// On a machine that came to us empty, a late copy: that it is gone
+						// from there will say nothing of where it is.
+						c.log(0, "task named by a report of before", "task", t.Task, "machine", m.name)
+						a.stop = true
+					} else if o != nil {
 						// One of the two is history, told by a delayed report; the
 						// next reports settle which.
 						c.log(0, "task named on two machines", "task", t.Task, "on", o.m.name, "and", m.name)
@@ -294,6 +299,9 @@
 	}
 }
 
+// before tells whether a report was made before its machine came to us, empty by promise.
+func (c *Core) before(m *machine, r *wire.Report) bool { return !m.inherited && r.Token < m.takenToken }
+
 // hasImage notes that a machine has the image of a job whose task ran there.
 func (c *Core) hasImage(m *machine, job string) {
 	if e := c.jobs[job]; e != nil && !m.images[e.rec.Image] {
