A shard that went and came back between two reads is taken up anew

Cause: a holder may read its shard's record after another controller has held the shard and given it back, before its watch tells of that. Named as before, it went on with what it believed of its machines, without what the other had started there.

Change: a record that names the same holder and is no write of a holder (settled) or of a leader adding a team is a new grant; the shard is left and taken up.

--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -292,6 +292,9 @@
 	if now := c.shards[i]; old == nil || old.rec.Holder != now.rec.Holder || old.rec.Boot != now.rec.Boot || !slices.Equal(old.rec.Teams, now.rec.Teams) {
 		c.vouch.Granted(shardKey(i), now.ver, named)
 	}
+	if named && c.held[i] && old != nil && regranted(&old.rec, &c.shards[i].rec) {
+		c.leaveShard(i) // another has held it meanwhile, and may have started tasks
+	}
 	switch {
 	case named && !c.held[i]:
 		c.pending[i] = true
@@ -310,6 +313,13 @@
 	}
 }
 
+// regranted tells whether a shard's record is that of a new grant, though it names the same
+// holder: what was written between may never be seen here. A holder itself writes only that
+// the shard is settled, a leader that it has got another team.
+func regranted(old, now *wire.Shard) bool {
+	return !now.Settled && (old.Settled || old.Known != now.Known || !slices.Equal(old.Past, now.Past) || slices.Equal(old.Teams, now.Teams))
+}
+
 // enterShards takes up shards granted to us, each once the mirror has reached
 // the granting write. Our own commits enter the mirror ahead of the watch; to
 // act on the grant before all that the earlier holder wrote has been seen
--- a/internal/core/meeting_copies_test.go
+++ b/internal/core/meeting_copies_test.go
@@ -88,3 +88,55 @@
 		})
 	}
 }
+
+// A shard goes to another controller and comes back, and its holder reads the last record
+// before its watch tells of the one between: after a write without an answer it reads the key,
+// and a slow watch tells of both later. It takes the shard up anew: what the other has started
+// meanwhile is not known here.
+func TestShardGoneAndBackBetweenTwoReads(t *testing.T) {
+	w, _ := runningServices(t, 740)
+	rec := w.shardRec("red")
+	holder := w.nodes[rec.Holder].core
+	i := holder.shardOf("red")
+	if !holder.held[i] || holder.unsettle[i] {
+		t.Fatal("the shard should be held, and settled")
+	}
+	entered := holder.entered[i]
+	other := rec
+	other.Holder, other.Boot, other.Settled, other.Past = "c9", 1, false, []wire.Life{{Node: rec.Holder, Boot: rec.Boot}}
+	w.set(shardKey(i), other)
+	back := other
+	back.Holder, back.Boot, back.Past = rec.Holder, rec.Boot, append(other.Past, wire.Life{Node: "c9", Boot: 1})
+	w.set(shardKey(i), back)
+	holder.learn(shardKey(i), StateReply{Status: 200, Item: w.key(shardKey(i))})
+	if holder.held[i] {
+		t.Error("acts for the shard as if nobody else had held it")
+	}
+	w.run(sec / 2)
+	if !holder.held[i] || holder.entered[i] == entered {
+		t.Errorf("held %v since %v, before since %v", holder.held[i], holder.entered[i], entered)
+	}
+	w.run(20 * sec) // the world judges what runs where
+
+	us, them := wire.Life{Node: "c0", Boot: 1}, wire.Life{Node: "c1", Boot: 2}
+	held := wire.Shard{Holder: "c0", Boot: 1, Teams: []string{"red"}, Past: []wire.Life{them}, Known: true}
+	for what, x := range map[string]struct {
+		old, now func(*wire.Shard)
+		grant    bool
+	}{
+		"settled by us":              {func(*wire.Shard) {}, func(s *wire.Shard) { s.Settled = true }, false},
+		"another team":               {func(*wire.Shard) {}, func(s *wire.Shard) { s.Teams = []string{"red", "blue"} }, false},
+		"another team, settled":      {func(s *wire.Shard) { s.Settled = true }, func(s *wire.Shard) { s.Settled, s.Teams = true, []string{"red", "blue"} }, false},
+		"gone and back":              {func(*wire.Shard) {}, func(s *wire.Shard) { s.Past = []wire.Life{them, us, them} }, true},
+		"gone and back when settled": {func(s *wire.Shard) { s.Settled = true }, func(s *wire.Shard) { s.Past = []wire.Life{us, them} }, true},
+		"too many lives to name":     {func(*wire.Shard) {}, func(s *wire.Shard) { s.Known = false }, true},
+		"too many before":            {func(s *wire.Shard) { s.Known = false }, func(s *wire.Shard) { s.Known = false }, true},
+	} {
+		old, now := held, held
+		x.old(&old)
+		x.now(&now)
+		if regranted(&old, &now) != x.grant {
+			t.Errorf("%s: taken for a grant: %v", what, !x.grant)
+		}
+	}
+}
