--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -50,10 +50,6 @@
 	})
 }
 
-func notTaken(why string) wire.Problem {
-	return wire.Problem{Error: "the state service does not take this record: " + why}
-}
-
 // adminDone answers a change by how its write went.
 func (c *Core) adminDone(req uint64, r StateReply, body func() any) {
 	switch r.Status {
@@ -63,7 +59,7 @@
 	case 409:
 		c.answer(req, 409, wire.Problem{Error: "changed meanwhile, read again"})
 	case 400:
-		c.answer(req, 422, notTaken(r.Err))
+		c.answer(req, 422, wire.NotTaken(r.Err))
 	default:
 		c.answer(req, 503, unavailable("state service not reached"))
 	}
--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/barrowbridge/barrowbridge/internal/aims"
@@ -191,16 +193,10 @@
 
 // sortedJobs lists jobs of a set by rung, then by age.
 func sortedJobs(set map[*jobEntry]bool) []*jobEntry {
-	list := make([]*jobEntry, 0, len(set))
-	for e := range set {
-		list = append(list, e)
-	}
+	list := slices.AppendSeq(make([]*jobEntry, 0, len(set)), maps.Keys(set))
 	sort.Slice(list, func(i, j int) bool {
 		a, b := list[i], list[j]
-		if a.rank != b.rank {
-			return a.rank > b.rank
-		}
-		return olderJob(a, b)
+		return a.rank > b.rank || a.rank == b.rank && olderJob(a, b)
 	})
 	return list
 }
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"sort"
 
 	"github.com/barrowbridge/barrowbridge/internal/health"
 	"github.com/barrowbridge/barrowbridge/internal/hearing"
@@ -222,11 +222,8 @@
 // heldMachines lists the machines of the held blocks by name.
 func (c *Core) heldMachines() []*machine {
 	if c.machineList == nil {
-		c.machineList = make([]*machine, 0, len(c.machines))
-		for _, m := range c.machines {
-			c.machineList = append(c.machineList, m)
-		}
-		sort.Slice(c.machineList, func(i, j int) bool { return c.machineList[i].name < c.machineList[j].name })
+		c.machineList = slices.AppendSeq(make([]*machine, 0, len(c.machines)), maps.Values(c.machines))
+		slices.SortFunc(c.machineList, func(a, b *machine) int { return cmp.Compare(a.name, b.name) })
 	}
 	return c.machineList
 }
--- a/internal/core/holding.go
+++ b/internal/core/holding.go
@@ -102,7 +102,7 @@
 		if _, ok := used[team]; !ok {
 			used[team] = c.room.Used(team, shard)
 		}
-		n := c.p.Teams[team].underLimit(used[team], size, p.Job.Pending)
+		n := placement.Under(c.p.Teams[team].CPUsMax, c.p.Teams[team].GPUsMax, used[team], size, p.Job.Pending)
 		used[team] = used[team].Add(placement.Size{CPUs: size.CPUs * float64(n), GPUs: size.GPUs * float64(n)})
 		if n == 0 || !placement.Fits(most, size) {
 			asks = append(asks, hold.Ask[*machine]{Job: e.rec.ID, Team: team, Size: size, Tasks: max(1, n), Full: n == 0, Allows: func(m *machine) bool { return allows(&e.rec, m) && !c.avoids(e, m) }})
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -84,11 +85,7 @@
 			l.nodeUp[n] = c.now
 		}
 	}
-	for n := range l.nodeUp {
-		if _, ok := c.nodes[n]; !ok {
-			delete(l.nodeUp, n)
-		}
-	}
+	maps.DeleteFunc(l.nodeUp, func(n string, _ Time) bool { _, up := c.nodes[n]; return !up })
 	c.homeShards()
 	c.writeBooked()
 	c.readTypes()
@@ -301,11 +298,7 @@
 			return
 		}
 		l.firstList = true
-		for n, at := range l.cameAt {
-			if c.now-at > tuning.SurpriseAgain {
-				delete(l.cameAt, n)
-			}
-		}
+		maps.DeleteFunc(l.cameAt, func(_ string, at Time) bool { return c.now-at > tuning.SurpriseAgain })
 		c.learnAddrs(all)
 		in := map[string]bool{}
 		for _, id := range c.blockIDs() {
@@ -482,7 +475,7 @@
 	}
 	// Lists lag by up to twice the usual time.
 	first := l.founded > 0 && c.now-l.founded < 2*c.p.ListLag && (len(c.blocks) == 0 || l.standing)
-	var names []string
+	var infos []wire.MachineInfo
 	for _, n := range sortedKeys(l.strangers) {
 		if c.blockOf(n) != nil {
 			delete(l.strangers, n)
@@ -494,20 +487,15 @@
 			grace = max(grace, 2*c.p.ListLag) // it may be gone, and listed still
 		}
 		if (first || c.now-l.strangeAt[n] > grace) && !l.goneReady[n] && l.strangers[n].Status != wire.MachineFailed {
-			names = append(names, n)
+			infos = append(infos, l.strangers[n])
 		}
 	}
-	l.standing = first && len(names) > 0
-	if len(names) == 0 {
+	if l.standing = first && len(infos) > 0; len(infos) == 0 {
 		return
 	}
 	// Machines found when the cluster starts for the first time are the
 	// operator's standing ones. A stray one found later, when all others have been
 	// returned, is not: it would be paid for ever.
-	var infos []wire.MachineInfo
-	for _, n := range names {
-		infos = append(infos, l.strangers[n])
-	}
 	have := c.shardCPUs()
 	c.writeBlocks(infos, first, false, func(b *wire.Block) {
 		b.Shard = c.poorest(b.Zone, have)
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"math"
 	"sort"
 
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
@@ -108,18 +107,6 @@
 	return wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left, Rung: c.urgent[shard].rank}, left > 0 // joins what such a task asks for itself
 }
 
-// underLimit is how many more tasks of a size a team may start before its limit.
-func (t Team) underLimit(used, size placement.Size, most int) int {
-	n := float64(most)
-	if size.CPUs > 0 {
-		n = min(n, math.Floor((t.CPUsMax-used.CPUs)/size.CPUs+1e-6))
-	}
-	if size.GPUs > 0 {
-		n = min(n, math.Floor((t.GPUsMax-used.GPUs)/size.GPUs+1e-6))
-	}
-	return max(0, int(n))
-}
-
 // needs lists the tasks of a shard that no held machine has room for, those
 // still booting included: Pogonip's overflow.
 func (c *Core) needs(shard int) []wire.Need {
@@ -154,7 +141,7 @@
 		if _, ok := used[j.Team]; !ok {
 			used[j.Team] = c.room.Used(j.Team, shard)
 		}
-		want := team.underLimit(used[j.Team], size, c.deserves(p))
+		want := placement.Under(team.CPUsMax, team.GPUsMax, used[j.Team], size, c.deserves(p))
 		used[j.Team] = used[j.Team].Add(supply.Times(size, want))
 		want = max(0, want-c.heldSoon(shard, j))
 		left := want - in.Take(supply.Ask{Types: j.Types, Zone: zone, Spot: j.Spot, Size: size, Urgent: e.prio >= urgentRank, Idle: e.prio <= idleRank}, want)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -264,7 +264,7 @@
 				// Known already, or no answer: what is stored decides.
 				known(func() { c.answer(v.Req, 503, unavailable("not accepted, try again")) })
 			case 400:
-				known(func() { c.answer(v.Req, 422, notTaken(r.Err)) })
+				known(func() { c.answer(v.Req, 422, wire.NotTaken(r.Err)) })
 			default:
 				c.answer(v.Req, 503, unavailable("state service not reached"))
 			}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -93,3 +93,16 @@
 	}
 	return best
 }
+
+// Under is how many more tasks of a size may start before a limit in CPUs and GPUs, at most
+// so many.
+func Under(cpus, gpus float64, used, size Size, most int) int {
+	n := float64(most)
+	if size.CPUs > 0 {
+		n = min(n, math.Floor((cpus-used.CPUs)/size.CPUs+1e-6))
+	}
+	if size.GPUs > 0 {
+		n = min(n, math.Floor((gpus-used.GPUs)/size.GPUs+1e-6))
+	}
+	return max(0, int(n))
+}
--- a/wire/size.go
+++ b/wire/size.go
@@ -75,3 +75,8 @@
 	}
 	return nil, fmt.Errorf("%T is not allowed", v)
 }
+
+// NotTaken tells who asked for a record to be written that the state service does not take it.
+func NotTaken(why string) Problem {
+	return Problem{Error: "the state service does not take this record: " + why}
+}
