--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -297,7 +297,7 @@
 			// Known already, or no answer: what is stored decides.
 			known(func() { c.answer(req, 503, unavailable("not accepted, try again")) })
 		case 400:
-			known(func() { c.answer(req, 422, notTaken(r.Err)) })
+			known(func() { c.answer(req, 422, wire.NotTaken(r.Err)) })
 		default:
 			c.answer(req, 503, unavailable("state service not reached"))
 		}
