load counts a job whose cancellation is answered done; a chain as examples

One was done when its user cancelled it, and that answer was not counted.

Change: the end is counted wherever it is heard.

--- a/cmd/barrowbridge/chain_test.go
+++ b/cmd/barrowbridge/chain_test.go
@@ -187,3 +187,32 @@
 		}
 	}
 }
+
+// The shipped jobs are right, and those of the chain name each other in order.
+func TestExampleJobs(t *testing.T) {
+	files, _ := filepath.Glob("../../examples/*.json")
+	before := map[string]bool{}
+	for _, f := range append([]string{"clean", "stitch", "plan"}, files...) {
+		if !strings.HasSuffix(f, ".json") {
+			f = "../../examples/chain-" + f + ".json"
+		}
+		raw, err := readSpec(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := wire.Marshal(raw)
+		var s wire.JobSpec
+		if err = errors.Join(err, wire.Unmarshal(b, &s)); err != nil {
+			t.Fatalf("%s: %v", f, err)
+		}
+		if _, err := s.Validate(); err != nil {
+			t.Errorf("%s: %v", f, err)
+		}
+		for _, p := range s.Predecessors {
+			if !before[p] {
+				t.Errorf("%s awaits %s, which is submitted later or not at all", f, p)
+			}
+		}
+		before[*s.ID] = true
+	}
+}
--- a/internal/load/pipeline.go
+++ b/internal/load/pipeline.go
@@ -223,6 +223,9 @@
 	if f := r.fates[id]; f != nil {
 		close(f.over)
 	}
+	if status == wire.JobDone { // also the answer to a cancellation that came too late
+		_ = r.out.Classes[j.a.Class].Done.RecordValue(since(j.due))
+	}
 	if due := j.a.Spec.DueS; due != nil && status == wire.JobDone {
 		r.out.Due++
 		if time.Since(j.due).Seconds() <= *due {
--- a/internal/load/pipeline_test.go
+++ b/internal/load/pipeline_test.go
@@ -50,7 +50,7 @@
 late = 0.5
 late_s = 0.2
 cancel = 0.4
-cancel_s = 0.3
+cancel_s = 1.5
 stage = [
   { class = "clean", jobs = [1, 3] },
   { class = "clean", needs = ["clean"], earlier = "scan" },
@@ -204,6 +204,18 @@
 	if out.Sent != out.Planned || out.NotSent+out.Lost+out.Refused+out.Open > 0 || len(s.specs) != out.Sent {
 		t.Errorf("%+v", out)
 	}
+	var told, done int64
+	for _, l := range out.Classes {
+		told += l.Done.TotalCount()
+	}
+	for _, d := range s.done {
+		if !d.IsZero() {
+			done++
+		}
+	}
+	if told != done { // a cancellation that came too late is answered done, too
+		t.Errorf("%d done, %d counted", done, told)
+	}
 	earlier := 0
 	for id, x := range s.specs {
 		if !o.c.Accepted(id) {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -254,9 +254,6 @@
 		r.live[id].running = true
 		_ = class.Running.RecordValue(since(j.due))
 	}
-	if done {
-		_ = class.Done.RecordValue(since(j.due))
-	}
 	if done || st.Status == wire.JobAborted {
 		r.over(&j, st.Status)
 	}
