rehearse upgrade: the version in production is rolled to this one, process by process

No test ran two versions side by side, and every upgrade so far stopped all controllers. `rehearse upgrade` builds the commit that deploy/service.toml names as production from the repository's own history (a shallow clone, a missing git or go, a folder outside of a checkout are told in one line, exit 1) and rolls three real processes over the emulated state service, cloud and workers, under load, with the independent checker judging:

- upgrade-roll: one after the other;
- upgrade-hands: the new one takes everything over from two old ones, they from it, one goes back to the old version and forward again;
- upgrade-crashes: an old one dies before its turn, a new one dies, the state service refuses the leader, two are exchanged at once;

Each is played once more with this version on both sides, and both are put side by side: replica time lost, answers refused and missing, changes of leader and holder between versions. A feature that is on while a controller runs the old version, or is down and will, breaks a rule (held_back); jobs may be submitted once a feature is on everywhere (when = "understood chains"). The emulator exchanges programs by the fault controller_upgrade. Results gain `cost`.

`admin version` asks the servers in turn: an old one does not know the question.

--- a/cmd/barrowbridge/rehearse.go
+++ b/cmd/barrowbridge/rehearse.go
@@ -30,6 +30,9 @@
 	out   string
 	json  bool
 	jobs  int
+
+	repo, commit string // of the version that an upgrade begins with; "": here, as deploy/service.toml says
+	build        string // where that was built
 }
 
 func rehearseCommand() *cobra.Command {
@@ -67,7 +70,7 @@
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
 			return nil
 		},
-	}, rehearseRun(), rehearseResume(), &cobra.Command{
+	}, rehearseRun(), rehearseUpgrade(), rehearseResume(), &cobra.Command{
 		Use: "report DIR", Short: "Write a folder's report again, from its results", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			results, err := rehearse.ReadResults(args[0])
@@ -139,13 +142,14 @@
 }
 
 func (f *rehearseFlags) plan(cmd *cobra.Command) rehearse.Plan {
-	return rehearse.Plan{Jobs: f.jobs, Dir: f.out, Out: cmd.ErrOrStderr()}
+	return rehearse.Plan{Jobs: f.jobs, Dir: f.out, Out: cmd.ErrOrStderr(), Earlier: f.earlier}
 }
 
 // carryOut runs a plan, prints what came of it and maps that to an exit code.
 func (f *rehearseFlags) carryOut(cmd *cobra.Command, p rehearse.Plan, run func(context.Context, rehearse.Plan) ([]rehearse.Result, error)) error {
 	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
+	defer func() { _ = os.RemoveAll(f.build) }()
 	results, err := run(ctx, p)
 	if err != nil {
 		return err
--- a/cmd/barrowbridge/version.go
+++ b/cmd/barrowbridge/version.go
@@ -16,13 +16,18 @@
 		Long: "Print which version each controller runs, and what is held back for whom.\n\n" +
 			"A feature that not all versions understand is used for new things once every controller\n" +
 			"of the settings is known to understand it; until then it is held back. One that is down\n" +
-			"counts as the version that it last ran.",
+			"counts as the version that it last ran. The first of the controllers named with --server\n" +
+			"that knows the question is asked: an earlier version does not.",
 		RunE: func(*cobra.Command, []string) error {
-			var v wire.VersionView
-			if err := c.call(http.MethodGet, "/admin/v1/version", nil, &v); err != nil {
-				return err
+			var last error
+			for _, s := range c.servers { // an earlier version does not know the question
+				one := &client{servers: []string{s}, timeout: min(askWait, c.timeout)}
+				var v wire.VersionView
+				if last = one.call(http.MethodGet, "/admin/v1/version", nil, &v); last == nil {
+					return c.print(v, strings.TrimSuffix(showVersions(v), "\n"))
+				}
 			}
-			return c.print(v, strings.TrimSuffix(showVersions(v), "\n"))
+			return fmt.Errorf("no controller that was asked tells versions, name others with --server: %w", last)
 		},
 	}
 }
--- a/internal/rehearse/director.go
+++ b/internal/rehearse/director.go
@@ -12,6 +12,7 @@
 	DoneTasks(job string) int                 //
 	StepDone(fault int, step string) bool     // of the fault's recovery
 	Lifted(fault int) bool                    // staged, and lifted since
+	Understood(feature string) bool           // by every controller, as those that run say
 	JobOver(job string) bool                  // its user was told that it is done
 	Judged(now time.Duration) (all, met bool) // the expectations
 }
@@ -134,6 +135,8 @@
 		return f.StepDone(number(1), "noticed")
 	case "lifted":
 		return f.Lifted(number(1))
+	case "understood":
+		return f.Understood(w[1])
 	case "step":
 		return f.StepDone(number(1), w[2])
 	}
--- a/internal/rehearse/plan.go
+++ b/internal/rehearse/plan.go
@@ -21,6 +21,10 @@
 	Jobs  int // scenarios at once
 	Dir   string
 	Out   io.Writer // progress; nil: none
+	// Earlier builds the version in production, for scenarios that begin with it.
+	Earlier func(context.Context) (program string, err error)
+	// Sources are scenarios by name that stand in no file.
+	Sources map[string]string
 }
 
 // tries is how often a scenario is run that this machine disturbed by standing still.
@@ -40,7 +44,7 @@
 	var items []item
 	for _, seed := range p.Seeds {
 		for _, n := range p.Names {
-			file, b, err := Source(n)
+			file, b, err := p.source(n)
 			if err != nil {
 				return nil, err
 			}
@@ -143,7 +147,7 @@
 
 // carryOut runs items, several at once, and writes the report at the end.
 func carryOut(ctx context.Context, p Plan, log *Log, items []item, results []Result) ([]Result, error) {
-	program, err := Program()
+	programs, err := p.programs(ctx, items)
 	if err != nil {
 		return nil, err
 	}
@@ -173,7 +177,7 @@
 	for range max(1, p.Jobs) {
 		wg.Go(func() {
 			for i := range todo {
-				r := p.one(ctx, i, program, note)
+				r := p.one(ctx, i, programs, note)
 				mu.Lock()
 				results = append(results, *r)
 				ended++
@@ -193,11 +197,11 @@
 }
 
 // one runs an item until it was seen undisturbed, and keeps its result.
-func (p Plan) one(ctx context.Context, i item, program string, note func(Entry)) (r *Result) {
+func (p Plan) one(ctx context.Context, i item, programs programs, note func(Entry)) (r *Result) {
 	dir := filepath.Join(p.Dir, i.key())
 	for n := range tries {
 		note(Entry{What: "begin", Scenario: i.sc.Name, Seed: i.seed})
-		r = play(ctx, i.sc, i.seed, dir, program, note)
+		r = play(ctx, i.sc, i.seed, dir, programs, note)
 		if r.Result != Interrupted || ctx.Err() != nil || n == tries-1 {
 			break
 		}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -118,6 +118,7 @@
 func (f fakeFacts) DoneTasks(j string) int               { return map[bool]int{true: 100}[f["done "+j]] }
 func (f fakeFacts) StepDone(n int, s string) bool        { return f[fmt.Sprint("step ", n, " ", s)] }
 func (f fakeFacts) Lifted(n int) bool                    { return f[fmt.Sprint("lifted ", n)] }
+func (f fakeFacts) Understood(feature string) bool       { return f["understood "+feature] }
 func (f fakeFacts) JobOver(j string) bool                { return f["over "+j] }
 func (f fakeFacts) Judged(time.Duration) (all, met bool) { return f["judged"], true }
 
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -28,9 +28,19 @@
 	Objectives []Objective     `json:"objectives"`
 	Waits      []Wait          `json:"waits"`
 	Served     []checker.Group `json:"served,omitempty"` // classes, teams and largest jobs
+	Cost       Cost            `json:"cost"`
 	Timeline   *Timeline       `json:"timeline,omitempty"`
 }
 
+// Cost is what users had of it.
+type Cost struct {
+	ReplicaLostS float64        `json:"replica_lost_s"` // replica seconds that services lacked, from when they first ran in full
+	Asked        int            `json:"asked"`          // submissions, polls and cancellations
+	Refused      int            `json:"refused"`        // of them answered 503
+	Unanswered   int            `json:"unanswered"`
+	Handed       map[string]int `json:"handed,omitempty"` // changes of leader and holders between versions
+}
+
 // Rules tells which of the protocol's rules were broken, each with what was seen.
 type Rules struct {
 	Broken []Broken `json:"broken"`
@@ -129,6 +139,11 @@
 		}
 		fmt.Fprintf(&b, "  %s %s: %s (wanted %.3g)\n", word, o.What, got, o.Want)
 	}
+	fmt.Fprintf(&b, "  cost: %.1f replica seconds lost; of %d requests %d refused, %d not answered", r.Cost.ReplicaLostS, r.Cost.Asked, r.Cost.Refused, r.Cost.Unanswered)
+	if h := r.Cost.Handed; len(h) > 0 {
+		fmt.Fprintf(&b, "; leader or holder %s %d times, %s %d times", ToNewer, h[ToNewer], ToEarlier, h[ToEarlier])
+	}
+	b.WriteString("\n")
 	fmt.Fprintf(&b, "  rules: %d broken in %d task starts\n", len(r.Rules.Broken), r.Rules.Starts)
 	for _, g := range r.Served {
 		fmt.Fprintf(&b, "  served: %s: %d of %d begun in time, the last after %.1f s\n", g.Name, g.Served, g.Jobs, g.WorstS)
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -42,17 +42,21 @@
 	http   *http.Client
 	note   func(Entry)
 
-	mu     sync.Mutex
-	zero   time.Duration // the site's time at which the scenario's begins
-	over   time.Duration // when it ended; 0: not yet
-	seen   []recovery.Observation
-	jobs   map[string]*job
-	staged []*staged
-	line   Timeline
-	open   map[string]int // what goes on: index of its span
-	after  map[string]uint64
-	boots  map[string]uint64
-	wg     sync.WaitGroup
+	mu       sync.Mutex
+	zero     time.Duration // the site's time at which the scenario's begins
+	over     time.Duration // when it ended; 0: not yet
+	seen     []recovery.Observation
+	jobs     map[string]*job
+	staged   []*staged
+	line     Timeline
+	open     map[string]int // what goes on: index of its span
+	after    map[string]uint64
+	boots    map[string]uint64
+	cost     Cost
+	tooEarly []Broken               // features that were on while the earlier version ran
+	lives    []life                 // of controllers, in order
+	rolled   map[string]heldVersion // what each controller that answers said of versions
+	wg       sync.WaitGroup
 }
 
 // job is a submitted job, as its user knows it.
@@ -74,10 +78,10 @@
 }
 
 // play runs a scenario once. note records what must survive an interruption.
-func play(ctx context.Context, sc *Scenario, seed uint64, dir, program string, note func(Entry)) *Result {
+func play(ctx context.Context, sc *Scenario, seed uint64, dir string, p programs, note func(Entry)) *Result {
 	began := time.Now()
 	r := &rehearsal{sc: sc, seed: seed, rng: rand.New(rand.NewPCG(seed, 11)), note: note, jobs: map[string]*job{},
-		open: map[string]int{}, after: map[string]uint64{}, boots: map[string]uint64{}, http: cborhttp.NewClient(500*time.Millisecond, 4),
+		open: map[string]int{}, after: map[string]uint64{}, boots: map[string]uint64{}, rolled: map[string]heldVersion{}, http: cborhttp.NewClient(500*time.Millisecond, 4),
 		line: Timeline{Up: map[string][]Seen{}}}
 	res := &Result{Scenario: sc.Name, Seed: seed, Result: Failed, Faults: []FaultResult{}, Objectives: []Objective{}, Waits: []Wait{}, Rules: Rules{Broken: []Broken{}}}
 	defer func() { res.TookS = time.Since(began).Seconds() }()
@@ -85,7 +89,7 @@
 		res.Why = err.Error()
 		return res
 	}
-	r.site = site.New(r.spec(dir, program), slog.New(slog.DiscardHandler), r.event)
+	r.site = site.New(r.spec(dir, p), slog.New(slog.DiscardHandler), r.event)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.site.Stop()
@@ -96,7 +100,7 @@
 		err = r.site.WaitReady(up)
 	}
 	if err == nil {
-		r.users = load.NewClient(r.site.Public(), load.SiteUsers{Site: r.site})
+		r.users = load.NewClient(r.site.Public(), &countedUsers{load.SiteUsers{Site: r.site}, r})
 		r.direct(ctx)
 		r.close()
 		r.clear(ctx)
@@ -126,11 +130,14 @@
 }
 
 // spec turns the scenario's fleet into a deployment.
-func (r *rehearsal) spec(dir, program string) site.Spec {
+func (r *rehearsal) spec(dir string, p programs) site.Spec {
 	f := r.sc.Fleet
 	s := site.Default()
 	s.Controllers, s.Machines, s.Rentable, s.Seed = f.Controllers, f.Machines, f.Rentable, r.seed
-	s.Program, s.Dir, s.LogLevel = program, dir, "info"
+	s.Program, s.Dir, s.LogLevel = p.this, dir, "info"
+	if r.sc.From == FromProduction {
+		s.Earlier = p.earlier
+	}
 	s.Zones = nil
 	for i := range f.Zones {
 		s.Zones = append(s.Zones, string(rune('a'+i)))
@@ -162,6 +169,7 @@
 	}
 	if what == "process" {
 		r.begin("life "+name, &r.line.Lives, Span{Who: name, What: "process", FromS: at})
+		r.lives = append(r.lives, life{name, at, r.site.Controller(name).Earlier()})
 		if p, err := Identify(pid, settings); err == nil {
 			known.Store(key, p)
 			r.note(Entry{What: what, Scenario: r.sc.Name, Seed: r.seed, Process: &p})
@@ -205,13 +213,17 @@
 	d := NewDirector(r.sc)
 	t := time.NewTicker(pulse)
 	defer t.Stop()
-	last, trails := r.now(), time.Duration(-trailEvery)
+	last, trails, versions := r.now(), time.Duration(-trailEvery), time.Duration(-versionsEvery)
 	for {
 		now := r.now()
 		if now-trails >= trailEvery {
 			trails = now
 			r.readTrails(ctx)
 		}
+		if r.sc.From != "" && now-versions >= versionsEvery {
+			versions = now
+			r.readVersions(ctx)
+		}
 		r.watch(now, now-last)
 		last = now
 		actions, over := d.Step(now, facts{r})
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -15,12 +15,13 @@
 	"strings"
 
 	"github.com/barrowbridge/barrowbridge/internal/recovery"
+	"github.com/barrowbridge/barrowbridge/internal/rollout"
 	"github.com/barrowbridge/barrowbridge/internal/standin/site"
 	"github.com/barrowbridge/barrowbridge/internal/tomlfile"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-//go:embed scenarios/*.toml
+//go:embed scenarios/*.toml scenarios/upgrade/*.toml
 var shipped embed.FS
 
 // Scenario is a rehearsal: a fleet, its work, what goes wrong, what must hold.
@@ -29,6 +30,7 @@
 	Name   string   `toml:"name"`
 	About  string   `toml:"about"`
 	MostS  float64  `toml:"most_s"` // it fails if it has not ended by then
+	From   string   `toml:"from"`   // the version that the controllers begin with; "": this, see FromProduction
 	Fleet  Fleet    `toml:"fleet"`
 	Teams  []Team   `toml:"teams"`
 	Jobs   []Job    `toml:"jobs"`
@@ -37,6 +39,13 @@
 	Expect []Expect `toml:"expect"`
 }
 
+// What a scenario's controllers begin with: the version in production, or this one, so that
+// the same roll can be seen without a change of versions. An empty From is no roll at all.
+const (
+	FromProduction = "production"
+	FromThis       = "this"
+)
+
 // Fleet describes the emulated deployment.
 type Fleet struct {
 	Controllers int     `toml:"controllers"`
@@ -99,7 +108,7 @@
 
 // Fault is staged at a time, or so long after a condition holds. Conditions:
 // "running JOB", "done JOB N" (tasks), "noticed N" and "step N STEP" (of the Nth
-// fault), "lifted N".
+// fault), "lifted N", "understood FEATURE" (by every controller).
 type Fault struct {
 	Kind   string  `toml:"kind"`
 	Target string  `toml:"target"`
@@ -121,7 +130,8 @@
 // of a class, run within WithinS of their submission), "done" (and its user is
 // told), "accepted", "up" (all replicas run for at least Share of the time since they
 // first did), "recovered" (the Fault-th fault's Step comes within WithinS of it),
-// "starts" (no more than Most tasks were started in all).
+// "starts" (no more than Most tasks were started in all), "handed" (leadership or a shard
+// passed from a controller of one version to one of the other, as Step says).
 type Expect struct {
 	Kind    string  `toml:"kind"`
 	Job     string  `toml:"job"`
@@ -257,7 +267,7 @@
 	if s.Name == "" {
 		return &problem{"name", "missing"}
 	}
-	if err := first(within("most_s", s.MostS, 5, 3600),
+	if err := first(within("most_s", s.MostS, 5, 3600), oneOf("from", s.From, "", FromProduction, FromThis),
 		within("fleet.controllers", float64(f.Controllers), 1, 9), within("fleet.machines", float64(f.Machines), 0, 1000),
 		within("fleet.zones", float64(f.Zones), 1, 9), within("fleet.rentable", float64(f.Rentable), 0, 1000),
 		within("fleet.cpus", f.CPUs, 0.1, 1024), within("fleet.memory_gb", f.MemoryGB, 0.1, 1e6), within("fleet.boot_s", f.BootS, 0.01, 600),
@@ -344,12 +354,14 @@
 
 func (s *Scenario) checkExpect(i int, ids map[string]bool) error {
 	e, k := s.Expect[i], fmt.Sprintf("expect[%d].", i)
-	if err := oneOf(k+"kind", e.Kind, "running", "done", "accepted", "up", "recovered", "starts"); err != nil {
+	if err := oneOf(k+"kind", e.Kind, "running", "done", "accepted", "up", "recovered", "starts", "handed"); err != nil {
 		return err
 	}
 	switch e.Kind {
 	case "starts":
 		return within(k+"most", float64(e.Most), 1, 1e6)
+	case "handed":
+		return oneOf(k+"step", e.Step, ToNewer, ToEarlier)
 	case "recovered":
 		return first(within(k+"fault", float64(e.Fault), 1, float64(len(s.Faults))), oneOf(k+"step", e.Step, recovery.Order...),
 			within(k+"within_s", e.WithinS, 0.1, s.MostS))
@@ -374,7 +386,7 @@
 	if when == "" {
 		return nil
 	}
-	bad := &problem{key, `must be "running JOB", "done JOB N", "noticed N", "lifted N" or "step N STEP", got "` + when + `"`}
+	bad := &problem{key, `must be "running JOB", "done JOB N", "noticed N", "lifted N", "step N STEP" or "understood FEATURE", got "` + when + `"`}
 	w := strings.Fields(when)
 	number := func(i, most int) bool {
 		if i >= len(w) {
@@ -389,6 +401,8 @@
 		ok = len(w) == 2 && ids[w[1]]
 	case "done":
 		ok = len(w) == 3 && ids[w[1]] && number(2, 1e6)
+	case "understood":
+		ok = len(w) == 2 && slices.Contains(rollout.Features(), w[1])
 	case "noticed", "lifted":
 		ok = len(w) == 2 && number(1, len(s.Faults))
 	case "step":
@@ -406,14 +420,18 @@
 	return fmt.Sprintf("job-%0*d", len(first)-4, k+n)
 }
 
-// Names lists the shipped scenarios.
-func Names() []string {
-	entries, err := shipped.ReadDir("scenarios")
+// Names lists the shipped scenarios, but for those of an upgrade, which need the repository.
+func Names() []string { return names("scenarios") }
+
+func names(dir string) (out []string) {
+	entries, err := shipped.ReadDir(dir)
 	if err != nil {
 		return nil
 	}
-	var out []string
 	for _, e := range entries {
+		if e.IsDir() {
+			continue
+		}
 		out = append(out, strings.TrimSuffix(e.Name(), ".toml"))
 	}
 	sort.Strings(out)
@@ -422,8 +440,10 @@
 
 // Source returns a shipped scenario's text, or that of a file.
 func Source(name string) (file string, b []byte, err error) {
-	if b, err := shipped.ReadFile(path.Join("scenarios", name+".toml")); err == nil {
-		return name + ".toml", b, nil
+	for _, dir := range []string{"scenarios", "scenarios/upgrade"} {
+		if b, err := shipped.ReadFile(path.Join(dir, name+".toml")); err == nil {
+			return name + ".toml", b, nil
+		}
 	}
 	b, err = os.ReadFile(name)
 	if errors.Is(err, os.ErrNotExist) && !strings.ContainsAny(name, "./") {
--- a/internal/rehearse/watch.go
+++ b/internal/rehearse/watch.go
@@ -139,6 +139,9 @@
 			if full {
 				j.up += passed
 			}
+			if j.plan.Shape == wire.ShapeService {
+				r.cost.ReplicaLostS += max(0, float64(int(*j.spec.Tasks)-on)) * passed.Seconds()
+			}
 		}
 		if up := r.line.Up[id]; len(up) == 0 || j.last != on {
 			r.line.Up[id] = append(up, Seen{now.Seconds(), on})
@@ -176,6 +179,8 @@
 	return j != nil && on+done >= int(*j.spec.Tasks)
 }
 
+func (f facts) Understood(feature string) bool { return f.r.understood(feature) }
+
 func (f facts) DoneTasks(id string) int { _, done := f.r.running(id); return done }
 
 func (f facts) JobOver(id string) bool {
@@ -249,6 +254,8 @@
 		return []Objective{{What: "task starts", Want: float64(e.Most), Got: float64(starts), Unit: "starts", Met: starts <= e.Most}}
 	case "recovered":
 		return []Objective{r.recovered(e)}
+	case "handed":
+		return []Objective{r.judgeHanded(e)}
 	}
 	ids := make([]string, 0, len(r.jobs))
 	for id, j := range r.jobs {
@@ -327,6 +334,9 @@
 	broken, starts := r.rules()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.cost.Handed = r.handed()
+	broken = append(broken, r.early()...)
+	res.Cost = r.cost
 	res.Rules, res.Served = Rules{Broken: broken, Starts: starts}, r.served
 	for i, s := range r.staged {
 		s.f.Steps = append(s.f.Steps, r.steps(i+1)...)
--- a/internal/standin/site/controllers.go
+++ b/internal/standin/site/controllers.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,6 +40,8 @@
 	cloudAddr string
 	peers     map[string]string // sibling -> where this controller reaches it
 
+	earlier atomic.Bool // its next process runs the earlier version
+
 	mu       sync.Mutex
 	proc     *os.Process
 	ended    chan struct{}
@@ -114,6 +117,7 @@
 	s.serve(s.Net.Listen(cl, PartyCloud, PartyUsers), s.cloudServer(PartyUsers))
 	for _, n := range s.names {
 		s.controllers[n] = &Controller{Name: n, site: s, peers: map[string]string{}}
+		s.controllers[n].earlier.Store(s.Spec.Earlier != "")
 	}
 	for _, n := range s.names {
 		c := s.controllers[n]
@@ -255,7 +259,11 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(c.site.Spec.Program, "--config", path)
+	program := c.site.Spec.Program
+	if c.Earlier() {
+		program = c.site.Spec.Earlier
+	}
+	cmd := exec.Command(program, "--config", path)
 	cmd.Stderr, cmd.Stdout = log, log
 	cmd.Env = append(os.Environ(), "LOG_LEVEL="+c.site.Spec.LogLevel)
 	if err := c.site.starter.start(cmd); err != nil {
@@ -331,6 +339,9 @@
 	}
 }
 
+// Earlier tells whether the controller runs the earlier version, or will when it starts.
+func (c *Controller) Earlier() bool { return c.earlier.Load() && c.site.Spec.Earlier != "" }
+
 // Lives counts how often the process was started.
 func (c *Controller) Lives() int {
 	c.mu.Lock()
--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -59,6 +59,7 @@
 	{"spot_taken", "machines", "notice", 0, 1, "the cloud takes them: with a notice (1) or without (0)"},
 	{"link", "parties", "seconds", 0, 60, "what flows between target and peer is held, reset, refused or delayed"},
 	{"controller_kill", "controllers", "", 0, 0, "the processes end without a word, and start again when lifted"},
+	{"controller_upgrade", "controllers", "version", 0, 1, "the processes end without a word, and start again when lifted, as this version (1) or the earlier one (0)"},
 	{"controller_pause", "controllers", "", 0, 0, "the processes stand still"},
 	{"controller_slow", "controllers", "share", 0.01, 1, "the processes get this share of the time"},
 	{"peers_refuse", "controllers", "", 0, 0, "the other controllers refuse their connections"},
@@ -263,6 +264,10 @@
 			s.cloud.Die(now, n)
 			s.machineGone(now, n)
 		}
+	case "controller_upgrade":
+		for _, n := range a.Hits {
+			s.controllers[n].earlier.Store(a.Fault.Value < 1)
+		}
 	case "spot_taken":
 		for _, n := range a.Hits {
 			s.cloud.Take(now, n, a.Fault.Value > 0)
@@ -397,7 +402,7 @@
 		m.Sick, m.SickAbove = true, f.Value
 	case "machine_slow":
 		m.Slow = max(m.Slow, f.Value)
-	case "controller_kill":
+	case "controller_kill", "controller_upgrade":
 		still[n] = "kill"
 	case "controller_pause":
 		if still[n] != "kill" {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -50,6 +50,7 @@
 	Cloud       cloud.Params
 	Seed        uint64
 	Program     string // of the controllers
+	Earlier     string // of an earlier version, which they begin with; "": none
 	Dir         string // for settings files
 	LogLevel    string
 
