All orders of small troubles; a drained machine is returned once it is accounted for

A test plays every order of two of 19 things (late copies, hangs, crashes, writes lost or late, drains, a machine taken, grants, moves of blocks, deafness, a cut) in a world of two machines, one shard with work and three controllers, from four starts; the checker's rules hold, what was done runs again only if its machine was lost, and all gets done. BARROWBRIDGE_ORDERS asks for longer orders.

A drained machine is now returned only once it is accounted for.

--- /dev/null
+++ b/internal/core/orders_test.go
@@ -0,0 +1,309 @@
+package core
+
+import (
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// ordersDepth is how many things happen in each order that TestOrdersOfTroubles plays; the
+// variable BARROWBRIDGE_ORDERS asks for more.
+var ordersDepth = func() int {
+	n, err := strconv.Atoi(os.Getenv("BARROWBRIDGE_ORDERS"))
+	if err != nil {
+		return 2
+	}
+	return n
+}()
+
+// small is the world whose orders are exhausted: three controllers, one team and so one shard
+// with work, two machines in two blocks, a job of three tasks two of which end soon.
+type small struct {
+	*world
+	busy, other *host // where the long task was first, and the other machine
+	old         map[string][]wire.Report
+	lossy       bool // a machine has gone, or its lease was over: ends may have gone with it
+}
+
+// newSmall is the world as an order begins: with a job of few tasks, where each is started is
+// written; with a larger one it is not; or the work of the first has moved to the other machine since
+// its lease was over, the block of the one it left may be marked idle, and their holder ends.
+func newSmall(t testing.TB, start string) *small {
+	w := newWorld(t, 750, 3, func(w *world) {
+		w.teams, w.capacity = map[string]Team{"red": {CPUs: 80, CPUsMax: 80}}, 1
+		w.lease, w.reportS, w.keep = 5*sec, sec, map[string][]wire.Report{}
+		w.taskRuns = func(i int) time.Duration {
+			if i == 0 {
+				return 60 * sec
+			}
+			return time.Duration(2*i) * sec
+		}
+	})
+	s := &small{world: w}
+	a, b := w.addMachine("n", false, sec), w.addMachine("s", false, sec)
+	w.run(8 * sec)
+	j := spec("job-000001", "red", wire.ShapeBatch, 3)
+	if start == "many tasks" {
+		j = spec("job-000001", "red", wire.ShapeBatch, 6)
+	}
+	j.DueS, j.CPUs = nil, ptr(0.5)
+	w.submit(j)
+	for range 100 {
+		w.run(sec / 10)
+		for _, n := range []string{a, b} {
+			for _, x := range w.machines[n].tasks() {
+				if x.Task == "job-000001/0" && x.Status == wire.TaskRunning {
+					s.busy, s.other = w.machines[n], w.machines[map[string]string{a: b, b: a}[n]]
+				}
+			}
+		}
+		if s.busy != nil {
+			break
+		}
+	}
+	if s.busy == nil {
+		t.Fatal("the long task does not run")
+	}
+	if strings.HasPrefix(start, "moved") {
+		s.move(start == "moved, idle")
+	}
+	s.old = map[string][]wire.Report{} // their reports of until now come again
+	for _, m := range []*host{s.busy, s.other} {
+		s.old[m.info.Name] = append([]wire.Report(nil), w.keep[m.info.Name]...)
+	}
+	return s
+}
+
+// move has the work move to the other machine, and the holder end.
+func (s *small) move(idle bool) {
+	s.hang(s.busy)
+	s.run(9 * sec)
+	s.resume(s.busy)
+	s.run(3 * sec)
+	s.busy, s.other = s.other, s.busy
+	if n := len(s.other.tasks()); n > 0 || len(s.busy.tasks()) == 0 {
+		s.t.Fatalf("%d tasks on the first machine, %d on the other", n, len(s.busy.tasks()))
+	}
+	s.crash(sec / 5)
+	if !idle {
+		return
+	}
+	var rec wire.Block
+	key := blockKey(s.other.info.Name)
+	if err := wire.Unmarshal(s.world.key(key).Value, &rec); err != nil {
+		s.t.Fatal(err)
+	}
+	rec.Idle = true
+	s.set(key, rec)
+}
+
+// grant gives the work's shard to the next controller that is present.
+func (s *small) grant() {
+	var rec wire.Shard
+	key := ""
+	s.store.Scan(wire.PrefixShard, func(it wire.Item) {
+		var r wire.Shard
+		if wire.Unmarshal(it.Value, &r) == nil && contains(r.Teams, "red") {
+			rec, key = r, it.Key
+		}
+	})
+	names := sortedKeys(s.nodes)
+	for i, n := range names {
+		var node wire.Node
+		to := names[(i+1)%len(names)]
+		if n != rec.Holder || wire.Unmarshal(s.world.key(wire.PrefixNode+to).Value, &node) != nil {
+			continue
+		}
+		rec.Past, rec.Known = append(rec.Past, wire.Life{Node: rec.Holder, Boot: rec.Boot}), rec.Known || rec.Settled
+		rec.Holder, rec.Boot, rec.Settled = to, node.Boot, false
+		s.set(key, rec)
+		return
+	}
+}
+
+// need has another shard, or the work's own, ask for a machine: an empty block is offered and moved.
+func (s *small) need(own bool) {
+	s.store.Scan(wire.PrefixShard, func(it wire.Item) {
+		var r wire.Shard
+		_ = wire.Unmarshal(it.Value, &r)
+		if i, err := strconv.Atoi(strings.TrimPrefix(it.Key, wire.PrefixShard)); err == nil && contains(r.Teams, "red") == own {
+			w := wire.Want{Seen: 1 << 40, Needs: []wire.Need{{CPUs: 4, MemGB: 4, Tasks: 1, Zone: s.other.info.Zone, Dire: true}}}
+			s.set(wantKey(i), w)
+			s.at(3*sec, func() { s.set(wantKey(i), wire.Want{Seen: 1 << 40}) })
+		}
+	})
+}
+
+// copies brings old reports of a machine to all controllers, in their order.
+func (s *small) copies(m *host) {
+	for _, r := range s.old[m.info.Name] {
+		for _, n := range sortedKeys(s.nodes) {
+			s.ask(n, func(q uint64) any { return WorkerReport{Req: q, Report: r} }, func(Answer) {})
+		}
+	}
+}
+
+func (s *small) hangs(m *host, d time.Duration) {
+	s.hang(m)
+	s.at(d, func() { s.resume(m) })
+}
+
+// crash ends the work's holder.
+func (s *small) crash(back time.Duration) {
+	if h := s.shardRec("red").Holder; s.nodes[h] != nil && s.nodes[h].core != nil {
+		s.bounce(back, h)
+	}
+}
+
+func (s *small) lost(late time.Duration) {
+	s.noAnswer = func(_ string, v StateCall) (time.Duration, bool) {
+		return late, v.Op == OpCommit && len(v.Txn.Then) > 0
+	}
+	s.at(700*time.Millisecond, func() { s.noAnswer = nil })
+}
+
+func (s *small) drain(m *host) {
+	s.world.ask("c2", func(q uint64) any {
+		return AdminCordon{Req: q, Machine: m.info.Name, Cordon: &wire.Cordon{Drain: true}}
+	}, func(Answer) {})
+}
+
+// smallEvents is what may happen, by name.
+var smallEvents = map[string]func(s *small){
+	"time passes":                       func(s *small) { s.run(2 * sec) },
+	"copies of the busy machine":        func(s *small) { s.copies(s.busy) },
+	"copies of the other":               func(s *small) { s.copies(s.other) },
+	"the busy one hangs, briefly":       func(s *small) { s.hangs(s.busy, 3*sec) },
+	"the busy one hangs, beyond leases": func(s *small) { s.lossy = true; s.hangs(s.busy, 8*sec) },
+	"the other hangs, briefly":          func(s *small) { s.hangs(s.other, 3*sec) },
+	"the holder crashes, back at once":  func(s *small) { s.crash(sec / 5) },
+	"the holder crashes, back late":     func(s *small) { s.crash(8 * sec) },
+	"all crash":                         func(s *small) { s.bounce(sec, sortedKeys(s.nodes)...) },
+	"answers to writes are lost":        func(s *small) { s.lost(0) },
+	"writes are executed late":          func(s *small) { s.lost(4 * sec) },
+	"the busy one is drained":           func(s *small) { s.drain(s.busy) },
+	"the other is drained":              func(s *small) { s.drain(s.other) },
+	"the busy one is taken":             func(s *small) { s.lossy = true; s.vanish(s.busy.info.Name) },
+	"the shard is granted anew":         func(s *small) { s.grant() },
+	"another shard asks":                func(s *small) { s.need(false) },
+	"the work's shard asks":             func(s *small) { s.need(true) },
+	"the busy one is deaf": func(s *small) {
+		s.lossy = true
+		s.deafen(true, s.busy.info.Name)
+		s.at(4*sec, func() { s.deafen(false, s.busy.info.Name) })
+	},
+	"a zone is cut off": func(s *small) {
+		s.lossy = true
+		s.apart[[2]string{"n", "s"}] = true
+		s.at(4*sec, func() { delete(s.apart, [2]string{"n", "s"}) })
+	},
+}
+
+// state hashes what is believed and what is: times, numbers of revisions and attempts apart.
+func (s *small) state() uint64 {
+	h := fnv.New64a()
+	put := func(a ...any) { _, _ = fmt.Fprintln(h, a...) }
+	for _, n := range s.order {
+		m := s.machines[n]
+		put(n, m.gone, m.up, m.Fault.Hung, s.deaf[n])
+		for _, a := range m.tasks() {
+			put(a.Task, a.Status, a.Cause)
+		}
+	}
+	for _, n := range sortedKeys(s.nodes) {
+		c := s.nodes[n].core
+		put(n, c != nil)
+		if c == nil {
+			continue
+		}
+		put(c.leading(), sortedInts(c.held), sortedInts(c.pending), sortedInts(c.unsettle))
+		for _, m := range c.heldMachines() {
+			put(m.name, m.shard, m.inherited, m.accounted, m.reported, m.proven, m.fresh, m.drop, m.over, m.notice)
+			for _, k := range sortedAttempts(m) {
+				a := m.attempts[k]
+				put(k.task, a.status, a.cause, a.sent, a.stop)
+			}
+		}
+		for _, e := range c.jobsByAge() {
+			if e.run != nil {
+				put(e.rec.ID, e.run.done, e.run.retry, e.run.next, e.run.held, sortedInts(e.run.active))
+			}
+		}
+	}
+	s.store.Scan("", func(it wire.Item) {
+		var b wire.Block
+		var j wire.Job
+		switch {
+		case strings.HasPrefix(it.Key, wire.PrefixBlock) && wire.Unmarshal(it.Value, &b) == nil:
+			put(it.Key, b)
+		case strings.HasPrefix(it.Key, wire.PrefixJob) && wire.Unmarshal(it.Value, &j) == nil:
+			put(it.Key, j.Started, j.Done, j.On)
+		default:
+			put(it.Key)
+		}
+	})
+	return h.Sum64()
+}
+
+// playOrder has things happen in an order, 0.4 s apart, then lets all come to rest. The world ends
+// the test when a rule is broken. at is told each state on the way.
+func playOrder(t *testing.T, start string, order []string, at func(uint64)) {
+	s := newSmall(t, start)
+	for _, what := range order {
+		smallEvents[what](s)
+		s.run(sec * 2 / 5)
+		at(s.state())
+	}
+	s.pollAll()
+	s.run(20 * sec)
+	if !s.lossy && len(s.repeated) > 0 {
+		t.Errorf("done, and started again: %v", s.repeated)
+	}
+	for end := s.now + 90*sec; s.unfinished() != nil && s.now < end; {
+		s.run(2 * sec)
+	}
+	if u := s.unfinished(); u != nil {
+		t.Errorf("not done: %v", u)
+	}
+}
+
+// Every order of ordersDepth of the things that may happen is played from each start. No rule breaks, nothing that was done runs
+// again unless its machine was lost, and all gets done.
+func TestOrdersOfTroubles(t *testing.T) {
+	names := sortedKeys(smallEvents)
+	states, orders, began := map[uint64]bool{}, 0, time.Now()
+	for _, start := range []string{"few tasks", "many tasks", "moved", "moved, idle"} {
+		last := [][]string{{}}
+		for range ordersDepth {
+			var next [][]string
+			for _, o := range last {
+				for _, n := range names {
+					next = append(next, append(append([]string(nil), o...), n))
+				}
+			}
+			last = next
+		}
+		seen := make([]map[uint64]bool, len(last))
+		t.Run(start, func(t *testing.T) {
+			for i, o := range last {
+				seen[i] = map[uint64]bool{}
+				t.Run(strings.Join(o, ", "), func(t *testing.T) {
+					t.Parallel()
+					playOrder(t, start, o, func(h uint64) { seen[i][h] = true })
+				})
+			}
+		})
+		orders += len(last)
+		for _, m := range seen {
+			maps.Copy(states, m)
+		}
+	}
+	t.Logf("%d orders of %d out of %d, %d states, %.0f s", orders, ordersDepth, len(names), len(states), time.Since(began).Seconds())
+}
--- a/internal/core/progressing.go
+++ b/internal/core/progressing.go
@@ -60,8 +60,12 @@
 }
 
 // keepsEnds tells whether a machine's worker has told ends that do not stand in the state:
-// until they do it is not returned. If we ended then, nobody would know of them.
+// until they do it is not returned. If we ended then, nobody would know of them. One that is
+// drained and has not told us anything since a change of hands may keep some as well.
 func (c *Core) keepsEnds(m *machine) bool {
+	if m.inherited && !m.accounted && c.cordons[m.name].Drain {
+		return true
+	}
 	for _, a := range m.attempts {
 		if c.owesEnd(a) {
 			return true
