Ends in a hurry are written at most once a second for each job

In a wave of notices they share the limit on changes with starts and acceptances; three a second for each job was more than is needed. The first is still written at once. TestEndsOutliveTheirMachineAndItsHolder and TestDoneTasksStayDoneHoweverScattered pass.

--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -39,9 +39,9 @@
 	// LazyFlush (duration): completed tasks of a job may wait this long to be
 	// written together; nothing is lost meanwhile since workers keep reporting them.
 	LazyFlush = 10 * time.Second
-	// HastyFlush (duration): those on a machine that will be gone, or is, wait only so long:
-	// after it nobody but their holder knows of them.
-	HastyFlush = 300 * time.Millisecond
+	// HastyFlush (duration): ends on a machine that will be gone, or is, are written at once,
+	// but so often at most of a job: in a wave of notices they share the limit on changes with starts.
+	HastyFlush = 1 * time.Second
 	// DoneSpan (tasks): how many each further record of a job's progress tells of. Its 64 words
 	// take at most 0.8 KiB in JSON form, which fits any value limit that fits a job.
 	DoneSpan = 2048
