The checker: starts of cancelled jobs are counted, jobs that cannot run are found

The emulated site and the core's world give it their machine types. It no longer reads a field of jobs that have nothing on machines, so submissions that lack one can be told to it.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -29,6 +29,8 @@
 	// Unserved is no rule of PROTOCOL's: less than half of a class, a team or a class's
 	// largest jobs was served, and the day fails.
 	Unserved = "unserved"
+	// Unfit is none either: a job was accepted that can't run or lacks a field.
+	Unfit = "unfit"
 )
 
 // Rules lists them all.
@@ -50,6 +52,8 @@
 type Params struct {
 	Teams  map[string]Limit
 	Cancel time.Duration
+	// Types are the machine types of the cloud; none: whether a job fits one is not judged.
+	Types []wire.MachineType
 	// Lapsed tells whether a machine's lease is over, so that nothing it was given
 	// runs on, even if it hangs and cannot say so. nil: never.
 	Lapsed func(machine string, now Time) bool
@@ -96,6 +100,7 @@
 	jobs     map[string]*job
 	machines map[string]Machine
 	started  int
+	late     int // starts of tasks whose job had been confirmed as cancelled
 	broken   []Violation
 	polls    []poll // of the last unheard
 	calm     Time   // since when no trouble is left; never: not yet
@@ -120,6 +125,10 @@
 // Started counts the tasks that were started.
 func (c *Checker) Started() int { return c.started }
 
+// StartedCancelled counts the tasks that were started after their user had been told that the
+// job is cancelled, soon after or not.
+func (c *Checker) StartedCancelled() int { return c.late }
+
 func (c *Checker) fail(now Time, rule, format string, a ...any) {
 	c.broken = append(c.broken, Violation{now, rule, fmt.Sprintf(format, a...)})
 }
@@ -137,6 +146,10 @@
 	j := c.jobs[id]
 	switch {
 	case status == 201 || status == 200:
+		if why := c.unfit(&j.spec); why != "" {
+			c.fail(now, Unfit, "%s is accepted: %s", id, why)
+			return
+		}
 		j.accepted = min(j.accepted, now)
 		c.told(now, asked, id, j, st.Status)
 	case (status == 400 || status == 422) && j.accepted < asked:
@@ -265,6 +278,9 @@
 			here++
 		}
 	}
+	if j.aborts != never && now > j.aborts {
+		c.late++
+	}
 	if j.aborts != never && now > j.aborts+c.p.Cancel {
 		c.fail(now, RanCancelled, "%s starts on %s %v after its job was cancelled", task, machine, now-j.aborts)
 	}
@@ -304,7 +320,7 @@
 func (c *Checker) checkQuota(now Time, team string) {
 	var cpus, gpus float64
 	for _, j := range c.jobs {
-		if *j.spec.Team != team {
+		if len(j.on) == 0 || *j.spec.Team != team {
 			continue
 		}
 		for p := range j.on {
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -14,15 +14,18 @@
 
 func spec(id string, tasks int64) wire.JobSpec {
 	return wire.JobSpec{ID: &id, Class: ptr("any"), Team: ptr("red"), Shape: ptr(wire.ShapeBatch), Priority: ptr("normal"), Tasks: &tasks,
-		CPUs: ptr(1.0), GPUs: ptr(0.0), MemoryGB: ptr(1.0), OneZone: ptr(false), Spread: ptr(false), Spot: ptr(false)}
+		CPUs: ptr(1.0), GPUs: ptr(0.0), MemoryGB: ptr(1.0), OneZone: ptr(false), Spread: ptr(false), Spot: ptr(false),
+		Image: ptr("img"), ImageGB: ptr(1.0), EstimateS: ptr(5.0), CheckpointEvery: ptr(0.0), SaveS: ptr(0.0)}
 }
 
 // broken plays a day on which all goes well up to second 10, then f, and tells
 // which rules were found broken.
 func broken(f func(c *Checker)) map[string]bool {
 	c := New(Params{Teams: map[string]Limit{"red": {CPUs: 3}}, Cancel: 40 * sec,
-		Lapsed: func(m string, now Time) bool { return m == "hung" && now > 30*sec }})
-	for _, m := range []Machine{{"a1", "std", "a", false}, {"a2", "std", "a", false}, {"b1", "std", "b", false}, {"spot", "std", "a", true}, {"big", "big", "a", false}, {"hung", "std", "a", false}} {
+		Lapsed: func(m string, now Time) bool {
+			return m == "hung" && now > 30*sec || m == "stuck" && now > 30*sec && now < 60*sec
+		}})
+	for _, m := range []Machine{{"stuck", "std", "a", false}, {"a1", "std", "a", false}, {"a2", "std", "a", false}, {"b1", "std", "b", false}, {"spot", "std", "a", true}, {"big", "big", "a", false}, {"hung", "std", "a", false}} {
 		c.MachineUp(m)
 	}
 	s := spec("job-1", 2)
@@ -79,6 +82,14 @@
 			c.TaskStarted(60*sec, "a1", "job-1/1", 1)
 			c.TaskLeft(60*sec, "a1", "job-1/1", wire.CauseHalted)
 		}},
+		"goes on after its machine hung": {RanCancelled, func(c *Checker) {
+			c.TaskStarted(9*sec, "stuck", "job-1/1", 1)
+			c.TaskLeft(9*sec, "a1", "job-1/0", wire.CauseDone)
+			cancelled(c) // the machine hangs past its lease, and goes on with what it had
+			c.Tick(59 * sec)
+			c.Tick(61 * sec)
+			c.TaskLeft(62*sec, "stuck", "job-1/1", wire.CauseDone)
+		}},
 		"404":       {Forgotten, func(c *Checker) { c.Polled(10*sec, 9*sec, "job-1", 404, st("")) }},
 		"abort 404": {Forgotten, func(c *Checker) { c.Aborting("job-1"); c.Aborted(10*sec, 9*sec, "job-1", 404, st("")) }},
 		"again 422": {Forgotten, func(c *Checker) { c.Submitted(10*sec, 9*sec, "job-1", 422, st("")) }},
@@ -230,3 +241,64 @@
 		}
 	}
 }
+
+// Jobs that PROTOCOL has refused are found when they are accepted, and only these.
+func TestUnfit(t *testing.T) {
+	types := []wire.MachineType{{Name: "std", CPUs: 4, MemoryGB: 16, Zones: []string{"a"}}, {Name: "gpu", CPUs: 8, GPUs: 1, MemoryGB: 32, Zones: []string{"b"}}}
+	for name, x := range map[string]struct {
+		change func(s *wire.JobSpec)
+		unfit  bool
+	}{
+		"fits":                         {func(*wire.JobSpec) {}, false},
+		"of any zone, in one":          {func(s *wire.JobSpec) { s.Zone = ptr("b") }, false},
+		"many tasks, each fits":        {func(s *wire.JobSpec) { s.Tasks = ptr(int64(900)) }, false},
+		"a service over the limit":     {func(s *wire.JobSpec) { s.Tasks, s.Shape = ptr(int64(11)), ptr(wire.ShapeService) }, true},
+		"a task over the limit":        {func(s *wire.JobSpec) { s.GPUs = ptr(3.0) }, true},
+		"too large for any":            {func(s *wire.JobSpec) { s.MemoryGB = ptr(33.0) }, true},
+		"too large for what it allows": {func(s *wire.JobSpec) { s.CPUs, s.Types = ptr(5.0), []string{"std"} }, true},
+		"too large in its zone":        {func(s *wire.JobSpec) { s.CPUs, s.Zone = ptr(5.0), ptr("a") }, true},
+		"no such type":                 {func(s *wire.JobSpec) { s.Types = []string{"huge"} }, true},
+		"no such team":                 {func(s *wire.JobSpec) { s.Team = ptr("nobody") }, true},
+		"lacks its image":              {func(s *wire.JobSpec) { s.Image = nil }, true},
+		"lacks its team":               {func(s *wire.JobSpec) { s.Team = nil }, true},
+		"lacks its class":              {func(s *wire.JobSpec) { s.Class = nil }, true},
+	} {
+		for _, status := range []int{200, 201, 400, 422, 503} {
+			c := New(Params{Teams: map[string]Limit{"red": {CPUs: 10, GPUs: 2}}, Types: types})
+			s := spec("job-1", 2)
+			x.change(&s)
+			c.Submitting(s)
+			c.Submitted(sec, 0, "job-1", status, wire.JobStatus{Status: wire.JobQueued})
+			c.MachineUp(Machine{Name: "a", Type: "std", Zone: "a"})
+			other := spec("job-2", 1)
+			c.Submitting(other)
+			c.TaskStarted(2*sec, "a", "job-2/0", 1) // its team's use is counted beside the other job
+			found := false
+			for _, v := range c.FinishDay(200 * sec) {
+				found = found || v.Rule == Unfit
+			}
+			if want := x.unfit && status <= 201; found != want {
+				t.Errorf("%s, answered %d: found %v", name, status, found)
+			}
+		}
+	}
+}
+
+// Starts after a confirmed cancellation are counted from the moment that it was told.
+func TestStartsOfCancelledJobsAreCounted(t *testing.T) {
+	c := New(Params{Teams: map[string]Limit{"red": {CPUs: 10}}, Cancel: 40 * sec})
+	c.MachineUp(Machine{Name: "a", Type: "std", Zone: "a"})
+	c.Submitting(spec("job-1", 3))
+	c.Submitted(sec, 0, "job-1", 201, wire.JobStatus{Status: wire.JobQueued})
+	c.TaskStarted(2*sec, "a", "job-1/0", 1)
+	c.Aborting("job-1")
+	c.TaskStarted(3*sec, "a", "job-1/1", 1) // asked for, and not yet told
+	c.Aborted(4*sec, 3*sec, "job-1", 200, wire.JobStatus{Status: wire.JobAborted})
+	if n := c.StartedCancelled(); n != 0 {
+		t.Errorf("%d counted before it was told", n)
+	}
+	c.TaskStarted(5*sec, "a", "job-1/2", 1)
+	if n := c.StartedCancelled(); n != 1 || len(c.Broken()) > 0 {
+		t.Errorf("%d counted, broken %v", n, c.Broken())
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -123,8 +123,8 @@
 	}
 	w.store = state.New(w.limits, w.rng)
 	w.store.Trouble.Refused = w.cutFrom
-	w.cloud = cloud.New(cloud.Params{ListLag: 4 * time.Second, Otherwise: w.capacity, Types: []wire.MachineType{
-		{Name: "std", CPUs: 4, MemoryGB: 16, FetchGBps: 1, Price: 0.2, SpotPrice: 0.05, BootS: 5, Zones: []string{"n", "s"}}},
+	types := append([]wire.MachineType{{Name: "std", CPUs: 4, MemoryGB: 16, FetchGBps: 1, Price: 0.2, SpotPrice: 0.05, BootS: 5, Zones: []string{"n", "s"}}}, w.moreTypes...)
+	w.cloud = cloud.New(cloud.Params{ListLag: 4 * time.Second, Otherwise: w.capacity, Types: types,
 		Boot: func(wire.MachineType, *rand.Rand) time.Duration {
 			if w.absent > 0 && w.rng.IntN(100) < w.absent {
 				return 24 * time.Hour
@@ -135,7 +135,7 @@
 	for n, t := range w.teams {
 		limits[n] = checker.Limit{CPUs: t.CPUsMax, GPUs: t.GPUsMax}
 	}
-	w.check = checker.New(checker.Params{Teams: limits, Cancel: w.cancelS,
+	w.check = checker.New(checker.Params{Teams: limits, Types: types, Cancel: w.cancelS,
 		Lapsed: func(m string, now time.Duration) bool { return w.machines[m].lapsed || !w.machines[m].Leased(now) }})
 	all := map[string]string{}
 	for i := range nodes {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -152,7 +152,7 @@
 		cpus, gpus := config.Team{CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}.Most() // as the controllers read it
 		limits[n] = checker.Limit{CPUs: cpus, GPUs: gpus}
 	}
-	s.check = checker.New(checker.Params{Teams: limits, Cancel: spec.Cancel, Lapsed: func(m string, now time.Duration) bool {
+	s.check = checker.New(checker.Params{Teams: limits, Types: spec.Cloud.Types, Cancel: spec.Cancel, Lapsed: func(m string, now time.Duration) bool {
 		x := s.machines[m]
 		return x == nil || x.gone || x.lapsed || !x.Leased(now)
 	}})
