No job is refused by machine types half read

A controller that read the state page by page judged submissions by the types of the first page: 422, which users do not repeat. TestOddJobsAreRefused: odd jobs at all nodes, held already; fails with never taken out of onSubmit (200 instead of 422).

--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -236,7 +236,7 @@
 		known(func() { c.answer(v.Req, 400, wire.Problem{Error: err.Error()}) })
 		return
 	}
-	if len(c.types) == 0 {
+	if !c.loaded || len(c.types) == 0 { // of some types alone, too, nothing follows
 		known(func() { c.answer(v.Req, 503, unavailable("machine types not known yet")) })
 		return
 	}
@@ -244,7 +244,7 @@
 		known(func() { c.answer(v.Req, 422, wire.Problem{Error: why}) })
 		return
 	}
-	if !c.loaded || c.now-c.renewOK > 2*tuning.GrantTTL {
+	if c.now-c.renewOK > 2*tuning.GrantTTL {
 		c.answer(v.Req, 503, unavailable("state service not reached"))
 		return
 	}
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -23,6 +23,7 @@
 	taskRuns   func(index int) time.Duration // how long tasks run; nil: runS and a little
 	holdOrders time.Duration                 // calls of workers are held for up to so long, then delivered
 	slowState  time.Duration                 // the state service answers so much later
+	moreTypes  []wire.MachineType            // of the cloud, beside std
 
 	// noAnswer picks calls of the state service that are executed so much later and never
 	// answered; peerDelay has messages between controllers come so much later.
