A way around that is as slow is no way: polls are answered while the state is slow

A call now counts as late after twice what the last answered renewal took (0.6 to 1.5 s). No safety line changes: looks answer only polls that came before them, as before; what a link is believed to be only chooses the way of a call.

--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -15,7 +15,7 @@
 	finalAge []string // oldest first
 	polls    map[string][]uint64
 	asked    []Poll // wait for the next look at the changes
-	asking   bool
+	asking   int    // looks under way
 }
 
 func newUsers() users {
@@ -139,13 +139,13 @@
 // answered than anybody has been told. A read for each poll was most of what a large
 // fleet asked of the state service, and took its limit from the renewals of grants.
 func (c *Core) askAll() {
-	if len(c.asked) == 0 || c.asking || !c.every("ask", tuning.AskEvery) {
+	if len(c.asked) == 0 || c.asking > 0 && c.now < c.retryAt["ask again"] || !c.every("ask", tuning.AskEvery) {
 		return
 	}
 	batch := c.asked
-	c.asked, c.asking = nil, true
+	c.asked, c.asking, c.retryAt["ask again"] = nil, c.asking+1, c.now+tuning.AskAgain
 	c.state(StateCall{Op: OpWatch, Key: wire.LivePrefix, Revision: c.rev}, func(r StateReply) {
-		c.asking = false
+		c.asking--
 		if r.Status == 200 {
 			c.follow(&r.Events)
 		}
--- a/internal/core/ways.go
+++ b/internal/core/ways.go
@@ -22,7 +22,7 @@
 
 func newWays() ways {
 	return ways{wayless: map[string]Time{}, routes: reach.NewRoutes(tuning.WayKeep, tuning.WayHops),
-		link: reach.NewLink(reach.LinkLimits{Late: tuning.LinkLate, Down: tuning.LinkDown, Back: tuning.LinkBack, BackMax: tuning.LinkBackMax, Window: tuning.LinkWindow})}
+		link: reach.NewLink(reach.LinkLimits{Late: tuning.LinkLate, Slowest: tuning.LinkSlowest, Down: tuning.LinkDown, Back: tuning.LinkBack, BackMax: tuning.LinkBackMax, Window: tuning.LinkWindow})}
 }
 
 // waiting is a call of the state service whose answer has not come.
--- a/internal/reach/link.go
+++ b/internal/reach/link.go
@@ -24,6 +24,7 @@
 // LinkLimits are the times of a judgement.
 type LinkLimits struct {
 	Late    time.Duration // a call without an answer for so long is a reason for doubt
+	Slowest time.Duration // the same while answers come late: twice what the last one took, up to this
 	Down    time.Duration // doubt of this age, and two reasons for it, is a judgement
 	Back    time.Duration // answers over so long bring a link back that was down
 	BackMax time.Duration // each fall within Window doubles Back, up to this: a flapping link stays down
@@ -46,6 +47,8 @@
 	since   time.Duration
 	why     string
 	open    map[uint64]time.Duration // calls under way by id, and when they were sent
+	late    map[uint64]bool          // those of them that have counted as late
+	took    time.Duration            // what the last of them took that was answered
 	reasons int                      // for doubt, since the last answer
 	lastOK  time.Duration            // when the last answered call was sent
 	badSent time.Duration            // when the last call was sent that gave a reason for doubt
@@ -57,7 +60,7 @@
 
 // NewLink returns a link of which nothing is known.
 func NewLink(l LinkLimits) *Link {
-	return &Link{limits: l, open: map[uint64]time.Duration{}, back: l.Back}
+	return &Link{limits: l, open: map[uint64]time.Duration{}, late: map[uint64]bool{}, back: l.Back}
 }
 
 // Sent notes a call whose answer ought to come within moments.
@@ -66,7 +69,11 @@
 // Done notes how a call ended that was sent at the given time; those that Sent was not
 // told of count too.
 func (l *Link) Done(now time.Duration, id uint64, sent time.Duration, o Outcome) {
+	if at, ours := l.open[id]; ours && o == Answered {
+		l.took = now - at
+	}
 	delete(l.open, id)
+	delete(l.late, id)
 	if o != Answered {
 		if sent < l.lastOK {
 			return // older than an answer: it was lost on its own
@@ -123,9 +130,11 @@
 
 // Judge looks at what is under way, and says what is believed now.
 func (l *Link) Judge(now time.Duration) Judgement {
+	// A service that is slow is so by every way: what comes late, and comes, is no cut.
+	late := max(l.limits.Late, min(2*l.took, l.limits.Slowest))
 	for id, at := range l.open {
-		if now-at >= l.limits.Late && at >= l.lastOK {
-			delete(l.open, id) // counts once
+		if now-at >= late && at >= l.lastOK && !l.late[id] {
+			l.late[id] = true // counts once
 			l.doubt(now, at, "an answer is late")
 		}
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -47,6 +47,38 @@
 	want(13*time.Second, Up, "answers again")
 }
 
+// Answers that come, and late, raise what counts as late, up to a limit; one that comes soon
+// ends that. A link that is slow is not taken for cut, and one that is cut while slow is.
+func TestSlowIsNoCut(t *testing.T) {
+	limits := linkLimits
+	limits.Slowest = 1500 * ms
+	l := NewLink(limits)
+	at := time.Duration(0)
+	ask := func(took time.Duration) (doubted time.Duration) {
+		l.Sent(at, uint64(at))
+		for d := time.Duration(0); d < took; d += 50 * ms {
+			if j := l.Judge(at + d); j.Level > Up && doubted == 0 {
+				doubted = d
+			}
+		}
+		if took < 1500*ms {
+			l.Done(at+took, uint64(at), at, Answered)
+		}
+		at += took + 500*ms
+		return doubted
+	}
+	for i, x := range []struct{ took, doubted time.Duration }{
+		{10 * ms, 0}, {1200 * ms, 600 * ms}, // the first that is late is doubted
+		{1200 * ms, 0}, {1400 * ms, 0}, {700 * ms, 0}, {1300 * ms, 0},
+		{10 * ms, 0}, {800 * ms, 600 * ms}, // it is quick again: late is late
+		{3 * time.Second, 1500 * ms}, // slow, and then cut
+	} {
+		if got := ask(x.took); got != x.doubted {
+			t.Errorf("call %d, answered after %v: doubted after %v, want %v", i, x.took, got, x.doubted)
+		}
+	}
+}
+
 // A link that is up for three seconds and down for three falls a few times, each time for
 // longer, and then stays down.
 func TestFlappingLinkStaysDown(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -314,6 +314,9 @@
 	// AskEvery (duration): between looks at the changes for all polls that wait; users
 	// wait 2 s for an answer and ask again after 5.
 	AskEvery = 50 * time.Millisecond
+	// AskAgain (duration): with a look under way, before the next is sent. Where answers take
+	// over a second, users who came just after a look waited for two of them, over their 2 s.
+	AskAgain = 250 * time.Millisecond
 	// PollTimeout (duration): see UserTimeout.
 	PollTimeout = 1800 * time.Millisecond
 	// ReportTimeout (duration): workers wait 4 s.
@@ -346,6 +349,9 @@
 	// wait for none of our limits; answers take 10 ms, now and then a few hundred. A
 	// renewal that is found late so still leaves half of GrantTTL for the way around.
 	LinkLate = 600 * time.Millisecond
+	// LinkSlowest (duration): the same, at most, while renewals are answered and late: as long
+	// as a call is waited for. A way around is as slow then.
+	LinkSlowest = StateTimeout
 	// LinkDown (duration): a link in doubt for so long is taken for down.
 	LinkDown = 1500 * time.Millisecond
 	// LinkBack, LinkBackMax and LinkWindow (duration): a link that was down counts as up
