--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -31,6 +31,8 @@
 	// Unserved is no rule of PROTOCOL's: less than half of a class, a team or a class's
 	// largest jobs was served, and the day fails.
 	Unserved = "unserved"
+	// Unfit is none either: a job was accepted that can't run or lacks a field.
+	Unfit = "unfit"
 )
 
 // Rules lists them all.
@@ -52,6 +54,8 @@
 type Params struct {
 	Teams  map[string]Limit
 	Cancel time.Duration
+	// Types are the machine types of the cloud; none: whether a job fits one is not judged.
+	Types []wire.MachineType
 	// Lapsed tells whether a machine's lease is over, so that nothing it was given
 	// runs on, even if it hangs and cannot say so. nil: never.
 	Lapsed func(machine string, now Time) bool
@@ -103,6 +107,7 @@
 	after    map[string][]string // jobs that name a job, by that job
 	machines map[string]Machine
 	started  int
+	late     int // starts of tasks whose job had been confirmed as cancelled
 	broken   []Violation
 	polls    []poll // of the last unheard
 	calm     Time   // since when no trouble is left; never: not yet
@@ -127,6 +132,10 @@
 // Started counts the tasks that were started.
 func (c *Checker) Started() int { return c.started }
 
+// StartedCancelled counts the tasks that were started after their user had been told that the
+// job is cancelled, soon after or not.
+func (c *Checker) StartedCancelled() int { return c.late }
+
 func (c *Checker) fail(now Time, rule, format string, a ...any) {
 	c.broken = append(c.broken, Violation{now, rule, fmt.Sprintf(format, a...)})
 }
@@ -149,6 +158,10 @@
 	j := c.jobs[id]
 	switch {
 	case status == 201 || status == 200:
+		if why := c.unfit(&j.spec); why != "" {
+			c.fail(now, Unfit, "%s is accepted: %s", id, why)
+			return
+		}
 		c.acceptable(now, id, j)
 		j.accepted = min(j.accepted, now)
 		c.told(now, asked, id, j, st.Status)
@@ -283,7 +296,11 @@
 			here++
 		}
 	}
-	if at := c.cancelled(id, j); at != never && now > at+c.p.Cancel {
+	at := c.cancelled(id, j)
+	if at != never && now > at {
+		c.late++
+	}
+	if at != never && now > at+c.p.Cancel {
 		c.fail(now, RanCancelled, "%s starts on %s %v after its job was cancelled", task, machine, now-at)
 	}
 	c.checkPlace(now, j, m, task, here, total)
@@ -322,7 +339,7 @@
 func (c *Checker) checkQuota(now Time, team string) {
 	var cpus, gpus float64
 	for _, j := range c.jobs {
-		if *j.spec.Team != team {
+		if len(j.on) == 0 || *j.spec.Team != team {
 			continue
 		}
 		for p := range j.on {
