Tests of meetings of leaders, zones and machines; who waits in vain is judged; a fault mended

Fault: a controller not sure to be entitled takes no reports; once sure again it gave back, as silent for 25 s, every machine it held. Silence counts from when the controller is sure (sureSince).

The independent checker names a job that waits for 90 s once troubles are over while a machine that fits has room and its team is under its limit (left_waiting, TestWhoIsLeftWaiting); the emulated world feeds it what workers say, and every test that tells of calm is judged by it, random schedules and pairs too.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -53,6 +53,8 @@
 	// Lapsed tells whether a machine's lease is over, so that nothing it was given
 	// runs on, even if it hangs and cannot say so. nil: never.
 	Lapsed func(machine string, now Time) bool
+	// Rooms lists the machines that take tasks. nil: who waits is not judged.
+	Rooms func(now Time) []Room
 }
 
 // Machine is where a task may be.
@@ -84,6 +86,9 @@
 	heard     Time // when the latest poll that was answered had been sent
 	told      bool // its being unheard has been reported
 	cancelled map[place]bool
+	failed    bool // a task of it has ended in error
+	waitsFrom Time // since when each look found it waiting in vain; never: not
+	waitTold  bool // its waiting has been reported
 }
 
 type place struct{ task, machine string }
@@ -99,6 +104,7 @@
 	broken   []Violation
 	polls    []poll // of the last unheard
 	calm     Time   // since when no trouble is left; never: not yet
+	looked   Time   // when it was last looked who waits
 }
 
 type poll struct {
@@ -127,7 +133,7 @@
 // Submitting tells that a user is about to submit a job, for the first time or again.
 func (c *Checker) Submitting(spec wire.JobSpec) {
 	if c.jobs[*spec.ID] == nil {
-		c.jobs[*spec.ID] = &job{spec: spec, accepted: never, begun: never, aborts: never, unheard: never,
+		c.jobs[*spec.ID] = &job{spec: spec, accepted: never, begun: never, aborts: never, unheard: never, waitsFrom: never,
 			done: map[string]bool{}, on: map[place]bool{}, cancelled: map[place]bool{}}
 	}
 }
@@ -342,6 +348,7 @@
 	if cause == wire.CauseDone {
 		j.done[task] = true
 	}
+	j.failed = j.failed || cause == wire.CauseError
 }
 
 // overstayed reports a task that is there longer than its cancelled job allows.
@@ -352,8 +359,9 @@
 	}
 }
 
-// Tick looks for tasks of cancelled jobs that are still somewhere.
+// Tick looks for tasks of cancelled jobs that are still somewhere, and for jobs that wait in vain.
 func (c *Checker) Tick(now Time) {
+	c.lookForWaits(now)
 	ids := make([]string, 0, len(c.jobs))
 	for id, j := range c.jobs {
 		if j.aborts != never && len(j.on) > 0 {
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -230,3 +230,71 @@
 		}
 	}
 }
+
+// A job that waits for 90 s once troubles are over, while a machine that fits has room and its
+// team is under its limit, is named; one that could not have gone there is not.
+func TestWhoIsLeftWaiting(t *testing.T) {
+	for name, x := range map[string]struct {
+		change func(s *wire.JobSpec)
+		room   Room
+		until  Time
+		calm   Time
+		rooms  func(now Time, r Room) []Room // nil: always that one
+		want   bool
+	}{
+		"room all the time":      {room: Room{Machine: "a1", CPUs: 1, MemGB: 1}, until: 150 * sec, calm: 20 * sec, want: true},
+		"not for long enough":    {room: Room{Machine: "a1", CPUs: 1, MemGB: 1}, until: 105 * sec, calm: 20 * sec},
+		"troubles":               {room: Room{Machine: "a1", CPUs: 1, MemGB: 1}, until: 150 * sec, calm: 100 * sec},
+		"no troubles told of":    {room: Room{Machine: "a1", CPUs: 1, MemGB: 1}, until: 400 * sec, calm: never},
+		"too small":              {room: Room{Machine: "a1", CPUs: 0.5, MemGB: 1}, until: 150 * sec, calm: 20 * sec},
+		"too little memory":      {room: Room{Machine: "a1", CPUs: 1, MemGB: 0.5}, until: 150 * sec, calm: 20 * sec},
+		"a spot machine":         {room: Room{Machine: "spot", CPUs: 1, MemGB: 1}, until: 150 * sec, calm: 20 * sec},
+		"a spot machine, wanted": {change: func(s *wire.JobSpec) { s.Spot = ptr(true) }, room: Room{Machine: "spot", CPUs: 1, MemGB: 1}, until: 150 * sec, calm: 20 * sec, want: true},
+		"another type":           {change: func(s *wire.JobSpec) { s.Types = []string{"big"} }, room: Room{Machine: "a1", CPUs: 1, MemGB: 1}, until: 150 * sec, calm: 20 * sec},
+		"another zone":           {change: func(s *wire.JobSpec) { s.Zone = ptr("b") }, room: Room{Machine: "a1", CPUs: 1, MemGB: 1}, until: 150 * sec, calm: 20 * sec},
+		"its zone":               {change: func(s *wire.JobSpec) { s.Zone = ptr("a") }, room: Room{Machine: "a1", CPUs: 1, MemGB: 1}, until: 150 * sec, calm: 20 * sec, want: true},
+		"its team at its limit":  {change: func(s *wire.JobSpec) { s.CPUs = ptr(3.0) }, room: Room{Machine: "a1", CPUs: 8, MemGB: 9, Tasks: []string{"job-1/0"}}, until: 150 * sec, calm: 20 * sec},
+		"half of it is there":    {room: Room{Machine: "a1", CPUs: 1, MemGB: 1, Tasks: []string{"job-2/1"}}, until: 150 * sec, calm: 20 * sec, want: true},
+		"all of it is there":     {room: Room{Machine: "a1", CPUs: 1, MemGB: 1, Tasks: []string{"job-2/0", "job-2/1"}}, until: 150 * sec, calm: 20 * sec},
+		"one zone, not that":     {change: func(s *wire.JobSpec) { s.OneZone = ptr(true) }, room: Room{Machine: "b1", CPUs: 0, Tasks: []string{"job-2/0"}}, until: 150 * sec, calm: 20 * sec, rooms: func(_ Time, r Room) []Room { return []Room{r, {Machine: "a1", CPUs: 4, MemGB: 4}} }},
+		"spread, not there":      {change: func(s *wire.JobSpec) { s.Spread = ptr(true) }, room: Room{Machine: "a1", CPUs: 4, MemGB: 4, Tasks: []string{"job-2/0"}}, until: 150 * sec, calm: 20 * sec},
+		"now and then": {room: Room{Machine: "a1", CPUs: 1, MemGB: 1}, until: 400 * sec, calm: 20 * sec, rooms: func(now Time, r Room) []Room {
+			if now%(60*sec) == 0 {
+				return nil
+			}
+			return []Room{r}
+		}},
+	} {
+		c := New(Params{Teams: map[string]Limit{"red": {CPUs: 3}}, Cancel: 40 * sec, Rooms: func(now Time) []Room {
+			if x.rooms != nil {
+				return x.rooms(now, x.room)
+			}
+			return []Room{x.room}
+		}})
+		for _, m := range []Machine{{"a1", "std", "a", false}, {"b1", "std", "b", false}, {"spot", "std", "a", true}} {
+			c.MachineUp(m)
+		}
+		one, s := spec("job-1", 1), spec("job-2", 2)
+		if x.change != nil {
+			x.change(&s)
+		}
+		for _, s := range []wire.JobSpec{one, s} {
+			c.Submitting(s)
+			c.Submitted(5*sec, 0, *s.ID, 201, wire.JobStatus{Status: wire.JobQueued})
+		}
+		c.TaskLeft(6*sec, "a1", "job-1/0", wire.CauseDone)
+		for now := 10 * sec; now <= x.until; now += sec {
+			if now == x.calm {
+				c.Calm(now)
+			}
+			c.Tick(now)
+		}
+		got := false
+		for _, v := range c.Broken() {
+			got = got || v.Rule == LeftWaiting
+		}
+		if got != x.want {
+			t.Errorf("%s: left waiting %v, want %v", name, got, x.want)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,6 +65,7 @@
 	extendIn     bool
 	renewOK      Time // when the last successful renewal was sent
 	wasConfirmed bool
+	sureSince    Time // since when confirmed, or not, without a break
 	watchOK      Time // when the last answered watch or list was sent
 	loaded       bool
 	loading      bool
@@ -233,7 +234,7 @@
 		return
 	}
 	if ok := c.confirmed(); ok != c.wasConfirmed {
-		c.wasConfirmed = ok
+		c.wasConfirmed, c.sureSince = ok, c.now
 		kind := trail.Unconfirmed
 		if ok {
 			kind = trail.Confirmed
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -167,9 +167,8 @@
 		why := c.neverComes(m)
 		switch {
 		case why != "":
-		case m.over && !m.base && !m.cut, m.reported && c.now-m.lastReport > seconds(c.settings.SilentDropS):
-			// A rented machine that was lost costs as much as another; one that
-			// stands here anyway may come back.
+		case m.over && !m.base && !m.cut, m.reported && c.now-max(m.lastReport, c.sureSince) > seconds(c.settings.SilentDropS):
+			// A rented one costs as much as another; while not sure to be entitled we take no report.
 			why = "silent"
 		case m.ear.Deaf() && !m.base && !cut:
 			why = "deaf" // its tasks run elsewhere once it is deleted, sooner than when its lease is over
--- /dev/null
+++ b/internal/core/meeting_leaders_test.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// busy is a deployment with services, small jobs and arrays of every team, whose blocks move
+// between shards as work comes. It adds a job every two seconds for so long.
+func busy(t *testing.T, seed uint64, d time.Duration, opts ...func(*world)) *world {
+	w := newWorld(t, seed, 3, append([]func(*world){func(w *world) {
+		w.capacity = 3
+		w.taskRuns = func(i int) time.Duration { return time.Duration(4+i*13%30) * sec }
+		for n := range w.teams {
+			w.teams[n] = Team{CPUs: 12, CPUsMax: 24}
+		}
+	}}, opts...)...)
+	for i := range 12 {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.pollAll()
+	w.run(8 * sec)
+	for i, team := range []string{"red", "blue", "green"} {
+		s := spec(fmt.Sprintf("job-%06d", i), team, wire.ShapeService, 2)
+		s.DueS, s.Priority, s.ImageGB = nil, ptr("urgent"), ptr(0.01)
+		w.submit(s)
+	}
+	w.run(5 * sec)
+	for i := range int(d / (2 * sec)) {
+		s := spec(fmt.Sprintf("job-1%05d", i), []string{"red", "blue", "green"}[w.rng.IntN(3)], wire.ShapeBatch, 1+w.rng.IntN(5))
+		if s.DueS, s.ImageGB = nil, ptr(0.01); i%7 == 0 {
+			s.Tasks = ptr(int64(12))
+		}
+		s.CPUs = ptr([]float64{0.5, 1, 2}[w.rng.IntN(3)])
+		w.at(time.Duration(2*i)*sec, func() { w.submit(s) })
+		if i%6 == 5 {
+			w.at(time.Duration(2*i+2+w.rng.IntN(20))*sec, func() { w.abort(*s.ID) })
+		}
+	}
+	return w
+}
+
+// hangSome has machines that run something hang for so long.
+func (w *world) hangSome(n int, d time.Duration) {
+	for range n {
+		if m := w.machines[w.order[w.rng.IntN(len(w.order))]]; !m.gone && m.up && !m.Fault.Hung {
+			w.hang(m)
+			w.at(d, func() { w.resume(m) })
+		}
+	}
+}
+
+// served looks at the end whether all work is done and all services run.
+func (w *world) served(t *testing.T, seed uint64) {
+	t.Helper()
+	if took := w.until(200*sec, func() bool { return w.unfinished() == nil && w.up() == 6 }); took >= 200*sec {
+		t.Errorf("seed %d: %d replicas run, want 6; not done: %v", seed, w.up(), w.unfinished())
+	}
+	w.calm(t)
+	if a := w.absentNodes(); a != nil {
+		t.Errorf("seed %d: %v are up and not present", seed, a)
+	}
+	if b := w.check.FinishDay(w.now); len(b) > 0 {
+		t.Errorf("seed %d: the day fails: %v", seed, b)
+	}
+}
+
+// The leader ends ten times in two minutes, back at once or later, while machines hang for a
+// part of their lease or for longer, and old reports come; in some days within an outage, in
+// which no leader can be chosen and those that were there end all the same.
+func TestTenLeadersInTwoMinutes(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		outage time.Duration
+		with   bool // its holders end with it
+	}{{"", 0, false}, {"and a holder", 0, true}, {"in an outage", 50 * sec, false}, {"in an outage, and a holder", 25 * sec, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(830); seed < 833; seed++ {
+				w := busy(t, seed, 110*sec)
+				w.copies, w.copyLate = 30, 40*sec
+				leaders := map[uint64]bool{}
+				if c.outage > 0 {
+					w.at(30*sec, func() { w.outage(c.outage) })
+				}
+				for range 10 {
+					w.hangSome(2, time.Duration(2+w.rng.IntN(14))*sec)
+					ends := []string{w.leaderOr()}
+					if c.with {
+						ends = append(ends, w.anyNode())
+					}
+					w.bounce(time.Duration(200+w.rng.IntN(7000))*time.Millisecond, slices.Compact(ends)...)
+					for range 120 {
+						w.run(100 * time.Millisecond)
+						leaders[w.key(wire.KeyLeader).Version] = true
+					}
+					w.recount()
+				}
+				w.copies = 0
+				if n := len(leaders); n < 10 && c.outage == 0 {
+					t.Errorf("seed %d: only %d leaders", seed, n)
+				}
+				w.served(t, seed)
+			}
+		})
+	}
+}
+
+// All controllers are away for longer than a lease: every task ends with its worker's session.
+// They come back together, one by one, or one alone for long; each task that was not done is
+// started once more and no more often, whatever old reports say.
+func TestAllControllersAwayForLongerThanALease(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		back []time.Duration
+	}{
+		{"just longer", []time.Duration{11 * sec, 11 * sec, 11 * sec}},
+		{"one by one", []time.Duration{12 * sec, 15 * sec, 24 * sec}},
+		{"one alone", []time.Duration{60 * sec, 14 * sec, 60 * sec}},
+		{"for long", []time.Duration{70 * sec, 70 * sec, 71 * sec}},
+		{"just shorter, one alone", []time.Duration{40 * sec, 40 * sec, 7 * sec}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(840); seed < 843; seed++ {
+				w := busy(t, seed, 60*sec)
+				w.copies, w.copyLate = 40, 60*sec
+				w.run(time.Duration(20+w.rng.IntN(10)) * sec)
+				w.hangSome(3, time.Duration(4+w.rng.IntN(30))*sec)
+				for i, n := range sortedKeys(w.nodes) {
+					w.bounce(c.back[i], n)
+				}
+				w.run(80 * sec)
+				w.copies = 0
+				w.served(t, seed)
+			}
+		})
+	}
+}
+
+// New machines are up within two seconds and get work at once, while writes lag or are carried
+// out late, and the leader ends, the holder, or both, at any moment of it.
+func TestNewMachinesWorkAtOnceWhileWritesLag(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lag  func(w *world)
+	}{
+		{"slow", func(w *world) { w.slowState = 1200 * time.Millisecond }},
+		{"late", func(w *world) { w.lateWrites(35, map[string]int{}) }},
+		{"starts late", func(w *world) { w.lateWrites(60, map[string]int{}, "starts slot", "block marked") }},
+		{"blocks late", func(w *world) { w.lateWrites(60, map[string]int{}, "block formed") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(850); seed < 853; seed++ {
+				w := busy(t, seed, 90*sec, func(w *world) { w.capacity, w.bootS = 8, 300*time.Millisecond })
+				for range 5 {
+					w.bootS = time.Duration(300+w.rng.IntN(1500)) * time.Millisecond
+					c.lag(w)
+					var ends []string
+					for _, n := range []string{w.leaderOr(), w.shardRec("red").Holder} {
+						if w.rng.IntN(3) > 0 {
+							ends = append(ends, n)
+						}
+					}
+					w.run(time.Duration(w.rng.IntN(9000)) * time.Millisecond)
+					w.hangSome(1, 7*sec)
+					w.bounce(time.Duration(100+w.rng.IntN(6000))*time.Millisecond, slices.Compact(ends)...)
+					w.run(8 * sec)
+					w.slowState, w.noAnswer = 0, nil
+					w.run(4 * sec)
+				}
+				w.served(t, seed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/meeting_zones_test.go
@@ -0,0 +1,193 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// A zone with workers and a controller is cut off for longer than a lease, from the others
+// alone or from the state service too. Users cancel and submit meanwhile, machines hang, and
+// the leader ends. All is as before in the end.
+func TestAZoneCutOffForLongerThanALease(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cut   time.Duration
+		state bool // from the state service too
+		ends  bool // the leader ends meanwhile
+	}{
+		{"15 s", 15 * sec, false, false}, {"45 s", 45 * sec, false, true},
+		{"15 s, from the state", 15 * sec, true, true}, {"45 s, from the state", 45 * sec, true, false}, {"90 s, from the state", 90 * sec, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(860); seed < 863; seed++ {
+				w := busy(t, seed, c.cut+20*sec)
+				w.copies, w.copyLate = 20, 40*sec
+				w.run(10 * sec)
+				const lone = "c1" // the controller of zone s
+				w.apart[[2]string{"n", "s"}] = true
+				w.hung[lone] = c.state
+				if c.ends {
+					w.at(time.Duration(w.rng.IntN(8000))*time.Millisecond, func() { w.bounce(2*sec, w.leaderOr()) })
+				}
+				w.hangSome(2, 6*sec)
+				w.run(c.cut)
+				w.apart, w.hung[lone] = map[[2]string]bool{}, false
+				w.run(20 * sec)
+				w.copies = 0
+				w.served(t, seed)
+			}
+		})
+	}
+}
+
+// Jobs bound to one zone, by name or to whichever they begin in, arrays and small ones, lose
+// machines: one after the other, half a zone at once, or a block that hangs, while the leader
+// or their holder ends. No task goes to another zone, and all are done.
+func TestJobsOfOneZoneLoseMachines(t *testing.T) {
+	for _, ends := range []string{"nobody", "the leader", "the holder"} {
+		t.Run(ends, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(870); seed < 873; seed++ {
+				w := busy(t, seed, 30*sec, func(w *world) { w.capacity = 6 })
+				for i := range 12 {
+					s := spec(fmt.Sprintf("job-2%05d", i), []string{"red", "blue", "green"}[i%3], wire.ShapeBatch, []int{2, 4, 14, 30}[i%4])
+					if s.DueS, s.ImageGB = nil, ptr(0.01); i%2 == 0 {
+						s.Zone = ptr([]string{"n", "s"}[i/2%2])
+					} else {
+						s.OneZone = ptr(true)
+					}
+					w.at(time.Duration(i)*2*sec, func() { w.submit(s) })
+				}
+				for k := range 5 {
+					w.run(time.Duration(4+w.rng.IntN(4)) * sec)
+					zone := w.in([]string{"n", "s"}[k%2])
+					for i, n := range zone {
+						switch {
+						case k == 2 && i%2 == 0 && i < 6, k != 2 && i == w.rng.IntN(len(zone)):
+							w.vanish(n)
+						case w.rng.IntN(4) == 0:
+							w.hang(w.machines[n])
+							w.at(time.Duration(5+w.rng.IntN(12))*sec, func() { w.resume(w.machines[n]) })
+						}
+					}
+					switch ends {
+					case "the leader":
+						w.bounce(time.Duration(200+w.rng.IntN(6000))*time.Millisecond, w.leaderOr())
+					case "the holder":
+						w.bounce(time.Duration(200+w.rng.IntN(6000))*time.Millisecond, w.shardRec("red").Holder)
+					}
+				}
+				w.run(120 * sec)
+				w.served(t, seed)
+			}
+		})
+	}
+}
+
+// There is more work than room, urgent and not, over slow links. No
+// team goes beyond its limit, urgent work begins within bounds, and all is done in the end.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	for _, slow := range []time.Duration{40, 120, 240} {
+		t.Run(fmt.Sprint(int64(slow), " ms"), func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(880); seed < 882; seed++ {
+				w := busy(t, seed, 60*sec, func(w *world) { w.capacity = 0 })
+				w.slowLinks = slow * time.Millisecond
+				began, asked := map[string]time.Duration{}, map[string]time.Duration{}
+				for i := range 40 {
+					s := spec(fmt.Sprintf("job-3%05d", i), []string{"red", "blue", "green"}[i%3], wire.ShapeBatch, 3+i%9)
+					if s.DueS, s.ImageGB = nil, ptr(0.01); i%4 == 3 {
+						s.Priority, s.Tasks = ptr("urgent"), ptr(int64(1))
+						w.at(time.Duration(i)*sec, func() { asked[*s.ID] = w.now })
+					}
+					w.at(time.Duration(i)*sec, func() { w.submit(s) })
+				}
+				w.at(25*sec, func() { w.bounce(4*sec, w.leaderOr()) })
+				for range 900 {
+					w.run(100 * time.Millisecond)
+					for id := range asked {
+						if began[id] == 0 && w.begun(id) {
+							began[id] = w.now
+						}
+					}
+				}
+				for _, id := range sortedKeys(asked) {
+					if took := began[id] - asked[id]; began[id] == 0 || took > 40*sec {
+						t.Errorf("seed %d: %s, urgent, begins after %v", seed, id, took)
+					}
+				}
+				w.slowLinks = 0
+				w.run(200 * sec)
+				w.served(t, seed)
+			}
+		})
+	}
+}
+
+// Workers of some machines, of a zone or of all open connections to no controller, while direct
+// calls reach them: for less than a lease, or for several. Jobs are cancelled, and the leader ends,
+// or the holder. What is cancelled is stopped by call, and what they ran goes on elsewhere or again.
+func TestWorkersWithoutAVoice(t *testing.T) {
+	for _, who := range []string{"three", "a zone", "all"} {
+		for _, d := range []time.Duration{6 * sec, 14 * sec, 50 * sec} {
+			t.Run(fmt.Sprint(who, " for ", d), func(t *testing.T) {
+				t.Parallel()
+				for seed := uint64(890); seed < 893; seed++ {
+					w := busy(t, seed, d+40*sec)
+					w.run(20 * sec)
+					at := w.in("n")
+					switch who {
+					case "three":
+						at = w.order[:3]
+					case "all":
+						at = w.order
+					}
+					w.speechless = map[string]bool{}
+					for _, n := range at {
+						w.speechless[n] = true
+					}
+					switch seed % 3 {
+					case 0:
+						w.bounce(sec, w.leaderOr())
+					case 1:
+						w.bounce(6*sec, w.shardRec("red").Holder)
+					}
+					w.run(d)
+					w.speechless = nil
+					w.run(40 * sec)
+					w.served(t, seed)
+				}
+			})
+		}
+	}
+}
+
+// No controller is entitled to act for longer than a silent machine is waited for: the state
+// service is down, and the controllers cannot speak to each other. They took no reports
+// themselves, so afterwards that is held against no machine.
+func TestMachinesAreNotGivenBackForOurOwnSilence(t *testing.T) {
+	w := staffed(t, 896, 4)
+	standing := w.order[:6:6]
+	for _, n := range sortedKeys(w.nodes) {
+		w.silence(n, true)
+	}
+	w.outage(80 * sec)
+	w.run(80 * sec)
+	for _, n := range sortedKeys(w.nodes) {
+		if w.nodes[n].core.confirmed() {
+			t.Fatalf("%s is sure to be entitled", n)
+		}
+		w.silence(n, false)
+	}
+	w.run(20 * sec)
+	for _, n := range standing {
+		if w.machines[n].gone {
+			t.Errorf("%s was given back", n)
+		}
+	}
+	w.backTo(t, 12, 40*sec)
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -135,7 +135,7 @@
 	for n, t := range w.teams {
 		limits[n] = checker.Limit{CPUs: t.CPUsMax, GPUs: t.GPUsMax}
 	}
-	w.check = checker.New(checker.Params{Teams: limits, Cancel: w.cancelS,
+	w.check = checker.New(checker.Params{Teams: limits, Cancel: w.cancelS, Rooms: w.rooms,
 		Lapsed: func(m string, now time.Duration) bool { return w.machines[m].lapsed || !w.machines[m].Leased(now) }})
 	all := map[string]string{}
 	for i := range nodes {
@@ -184,7 +184,7 @@
 }
 
 func (w *world) lag() time.Duration {
-	return 2*time.Millisecond + time.Duration(w.rng.IntN(8))*time.Millisecond
+	return 2*time.Millisecond + time.Duration(w.rng.IntN(8))*time.Millisecond + w.slowLinks
 }
 
 func (w *world) start(name string) {
@@ -532,7 +532,7 @@
 			}
 		}
 	}
-	if w.nodes[s.Node].core == nil {
+	if w.nodes[s.Node].core == nil || w.speechless[m.info.Name] {
 		w.at(w.lag(), back(worker.Outcome{})) // refused
 		return
 	}
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/checker"
 	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -20,6 +21,9 @@
 	keep     map[string][]wire.Report    // by machine, if not nil
 	stale    map[string]int              // machines that are gone: copies of their reports that have come
 
+	speechless map[string]bool // machines that open connections to no controller; calls reach them
+	slowLinks  time.Duration   // each message between any two takes so much longer
+
 	taskRuns   func(index int) time.Duration // how long tasks run; nil: runS and a little
 	holdOrders time.Duration                 // calls of workers are held for up to so long, then delivered
 	slowState  time.Duration                 // the state service answers so much later
@@ -196,3 +200,22 @@
 		m.lapsed = false
 	}
 }
+
+// rooms lists the machines that take tasks, and what their workers say is left on them.
+func (w *world) rooms(now time.Duration) (list []checker.Room) {
+	for _, n := range w.order {
+		m := w.machines[n]
+		if m.gone || !m.up || m.Fault.Hung || m.Fault.Sick || w.deaf[n] || w.speechless[n] || !m.Leased(now) {
+			continue
+		}
+		r := checker.Room{Machine: n, CPUs: 4, MemGB: 16}
+		for _, a := range m.tasks() {
+			if id, _, err := wire.ParseTask(a.Task); err == nil && a.Status != wire.TaskEnded {
+				r.Tasks = append(r.Tasks, a.Task)
+				r.CPUs, r.MemGB = r.CPUs-*w.jobs[id].spec.CPUs, r.MemGB-*w.jobs[id].spec.MemoryGB
+			}
+		}
+		list = append(list, r)
+	}
+	return list
+}
