TestMachinesUnreachedWhenALeaderEnds fails with its subject taken out

It passed with a lease counted as 1 s in watchMachines, for three reasons: the unreached machines were those of the other zone, which other controllers held; the leader was back before anybody had taken its shard over, and a new life judges no lease before it is that old itself; and there was no room for what would have been started anew.

Now the machines are the leader's own, it is back after 4 s, which proves its earlier life dead to the one who took over, and there are six more machines. "Apart" is both ways now, per machine. Bounds are as before; leases are 14 s and the times are in proportion.

--- a/internal/core/meeting_hands_test.go
+++ b/internal/core/meeting_hands_test.go
@@ -158,24 +158,42 @@
 	}
 }
 
-// A leader ends, and machines with long tasks cannot be reached, hang, or do not hear the
-// next one, for a part of their lease up to three; one of them has its notice meanwhile, and deletions fail for
-// long. Where the lease lived, the tasks are found again, none was started anew.
+// A leader ends, and those of its own machines that run long tasks cannot be reached, hang, or do
+// not hear the next one, for a part of their lease up to three; one of them has its notice meanwhile,
+// and deletions fail for long. Where the lease lived, the tasks are found again, none was started
+// anew. The leader is back once others have taken its shard over, which proves its earlier life dead:
+// from then on a lease is counted from the change of hands. Before, it was back sooner, there was no
+// room, and the machines were those of the other zone: a lease counted as one second passed.
 func TestMachinesUnreachedWhenALeaderEnds(t *testing.T) {
 	for _, how := range []string{"apart", "hang", "deaf"} {
-		for _, d := range []time.Duration{5 * sec, 12 * sec, 30 * sec} {
+		for _, d := range []time.Duration{8 * sec, 16 * sec, 40 * sec} {
 			t.Run(fmt.Sprint(how, " for ", d), func(t *testing.T) {
-				w := staffed(t, 720, 4)
+				w := staffed(t, 720, 4, func(w *world) { w.lease = 14 * sec })
+				for i := range 6 { // room for what would be started anew
+					w.addMachine([]string{"n", "s"}[i%2], false, sec)
+				}
+				w.run(15 * sec)
 				leader := w.leaderNode()
-				zone := map[string]string{"n": "s", "s": "n"}[w.params(leader).Zone]
-				at := w.in(zone)
+				var at []string
+				for _, n := range w.order {
+					if m := w.machines[n]; !m.gone && len(m.tasks()) > 0 && w.holderOf(n) == leader {
+						at = append(at, n)
+					}
+				}
+				if len(at) < 2 {
+					t.Fatalf("only %v of the leader's machines run tasks", at)
+				}
 				before := w.check.Started()
 				w.cloud.Trouble.Down = true
 				w.at(40*sec, func() { w.cloud.Trouble.Down = false })
 				switch how {
 				case "apart":
-					w.apart[[2]string{"n", "s"}] = true
-					w.at(d, func() { w.apart = map[[2]string]bool{} })
+					w.speechless = map[string]bool{}
+					for _, n := range at {
+						w.speechless[n] = true
+					}
+					w.deafen(true, at...)
+					w.at(d, func() { w.speechless = nil; w.deafen(false, at...) })
 				case "hang":
 					for _, n := range at {
 						w.hang(w.machines[n])
@@ -185,11 +203,11 @@
 					w.deafen(true, at...)
 					w.at(d, func() { w.deafen(false, at...) })
 				}
-				w.bounce(2*sec, leader)
+				w.bounce(4*sec, leader)
 				w.at(3*sec, func() { w.machines[at[0]].Notice(w.now + 8*sec) })
-				if d < 8*sec {
+				if d < w.lease {
 					// Reports come each 2 s, give or take a quarter, and try another controller a second
-					// after one that is gone: 5 s leave a lease of 10.
+					// after one that is gone: 8 s leave a lease of 14.
 					w.run(d + 9*sec)
 					lost := 0
 					for _, n := range at[1:] {
