--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/checker"
 	"github.com/barrowbridge/barrowbridge/internal/standin/state"
 	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -26,6 +27,9 @@
 
 	refusing func(StateCall) string // calls that it refuses as malformed whatever its limits; nil: none
 
+	speechless map[string]bool // machines that open connections to no controller; calls reach them
+	slowLinks  time.Duration   // each message between any two takes so much longer
+
 	taskRuns   func(index int) time.Duration // how long tasks run; nil: runS and a little
 	holdOrders time.Duration                 // calls of workers are held for up to so long, then delivered
 	slowState  time.Duration                 // the state service answers so much later
@@ -210,3 +214,22 @@
 	l.PageItems, w.untold = w.limits.PageItems, !told
 	w.store.Limit(w.now, l)
 }
+
+// rooms lists the machines that take tasks, and what their workers say is left on them.
+func (w *world) rooms(now time.Duration) (list []checker.Room) {
+	for _, n := range w.order {
+		m := w.machines[n]
+		if m.gone || !m.up || m.Fault.Hung || m.Fault.Sick || w.deaf[n] || w.speechless[n] || !m.Leased(now) {
+			continue
+		}
+		r := checker.Room{Machine: n, CPUs: 4, MemGB: 16}
+		for _, a := range m.tasks() {
+			if id, _, err := wire.ParseTask(a.Task); err == nil && a.Status != wire.TaskEnded {
+				r.Tasks = append(r.Tasks, a.Task)
+				r.CPUs, r.MemGB = r.CPUs-*w.jobs[id].spec.CPUs, r.MemGB-*w.jobs[id].spec.MemoryGB
+			}
+		}
+		list = append(list, r)
+	}
+	return list
+}
