Each kind of record at its largest fits the limits to come; ends go on beside refused progress

Cause: that all records fit was argued and not shown. A job whose progress is refused was passed by for its end as well. A crew's record with bookings for 700 machines and more did not fit.

Change: what is passed by goes by kind of record and subject.

--- a/internal/calendar/plan.go
+++ b/internal/calendar/plan.go
@@ -154,6 +154,17 @@
 	return true
 }
 
+// Fewer makes a record shorter whose bookings have not been asked for yet, by the past first,
+// and tells whether it could: what is not booked ahead is rented once the work is there.
+func Fewer(c *wire.Crew) bool {
+	if Shorter(c) {
+		return true
+	}
+	n := len(c.Booked)
+	c.Booked = c.Booked[:max(0, n-1)]
+	return n > 1
+}
+
 // Clean leaves out of a record what concerns departures that are over.
 func Clean(c *wire.Crew, leaves time.Time, keep int) {
 	c.Booked = slices.DeleteFunc(slices.Clone(c.Booked), func(b wire.CrewBooking) bool { return b.LeavesMS != leaves.UnixMilli() })
--- a/internal/core/crews.go
+++ b/internal/core/crews.go
@@ -259,7 +259,7 @@
 		rec.Booked = append(rec.Booked, wire.CrewBooking{LeavesMS: leaves.UnixMilli(), Request: calendar.Booking(&rec, x.ver, k), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: part})
 		count -= part
 	}
-	c.putCrew(x, rec, []wire.Condition{c.leaderCond()}, func(StateReply) { c.changed() })
+	c.putCrew(x, limits.Fit(rec, c.p.ValueBytes, calendar.Fewer), []wire.Condition{c.leaderCond()}, func(StateReply) { c.changed() })
 }
 
 // rentedAhead notes that a booking has been answered.
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
+	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -144,7 +145,7 @@
 		if b.full() {
 			break
 		}
-		if e.run.writing || c.form.Aside(c.now, jobKey(e.rec.ID)) {
+		if e.run.writing || c.form.Aside(c.now, limits.Final, jobKey(e.rec.ID)) {
 			continue
 		}
 		if _, ended, _ := c.owes(e); !ended {
@@ -158,7 +159,7 @@
 		x := c.blocks[id]
 		if x == nil || !c.mine(x.rec.Shard) {
 			delete(c.used, id)
-		} else if !b.full() && !c.form.Aside(c.now, blockKey(id)) {
+		} else if !b.full() && !c.form.Aside(c.now, limits.Block, blockKey(id)) {
 			if rec, change := c.markBlock(x); change {
 				b.addBlock(x, rec)
 			} else {
@@ -275,7 +276,7 @@
 	b := c.newBatch()
 	for _, id := range c.blockIDs() {
 		x := c.blocks[id]
-		if !c.mine(x.rec.Shard) || c.used[id] || b.full() || c.form.Aside(c.now, blockKey(id)) {
+		if !c.mine(x.rec.Shard) || c.used[id] || b.full() || c.form.Aside(c.now, limits.Block, blockKey(id)) {
 			continue
 		}
 		if rec, change := c.markBlock(x); change {
@@ -288,7 +289,7 @@
 			break
 		}
 		// Progress of a job that still has starts to write goes with them.
-		if e.run.writing || c.now-e.run.wrote < tuning.LazyFlush || c.form.Aside(c.now, jobKey(e.rec.ID)) {
+		if e.run.writing || c.now-e.run.wrote < tuning.LazyFlush || c.form.Aside(c.now, limits.Job, jobKey(e.rec.ID)) {
 			continue
 		}
 		e.run.wrote = c.now
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -194,3 +194,51 @@
 		t.Fatalf("accepted and not done: %v", u)
 	}
 }
+
+// 700 machines under the limits to come: what is written from the first start on, of arrays
+// of 250 and 400 small tasks, of services, of a takeover and of all that ends, is never
+// refused for its form, and 15 changes a second are enough for it.
+func TestLargeFleetWithinNextLimits(t *testing.T) {
+	const machines, services = 700, 150
+	w := newWorld(t, 720, 3, func(w *world) {
+		w.limits.WriteRPS, w.limits.ValueBytes, w.limits.TxnOps, w.limits.PageItems = 15, 2048, 4, 500
+		w.capacity, w.runS = machines/4, 30*sec
+		w.teams = map[string]Team{"red": {CPUs: 900, CPUsMax: 1500}, "blue": {CPUs: 900, CPUsMax: 1500}, "green": {CPUs: 900, CPUsMax: 1500}}
+	})
+	for i := range machines {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(30 * sec)
+	held := 0
+	for _, n := range sortedKeys(w.nodes) {
+		held += len(w.nodes[n].core.machines)
+	}
+	if held != machines {
+		t.Fatalf("%d of %d machines held after 30 s", held, machines)
+	}
+	w.pollAll()
+	for i := range services {
+		s := spec(fmt.Sprintf("job-%06d", i), []string{"red", "blue", "green"}[i%3], wire.ShapeService, 1)
+		s.Priority, s.DueS = ptr("urgent"), nil
+		w.submit(s)
+	}
+	for i := range 12 {
+		s := spec(fmt.Sprintf("job-%06d", 1000+i), []string{"red", "blue", "green"}[i%3], wire.ShapeBatch, 250+i%2*150)
+		s.CPUs, s.EstimateS, s.DueS = ptr(0.5), ptr(30.0), ptr(3000.0)
+		w.submit(s)
+	}
+	w.run(40 * sec)
+	if n := w.runningTasks(); n < services+2000 {
+		t.Errorf("%d tasks run 40 s after all came at once", n)
+	}
+	w.kill("c0")
+	w.run(20 * sec)
+	w.start("c0")
+	w.run(120 * sec)
+	if u := w.unfinished(); u != nil {
+		t.Errorf("accepted and not done: %v", u)
+	}
+	if n := w.runningTasks(); n < services {
+		t.Errorf("%d of %d services run", n, services)
+	}
+}
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -128,7 +128,7 @@
 		return anyRoom(team)
 	}, func(p *queue.Place[*jobEntry]) bool {
 		e, j := p.Handle, &p.Handle.rec
-		if e.run == nil || c.health.Trial(j.ID) || c.form.Aside(c.now, jobKey(j.ID)) {
+		if e.run == nil || c.health.Trial(j.ID) || c.form.Aside(c.now, limits.Start, jobKey(j.ID)) {
 			return true
 		}
 		size, team := jobSize(j), c.p.Teams[j.Team]
--- a/internal/core/starting.go
+++ b/internal/core/starting.go
@@ -115,7 +115,7 @@
 				break // conditions in one call
 			}
 			started, ended, owes := c.owes(e)
-			if e.run == nil || e.run.writing || ended || !owes || c.shardOf(e.rec.Team) != i || c.form.Aside(c.now, jobKey(e.rec.ID)) {
+			if e.run == nil || e.run.writing || ended || !owes || c.shardOf(e.rec.Team) != i || c.form.Aside(c.now, limits.Start, jobKey(e.rec.ID)) {
 				continue
 			}
 			of[e.rec.ID] = e
--- a/internal/limits/form.go
+++ b/internal/limits/form.go
@@ -17,7 +17,7 @@
 
 // Write is the form of a write.
 type Write struct {
-	Kind       string // of its first change's record
+	Kind       string // of the first record that it puts, or deletes
 	Bytes      int    // of its largest value, in JSON form
 	Changes    int
 	Conditions int
@@ -32,19 +32,22 @@
 			w.Subjects = append(w.Subjects, x.Key)
 		}
 	}
-	for i, ch := range then {
-		if i == 0 {
-			w.Kind = KindOf(ch.Put + ch.Delete)
-		}
+	for _, ch := range then {
 		if ch.Put == "" {
 			continue
 		}
+		if w.Kind == "" {
+			w.Kind = KindOf(ch.Put)
+		}
 		if raw, err := wire.Marshal(ch.Value); err == nil {
 			if n, err := wire.JSONSize(raw); err == nil {
 				w.Bytes = max(w.Bytes, n)
 			}
 		}
 	}
+	if w.Kind == "" && len(then) > 0 {
+		w.Kind = KindOf(then[0].Delete)
+	}
 	return w
 }
 
@@ -81,9 +84,9 @@
 	p      FormParams
 	now    Bounds
 	kinds  map[string]*refusals
-	aside  map[string]aside
-	alone  time.Duration // until then
-	starts struct {      // refused ones with none written in between
+	aside  map[[2]string]aside // by kind and subject
+	alone  time.Duration       // until then
+	starts struct {            // refused ones with none written in between
 		any         bool
 		first, last time.Duration
 	}
@@ -93,7 +96,7 @@
 
 // NewForm begins with what the settings tell.
 func NewForm(p FormParams, told Bounds) *Form {
-	return &Form{p: p, now: told, kinds: map[string]*refusals{}, aside: map[string]aside{}}
+	return &Form{p: p, now: told, kinds: map[string]*refusals{}, aside: map[[2]string]aside{}}
 }
 
 // Short is how many changes a write has that lets others in between: half of the limit, or
@@ -117,7 +120,7 @@
 	k.last, k.why = w, why
 	was := f.now
 	f.lower(w, why)
-	if s := &f.starts; w.Kind == startKind {
+	if s := &f.starts; w.Kind == Start {
 		if !s.any || now-s.last > f.p.Stuck {
 			s.any, s.first = true, now
 		}
@@ -127,10 +130,11 @@
 		if len(w.Subjects) > 1 {
 			f.alone = now + f.p.Alone
 		} else if len(w.Subjects) == 1 {
-			a := f.aside[w.Subjects[0]]
+			of := [2]string{w.Kind, w.Subjects[0]}
+			a := f.aside[of]
 			a.pause = min(max(2*a.pause, f.p.Aside), f.p.AsideM)
 			a.until = now + a.pause
-			f.aside[w.Subjects[0]], f.alone = a, now
+			f.aside[of], f.alone = a, now
 		}
 	}
 	if warn = f.now != was || now-k.said >= f.p.Again; warn {
@@ -139,7 +143,13 @@
 	return warn
 }
 
-const startKind = "start"
+// Kinds of records whose subjects are passed by.
+const (
+	Start = "start"
+	Job   = "job"
+	Final = "final"
+	Block = "block"
+)
 
 // lower takes the bounds below what was refused: those that the service names, or both.
 func (f *Form) lower(w Write, why string) {
@@ -158,7 +168,7 @@
 
 // Taken takes note that a write of a kind was taken.
 func (f *Form) Taken(kind string) {
-	if kind == startKind {
+	if kind == Start {
 		f.starts.any = false
 	}
 }
@@ -166,11 +176,12 @@
 // Alone tells whether subjects are to be written one by one.
 func (f *Form) Alone(now time.Duration) bool { return now < f.alone }
 
-// Aside tells whether a subject is to be passed by: others are not to wait behind it.
-func (f *Form) Aside(now time.Duration, subject string) bool {
-	a, ok := f.aside[subject]
+// Aside tells whether writes of a kind are to pass a subject by: others are not to wait
+// behind it. A job whose progress can't be written may well end.
+func (f *Form) Aside(now time.Duration, kind, subject string) bool {
+	a, ok := f.aside[[2]string{kind, subject}]
 	if ok && now > a.until+f.p.AsideM {
-		delete(f.aside, subject) // written since, or gone
+		delete(f.aside, [2]string{kind, subject}) // written since, or gone
 	}
 	return ok && now < a.until
 }
--- a/internal/limits/form_test.go
+++ b/internal/limits/form_test.go
@@ -60,17 +60,20 @@
 	if warn := f.Refused(2*time.Second, w, "what is this value?"); warn {
 		t.Error("warned twice of the same")
 	}
-	if f.Alone(3*time.Second) || !f.Aside(3*time.Second, job(2)) || f.Aside(3*time.Second, job(1)) {
+	if f.Alone(3*time.Second) || !f.Aside(3*time.Second, Start, job(2)) || f.Aside(3*time.Second, Start, job(1)) {
 		t.Fatalf("one alone refused: %+v", f)
 	}
+	if f.Aside(3*time.Second, Final, job(2)) {
+		t.Error("its end is passed by as well")
+	}
 	if f.Stuck(5 * time.Second) {
 		t.Error("stuck for one that is passed by")
 	}
-	if f.Aside(12*time.Second+1, job(2)) {
+	if f.Aside(12*time.Second+1, Start, job(2)) {
 		t.Error("passed by for ever")
 	}
 	f.Refused(13*time.Second, w, "what is this value?")
-	if !f.Aside(32*time.Second, job(2)) || f.Aside(34*time.Second, job(2)) {
+	if !f.Aside(32*time.Second, Start, job(2)) || f.Aside(34*time.Second, Start, job(2)) {
 		t.Error("the second pause is not twice the first")
 	}
 	if got := f.Tell(); len(got) != 1 || got[0].Kind != "start" || got[0].Count != 3 || got[0].Bytes != 300 {
@@ -99,6 +102,18 @@
 	}
 }
 
+func TestDescribe(t *testing.T) {
+	final := wire.Final{Status: wire.JobDone, Done: 12}
+	w := Describe([]wire.Condition{{Key: wire.PrefixShard + "0", Version: 3}, {Key: wire.PrefixJob + "job-1", Version: 4}},
+		[]wire.Change{{Delete: wire.PrefixJob + "job-1"}, {Put: wire.PrefixFinal + "job-1", Value: final}})
+	if w.Kind != Final || w.Changes != 2 || w.Conditions != 2 || w.Bytes != len(`{"status":"done","done":12}`) || len(w.Subjects) != 1 || w.Subjects[0] != wire.PrefixJob+"job-1" {
+		t.Errorf("an end of a job: %+v", w)
+	}
+	if w := Describe(nil, []wire.Change{{Delete: wire.KeyLeader}}); w.Kind != "leader" || w.Bytes != 0 {
+		t.Errorf("leadership given away: %+v", w)
+	}
+}
+
 func TestFit(t *testing.T) {
 	w := wire.Want{}
 	for k := range 24 {
