--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -41,6 +41,9 @@
 	{"state_late_writes", "", "share", 0.01, 1, "this share of changes gets no answer and is executed 2 to 12 s later, after newer ones"},
 	{"state_refuses", "controllers", "", 0, 0, "it answers 503 to these controllers alone; their grants run out"},
 	{"state_no_writes", "", "", 0, 0, "it answers 503 to changes"},
+	{"state_value_kb", "", "KiB", 0.5, 1024, "values have so many KiB at most; more is answered 400"},
+	{"state_txn_ops", "", "changes", 2, 1000, "transactions have so many changes at most; more is answered 400"},
+	{"state_write_rps", "", "changes a second", 1, 1e5, "so many changes a second at most; more is answered 429"},
 	{"state_mute", "controllers", "", 0, 0, "it executes their calls and does not answer"},
 	{"watch_too_old", "", "", 0, 0, "watches are told 410"},
 	{"cloud_down", "", "", 0, 0, "the cloud answers 503"},
@@ -326,6 +329,7 @@
 	s.lateWrites = 0
 	clear(s.copies)
 	sick, still := map[string]worker.Fault{}, map[string]string{}
+	limits := s.Spec.State
 	for _, a := range s.faults.active {
 		f := a.Fault
 		switch f.Kind {
@@ -333,6 +337,12 @@
 			st.Down = true
 		case "state_no_writes":
 			st.NoWrites = true
+		case "state_value_kb":
+			limits.ValueBytes = min(limits.ValueBytes, int(f.Value*1024))
+		case "state_txn_ops":
+			limits.TxnOps = min(limits.TxnOps, int(f.Value))
+		case "state_write_rps":
+			limits.WriteRPS = min(limits.WriteRPS, f.Value)
 		case "watch_too_old":
 			st.TooOld = true
 		case "cloud_down":
@@ -352,6 +362,10 @@
 			s.applyTo(n, f, sick, still)
 		}
 	}
+	if limits != s.limits {
+		s.limits = limits
+		s.store.Limit(now, limits)
+	}
 	for _, name := range s.machineNames() {
 		m, want := s.machines[name], sick[name]
 		if m.gone {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -109,6 +109,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	store    *state.Store
+	limits   state.Limits // that the store has now
 	cloud    *cloud.Cloud
 	work     *worker.Work
 	check    *checker.Checker
@@ -141,7 +142,7 @@
 	spec.Type.Zones = spec.Zones
 	spec.Cloud.Types, spec.Cloud.Otherwise = []wire.MachineType{spec.Type}, spec.Rentable
 	s := &Site{Spec: spec, Net: link.New(), log: log, begun: time.Now(), rng: rng,
-		store: state.New(spec.State, rng), cloud: cloud.New(spec.Cloud, rng), work: worker.NewWork(),
+		store: state.New(spec.State, rng), limits: spec.State, cloud: cloud.New(spec.Cloud, rng), work: worker.NewWork(),
 		host: ownHost(), machines: map[string]*machine{}, calls: map[uint64]chan state.Answer{}, slow: map[string]time.Duration{},
 		mute: map[string]bool{}, late: map[string]time.Duration{}, copies: map[string]time.Duration{}, observe: observe, controllers: map[string]*Controller{}}
 	s.store.Trouble.Refused = map[string]bool{}
--- a/internal/standin/site/site_test.go
+++ b/internal/standin/site/site_test.go
@@ -91,6 +91,9 @@
 			t.Errorf("fault %d is not lifted once", ids[i])
 		}
 	}
+	if s.limits != s.Spec.State {
+		t.Errorf("the state service keeps limits of %+v", s.limits)
+	}
 	if len(s.Faults()) != 0 || len(s.slow)+len(s.late)+len(s.mute) != 0 || s.store.Trouble.Down || s.cloud.Trouble.Down {
 		t.Errorf("something stays wrong: %+v %+v", s.store.Trouble, s.cloud.Trouble)
 	}
