--- a/internal/core/forms_test.go
+++ b/internal/core/forms_test.go
@@ -176,6 +176,12 @@
 	}
 	w.put(biasKey(0), bias)
 
+	w.operators(bytes, machines)
+	w.progress(bytes)
+}
+
+// operators' records are those that they write.
+func (w *writer) operators(bytes, machines int) {
 	crew := wire.Crew{Name: "crew-of-a-long-name", Team: "team-of-a-long-name", Zone: "zone-of-a-long-name", Classes: []string{"class-of-a-long-name-0", "class-of-a-long-name-1"}, Leaves: "2026-12-03T06:30", TimeZone: "Africa/Dakar", Rule: "FREQ=DAILY"}
 	for k := range tuning.CrewKeep {
 		crew.Past = append(crew.Past, wire.CrewOutcome{LeavesMS: 1e12 + int64(k), Jobs: 20, Met: 19, LateS: 12.5, Why: "two jobs of 40 tasks will be 80 s late"})
@@ -187,7 +193,7 @@
 	}
 	crew = limits.Fit(crew, bytes, calendar.Fewer)
 	if len(crew.Booked) < 5 || len(crew.Past) != 1 || crew.Past[0].LeavesMS != 1e12+tuning.CrewKeep-1 {
-		t.Errorf("%d bookings and %d departures are left", len(crew.Booked), len(crew.Past))
+		w.t.Errorf("%d bookings and %d departures are left", len(crew.Booked), len(crew.Past))
 	}
 	w.put(wire.PrefixCrew+crew.Name, crew)
 
@@ -203,11 +209,13 @@
 		lad.History = append(lad.History, c)
 	}
 	w.put(wire.KeyLadder, limits.Fit(lad, bytes, ladder.Shorter))
+}
 
-	// The longest description that is accepted, and what is written of its progress in it.
+// progress is that of a job with the longest description that is accepted.
+func (w *writer) progress(bytes int) {
 	job := wire.Job{ID: "job-000001", Class: "any", Team: "red", Shape: wire.ShapeBatch, Tasks: 400, Image: strings.Repeat("x", 700), Started: 400}
 	if raw, err := wire.Marshal(job); err != nil || !wire.FitsIn(raw, bytes-1024) {
-		t.Errorf("the description is longer than what is accepted (%v)", err)
+		w.t.Errorf("the description is longer than what is accepted (%v)", err)
 	}
 	for k := 0; k < 400; k += 2 {
 		job.Done = append(job.Done, [2]int{k, k + 1})
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -308,14 +308,6 @@
 
 // ---- state service
 
-// outage takes the state service from everybody.
-func (w *world) outage(d time.Duration) {
-	w.store.Trouble.Down = true
-	w.at(d, func() { w.store.Trouble.Down = false })
-}
-
-func (w *world) stateUp() bool { return !w.store.Trouble.Down }
-
 // storeOps maps the core's calls to the service's.
 var storeOps = map[int]state.Op{OpGet: state.Get, OpList: state.List, OpCommit: state.Commit, OpGrant: state.Grant, OpExtend: state.Extend, OpWatch: state.Watch}
 
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -209,3 +209,11 @@
 	l.PageItems, w.untold = w.limits.PageItems, !told
 	w.store.Limit(w.now, l)
 }
+
+// outage takes the state service from everybody.
+func (w *world) outage(d time.Duration) {
+	w.store.Trouble.Down = true
+	w.at(d, func() { w.store.Trouble.Down = false })
+}
+
+func (w *world) stateUp() bool { return !w.store.Trouble.Down }
