--- a/internal/core/crews.go
+++ b/internal/core/crews.go
@@ -222,7 +222,7 @@
 	rec := x.rec
 	calendar.Clean(&rec, leaves, tuning.CrewKeep)
 	calendar.Book(&rec, x.ver, wire.CrewBooking{LeavesMS: leaves.UnixMilli(), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: count}, tuning.RentMax)
-	c.putCrew(x, rec, []wire.Condition{c.leaderCond()}, func(StateReply) { c.changed() })
+	c.putCrew(x, limits.Fit(rec, c.p.ValueBytes, calendar.Fewer), []wire.Condition{c.leaderCond()}, func(StateReply) { c.changed() })
 }
 
 // rentedAhead notes that a booking has been answered.
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -233,3 +233,11 @@
 	}
 	return list
 }
+
+// outage takes the state service from everybody.
+func (w *world) outage(d time.Duration) {
+	w.store.Trouble.Down = true
+	w.at(d, func() { w.store.Trouble.Down = false })
+}
+
+func (w *world) stateUp() bool { return !w.store.Trouble.Down }
