admin chain and job status of jobs that are over: what is not known is a dash

Cause: seen on dev: a cancelled job, whose record is gone, was drawn with empty cells and 0/0 tasks, and one cancelled by its own user told nothing, since an end names nobody then. Test: both, seen failing before.

--- a/cmd/barrowbridge/chain.go
+++ b/cmd/barrowbridge/chain.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -51,7 +53,7 @@
 		switch {
 		case j.ID != v.Job:
 		case v.Status == wire.JobAborted:
-			v.CancelledBy = j.CancelledBy
+			v.CancelledBy = cmp.Or(j.CancelledBy, j.ID)
 		case j.WaitingSinceMS > 0:
 			v.WaitingSinceMS, v.ExpectedStartMS = j.WaitingSinceMS, j.ExpectedStartMS
 			for _, a := range j.Awaits {
@@ -134,13 +136,18 @@
 
 func showChain(k wire.Chain) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s as %s sees it: %d jobs\n", k.Job, k.Node, len(k.Jobs))
+	fmt.Fprintf(&b, "%s as %s sees it, jobs: %d\n", k.Job, k.Node, len(k.Jobs))
 	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "stage\t  \tjob\tclass\tteam\tpriority\tstate\ttasks\tstarts\tdue\tslack\tawaits")
 	for i, list := range stages(k.Jobs) {
 		for _, j := range list {
-			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d/%d\t%s\t%s\t%s\t%s\n", i+1, mark(k.Job, j), j.ID, j.Class, j.Team, priority(j), state(j), j.Done, j.Tasks,
-				clock(j.ExpectedStartMS), dueTime(j), slackTime(j), awaits(j))
+			cells := []string{strconv.Itoa(i + 1), mark(k.Job, j), j.ID, j.Class, j.Team, priority(j), state(j), tasks(j), clock(j.ExpectedStartMS), dueTime(j), slackTime(j), strings.Join(j.Awaits, " ")}
+			for n := range cells {
+				if cells[n] == "" {
+					cells[n] = "-"
+				}
+			}
+			fmt.Fprintln(w, strings.Join(cells, "\t"))
 		}
 	}
 	_ = w.Flush()
@@ -158,11 +165,11 @@
 	return string(m)
 }
 
-func awaits(j wire.ChainJob) string {
-	if len(j.Awaits) == 0 {
-		return "-"
+func tasks(j wire.ChainJob) string {
+	if j.Tasks == 0 {
+		return "" // of a job that is over its record may be gone
 	}
-	return strings.Join(j.Awaits, " ")
+	return fmt.Sprintf("%d/%d", j.Done, j.Tasks)
 }
 
 func priority(j wire.ChainJob) string {
@@ -178,7 +185,9 @@
 		return "not known"
 	case j.CancelledBy != "" && j.CancelledBy != j.ID:
 		return j.Status + " with " + j.CancelledBy
-	case j.WaitingSinceMS > 0:
+	case j.Status == wire.JobAborted:
+		return j.Status + " by its user"
+	case j.WaitingSinceMS > 0 && j.Status == wire.JobQueued:
 		return "waits since " + clock(j.WaitingSinceMS)
 	}
 	return j.Status
--- a/cmd/barrowbridge/chain_test.go
+++ b/cmd/barrowbridge/chain_test.go
@@ -127,9 +127,11 @@
 		"cancelled with another": {wire.JobAborted, answer{200, gone},
 			"job-4 aborted (0 done, 0 running)\n  cancelled with job-2, which it awaits and whose user cancelled it\n"},
 		"cancelled itself": {wire.JobAborted, answer{200, own}, "job-4 aborted (0 done, 0 running)\n  cancelled by its user\n"},
-		"not told":         {wire.JobQueued, answer{404, wire.Problem{Error: "Not Found"}}, "job-4 queued (0 done, 0 running)\n"},
-		"not now":          {wire.JobQueued, answer{503, wire.Problem{Error: "not now"}}, "job-4 queued (0 done, 0 running)\n"},
-		"runs":             {wire.JobRunning, answer{200, gone}, "job-4 running (0 done, 0 running)\n"},
+		"cancelled itself, old record": {wire.JobAborted, answer{200, wire.Chain{Job: "job-4", Jobs: []wire.ChainJob{{ID: "job-4", Status: wire.JobAborted}}}},
+			"job-4 aborted (0 done, 0 running)\n  cancelled by its user\n"},
+		"not told": {wire.JobQueued, answer{404, wire.Problem{Error: "Not Found"}}, "job-4 queued (0 done, 0 running)\n"},
+		"not now":  {wire.JobQueued, answer{503, wire.Problem{Error: "not now"}}, "job-4 queued (0 done, 0 running)\n"},
+		"runs":     {wire.JobRunning, answer{200, gone}, "job-4 running (0 done, 0 running)\n"},
 	} {
 		answers := map[string]answer{"/v1/jobs/job-4": {200, wire.JobStatus{ID: "job-4", Status: x.status}}, "/admin/v1/chain/job-4": x.chain}
 		for _, verb := range []string{"status", "get"} {
@@ -157,7 +159,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := `job-3 as c0 sees it: 4 jobs
+	want := `job-3 as c0 sees it, jobs: 4
 stage      job    class  team  priority       state                 tasks  starts    due         slack  awaits
 1       *  job-1  clean  red   idle (urgent)  done                  2/2    -         -           -      -
 2          job-2  join   blue  idle (urgent)  running               3/8    -         (at 060)  12 s   job-1
@@ -172,6 +174,16 @@
 	if d := cmp.Diff(want, out); d != "" {
 		t.Error(d)
 	}
+	over := wire.Chain{Job: "job-8", Node: "c0", Jobs: []wire.ChainJob{{ID: "job-8", Status: wire.JobAborted, CancelledBy: "job-5"}}}
+	out, err, _ = command(t, map[string]answer{"/admin/v1/chain/job-8": {200, over}}, "admin", "chain", "job-8")
+	want = `job-8 as c0 sees it, jobs: 1
+stage      job    class  team  priority  state               tasks  starts  due  slack  awaits
+1      >   job-8  -      -     -         aborted with job-5  -      -       -    -      -
+critical path: not known
+`
+	if d := cmp.Diff(want, out); d != "" || err != nil {
+		t.Error(err, d)
+	}
 	out, err, _ = command(t, answers, "admin", "chain", "job-3", "--json")
 	var back wire.Chain
 	if err := errors.Join(err, json.Unmarshal([]byte(out), &back)); err != nil {
--- a/wire/chain.go
+++ b/wire/chain.go
@@ -35,6 +35,6 @@
 	SlackS *float64 `cbor:"slack_s,omitempty" json:"slack_s,omitempty"`
 	// Critical: it lies on the longest path to the end of the chain.
 	Critical bool `cbor:"critical,omitempty" json:"critical,omitempty"`
-	// CancelledBy is the job whose cancellation by its user ended this one; its own id if it was itself.
+	// CancelledBy is the job whose cancellation by its user ended this one; its own id or "" if it was itself.
 	CancelledBy string `cbor:"cancelled_by,omitempty" json:"cancelled_by,omitempty"`
 }
