Metrics and trail tell of jobs that wait, go on, or are cancelled with another

Cause: nothing outside the logs told of chains.

Change: barrowbridge_jobs_waiting, _released_total and _cancelled_with_total; events job_released and job_cancelled, with the job whose cancellation it follows.

Test: one chain done and one cancelled, each counted and on the trail once among three controllers; fails without the note.

--- a/internal/core/chains.go
+++ b/internal/core/chains.go
@@ -16,6 +16,7 @@
 	relook    bool                 // something has changed that a decision may hang on
 	moving    bool                 // a write that moves such jobs is under way
 	reading   bool                 // so is a read of ends
+	told      ChainsSeen           // as last shown
 	single    bool                 // the last such write met a conflict: one job at a time
 }
 
@@ -125,6 +126,10 @@
 	if c.every("rankWaiting", tuning.ChainRank) {
 		c.rankWaiting()
 	}
+	if c.told.Waiting != len(c.waitingAt) {
+		c.told.Waiting = len(c.waitingAt)
+		c.out = append(c.out, c.told)
+	}
 	if !c.relook || c.moving || c.reading || c.now < c.retryAt["chains"] {
 		return
 	}
@@ -194,6 +199,9 @@
 				c.keepFinal(id, finals[id], r.Txn.Revision)
 			}
 		}
+		if r.Status == 200 {
+			c.noteMoved(ids[:len(keys)], by)
+		}
 		if r.Status != 200 {
 			c.retryAt["chains"] = c.now + tuning.RetryAfter/2
 			for _, k := range keys {
--- /dev/null
+++ b/internal/core/chains_told_test.go
@@ -0,0 +1,55 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/barrowbridge/barrowbridge/internal/trail"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// What becomes of jobs that wait is counted and stands in the trail of the controller that wrote
+// it, once.
+func TestChainsAreToldOf(t *testing.T) {
+	w := staffed(t, 900, 4)
+	w.until(60*sec, func() bool { return w.leaderNode() != "" })
+	w.run(10 * sec)
+	for i := range 4 { // job-000010 is done, and job-000012 cancelled
+		s := spec(fmt.Sprintf("job-%06d", 10+i), "red", wire.ShapeBatch, 1)
+		if i%2 == 1 {
+			s = after(s, fmt.Sprintf("job-%06d", 9+i))
+		}
+		if i == 2 {
+			s.EstimateS, w.fails[*s.ID] = ptr(900.0), true
+		}
+		w.submitAfter(s, false)
+		w.run(sec / 2)
+	}
+	w.run(sec)
+	for n, c := range w.nodes {
+		if c.core.told.Waiting == 0 {
+			t.Errorf("%s tells of no job that waits", n)
+		}
+	}
+	w.abort("job-000012")
+	w.run(60 * sec)
+	got, told := map[string][]string{}, ChainsSeen{}
+	for _, n := range sortedKeys(w.nodes) {
+		c := w.nodes[n].core.told
+		told = ChainsSeen{Waiting: told.Waiting + c.Waiting, Released: told.Released + c.Released, Cancelled: told.Cancelled + c.Cancelled}
+		for _, e := range w.trailOf(n, "").Events {
+			if e.Kind == trail.JobReleased || e.Kind == trail.JobCancelled {
+				got[e.Kind] = append(got[e.Kind], e.Job+" "+e.Why)
+			}
+		}
+	}
+	want := map[string][]string{trail.JobReleased: {"job-000011 all that it awaits is done"}, trail.JobCancelled: {"job-000013 with job-000012"}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	if told != (ChainsSeen{Released: 1, Cancelled: 1}) {
+		t.Errorf("told %+v", told)
+	}
+}
--- a/internal/core/trailing.go
+++ b/internal/core/trailing.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// noteMoved tells that jobs wait no longer, and counts them: all that they await is done, or one of
+// these is cancelled.
+func (c *Core) noteMoved(ids []string, by map[string]string) {
+	for _, id := range ids {
+		if by != nil {
+			c.told.Cancelled++
+			c.note(wire.TrailEvent{Kind: trail.JobCancelled, Job: id, Why: "with " + by[id]})
+		} else {
+			c.told.Released++
+			c.note(wire.TrailEvent{Kind: trail.JobReleased, Job: id, Why: "all that it awaits is done"})
+		}
+	}
+	c.out = append(c.out, c.told)
+}
+
 // suspect notices machines whose reports stay away, long before their lease is over.
 func (c *Core) suspect() {
 	late := time.Duration(tuning.SuspectReports * float64(c.p.Report))
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -19,6 +19,7 @@
 	AdminVersion  = step.AdminVersion
 	AdminWhy      = step.AdminWhy
 	Answer        = step.Answer
+	ChainsSeen    = step.ChainsSeen
 	CloudCall     = step.CloudCall
 	CloudDone     = step.CloudDone
 	CloudReply    = step.CloudReply
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,10 @@
 	steps    prometheus.Histogram
 	links    *prometheus.GaugeVec
 	refused  *prometheus.CounterVec
+
+	waiting             prometheus.Gauge
+	released, cancelled prometheus.Counter
+	told                [2]int // as last told: released, cancelled
 }
 
 // New returns the metrics; queue tells the length of the core's queue.
@@ -36,7 +40,13 @@
 		Help: "What is believed of a link: 0 unknown, 1 up, 2 doubt, 3 down."}, []string{"to"})
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "barrowbridge_refused_writes_total",
 		Help: "Writes that the state service called malformed, too large a value or transaction mostly, by kind of record."}, []string{"kind"})
-	m.reg.MustRegister(m.requests, m.calls, m.steps, m.links, m.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	m.waiting = prometheus.NewGauge(prometheus.GaugeOpts{Name: "barrowbridge_jobs_waiting",
+		Help: "Jobs that wait for others, of all controllers."})
+	m.released = prometheus.NewCounter(prometheus.CounterOpts{Name: "barrowbridge_jobs_released_total",
+		Help: "Jobs that this controller has let go on, since all that they await is done."})
+	m.cancelled = prometheus.NewCounter(prometheus.CounterOpts{Name: "barrowbridge_jobs_cancelled_with_total",
+		Help: "Jobs whose end this controller has written, since one that they await was cancelled."})
+	m.reg.MustRegister(m.requests, m.calls, m.steps, m.links, m.refused, m.waiting, m.released, m.cancelled, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "barrowbridge_queue_inputs", Help: "Inputs waiting for the core."}, queue))
 	return m
 }
@@ -62,3 +72,12 @@
 
 // Refused counts a write that the state service called malformed.
 func (m *Metrics) Refused(kind string) { m.refused.WithLabelValues(kind).Inc() }
+
+// Chains records how many jobs wait for others, and how many went on or were cancelled with one of
+// these since this controller began. Not for concurrent use.
+func (m *Metrics) Chains(waiting, released, cancelled int) {
+	m.waiting.Set(float64(waiting))
+	m.released.Add(float64(released - m.told[0]))
+	m.cancelled.Add(float64(cancelled - m.told[1]))
+	m.told = [2]int{released, cancelled}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -254,6 +254,8 @@
 		n.peers.Send(v.To, v.Msg)
 	case core.WriteRefused:
 		n.metrics.Refused(v.Kind)
+	case core.ChainsSeen:
+		n.metrics.Chains(v.Waiting, v.Released, v.Cancelled)
 	case core.LinkSeen:
 		n.metrics.Link(v.To, int(v.Level))
 	case core.Log:
--- a/internal/step/admin.go
+++ b/internal/step/admin.go
@@ -66,6 +66,10 @@
 // WriteRefused is an effect: the state service has called a write of a kind of record malformed.
 type WriteRefused struct{ Kind string }
 
+// ChainsSeen is an effect: how many jobs wait for others, and how many this controller, in this life,
+// has let go on because all that they await is done, or ended because one of these is cancelled.
+type ChainsSeen struct{ Waiting, Released, Cancelled int }
+
 // LinkSeen is an effect: what is believed of a link has changed.
 type LinkSeen struct {
 	To    string
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -38,6 +38,8 @@
 	JobMistaken     = "job_mistaken"     // it fails wherever it is started
 	MachineDeaf     = "machine_deaf"     // reports, and hears nothing that it is answered
 	MachineHears    = "machine_hears"    // hears again
+	JobReleased     = "job_released"     // all that it awaits is done: it may start
+	JobCancelled    = "job_cancelled"    // with one that it awaits, directly or through others; Why names it
 	CrewMiss        = "crew_miss"        // some of a departure's work will not be done in time, or will after all
 	CrewLeft        = "crew_left"        // how a departure went
 	PlaceHeld       = "place_held"       // kept for a job whose tasks fit nowhere
