--- a/internal/core/chains_admin.go
+++ b/internal/core/chains_admin.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"strings"
+
 	"github.com/barrowbridge/barrowbridge/internal/dependency"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -26,6 +28,21 @@
 	})
 }
 
+// whyWaits tells what a job waits for.
+func (c *Core) whyWaits(id string) []string {
+	if v := c.chain.Judge(id, c.accepted); v.Outcome == dependency.Cancelled {
+		return []string{"cancelled with " + v.By}
+	}
+	var left []string
+	predecessors, _ := c.chain.Awaits(id)
+	for _, p := range predecessors {
+		if c.accepted(p) || c.waitsForOthers(p) {
+			left = append(left, p)
+		}
+	}
+	return []string{"waits until these are done: " + strings.Join(left, ", ")}
+}
+
 // chainOf is all that a job awaits and all that awaits it, as far as this controller sees it.
 func (c *Core) chainOf(id string) map[string]dependency.Seen {
 	seen, todo := map[string]dependency.Seen{}, append([]string{id}, c.chain.After(id)...)
--- a/internal/core/chains_told_test.go
+++ b/internal/core/chains_told_test.go
@@ -33,6 +33,11 @@
 			t.Errorf("%s tells of no job that waits", n)
 		}
 	}
+	why := wire.Why{}
+	w.ask("c0", func(q uint64) any { return AdminWhy{Req: q, ID: "job-000013"} }, func(a Answer) { why, _ = a.Body.(wire.Why) })
+	if d := cmp.Diff([]string{"waits until these are done: job-000012"}, why.Why); d != "" {
+		t.Error(d)
+	}
 	w.abort("job-000012")
 	w.run(60 * sec)
 	got, told := map[string][]string{}, ChainsSeen{}
