--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -298,37 +298,24 @@
 }
 
 func (c *Core) onAdminReach(v AdminReach) {
-	view := wire.ReachView{Node: c.p.Node, Links: []wire.LinkView{}, Words: []wire.ReachWord{}}
-	j := c.ways.link.Judge(c.now)
-	view.Links = append(view.Links, wire.LinkView{To: "state", Level: j.Level.String(), ForS: (c.now - j.Since).Seconds(), Why: j.Why, Through: c.wayAround()})
-	j = c.reaching.cloud.Judge(c.now)
-	view.Links = append(view.Links, wire.LinkView{To: "cloud", Level: j.Level.String(), ForS: (c.now - j.Since).Seconds(), Why: j.Why})
+	state := c.ways.link.Judge(c.now).View(c.now, "state")
+	state.Through = c.wayAround()
+	view := wire.ReachView{Node: c.p.Node, Words: []wire.ReachWord{}, Links: []wire.LinkView{state, c.reaching.cloud.Judge(c.now).View(c.now, "cloud")}}
 	for _, n := range sortedKeys(c.p.Nodes) {
-		if n == c.p.Node {
-			continue
-		}
-		l := wire.LinkView{To: "controller " + n, Level: reach.Unknown.String(), Why: "never answered"}
-		if at, ok := c.heard[n]; ok {
-			l.Level, l.ForS, l.Why = reach.Up.String(), (c.now - at).Seconds(), "answered a ping"
-			if !c.near(n) {
-				l.Level, l.Why = reach.Down.String(), "last answer to a ping"
-			}
+		if n != c.p.Node {
+			at, ever := c.heard[n]
+			view.Links = append(view.Links, reach.Answers(n, c.now, at, ever, c.near(n)))
 		}
-		view.Links = append(view.Links, l)
 	}
 	for _, i := range sortedInts(c.held) {
-		l := wire.LinkView{To: fmt.Sprintf("shard %d", i), Level: reach.Up.String(), Why: "its machines report"}
-		if s := c.reaching.workers.Silent(c.now, i); s > 0 {
-			l.Level, l.ForS, l.Why = reach.Down.String(), s.Seconds(), "all its machines are silent"
-		}
-		view.Links = append(view.Links, l)
+		view.Links = append(view.Links, reach.Machines(i, c.reaching.workers.Silent(c.now, i)))
 	}
 	if c.reaching.workers.Lacks(c.now) {
 		view.Links = append(view.Links, wire.LinkView{To: "workers", Level: reach.Down.String(), Why: "none reports, none that was called answers"})
 	}
 	for _, n := range sortedKeys(c.nodes) {
-		if w := c.wordOf(n); n != c.p.Node {
-			view.Words = append(view.Words, wire.ReachWord{Node: n, Lacks: w.Lacks, Seeks: w.Seeks, Hears: w.Hears, Misses: w.Misses, Apart: w.Apart, NoCloud: w.NoCloud})
+		if n != c.p.Node {
+			view.Words = append(view.Words, c.wordOf(n).Told(n))
 		}
 	}
 	c.answer(v.Req, 200, view)
--- a/wire/reach.go
+++ b/wire/reach.go
@@ -47,6 +47,11 @@
 	Through string  `cbor:"through,omitempty" json:"through,omitempty"` // the controller that calls go through
 }
 
+// Told is a controller's word as operators are shown it.
+func (w Reach) Told(node string) ReachWord {
+	return ReachWord{Node: node, Lacks: w.Lacks, Seeks: w.Seeks, Hears: w.Hears, Misses: w.Misses, Apart: w.Apart, NoCloud: w.NoCloud}
+}
+
 // ReachWord is another controller's word.
 type ReachWord struct {
 	Node    string       `cbor:"node" json:"node"`
