--- a/cmd/barrowbridge/upgrade.go
+++ b/cmd/barrowbridge/upgrade.go
@@ -16,6 +16,7 @@
 func rehearseUpgrade() *cobra.Command {
 	var f rehearseFlags
 	var short, masks bool
+	var random int
 	cmd := &cobra.Command{
 		Use: "upgrade", Short: "Roll controllers from the version in production to this one, and see what it costs", Args: cobra.NoArgs,
 		Long: "Roll controllers from the version in production to this one, and see what it costs.\n\n" +
@@ -23,15 +24,15 @@
 			"the repository's own history. Each scenario is run as an upgrade and once more with this\n" +
 			"version on both sides, and both are put side by side.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if f.seeds < 1 || f.seeds > 1000 || f.jobs < 1 || f.jobs > 64 {
-				return fmt.Errorf("--seeds must be from 1 to 1000 and --jobs from 1 to 64")
+			if f.seeds < 1 || f.seeds > 1000 || f.jobs < 1 || f.jobs > 64 || random < 0 || random > 1000 {
+				return fmt.Errorf("--seeds must be from 1 to 1000, --jobs from 1 to 64 and --random from 0 to 1000")
 			}
 			if f.out == "" {
 				f.out = filepath.Join(os.TempDir(), "barrowbridge-upgrade-"+time.Now().Format("20060102-150405"))
 			}
 			p := f.plan(cmd)
 			var err error
-			if p.Names, p.Sources, err = upgrades(short, masks); err != nil {
+			if p.Names, p.Sources, err = upgrades(short, masks, f.seed, random); err != nil {
 				return err
 			}
 			for i := range f.seeds {
@@ -56,6 +57,7 @@
 	f.common(cmd)
 	cmd.Flags().BoolVar(&short, "short", false, "the plain roll and the one that changes hands, not beside rolls of one version")
 	cmd.Flags().BoolVar(&masks, "masks", false, "also each link between controllers and to the state service cut in turn, both ways and in either direction")
+	cmd.Flags().IntVar(&random, "random", 0, "also so many upgrades with troubles drawn from seeds, from --seed on")
 	cmd.Flags().StringVar(&f.repo, "repo", ".", "a folder in a checkout of this program with its history")
 	cmd.Flags().StringVar(&f.commit, "commit", "", "begin with this commit instead of the one in production")
 	cmd.Flags().Uint64Var(&f.seed, "seed", 1, "first seed of what is random: times of tasks, boots and reports")
@@ -80,18 +82,18 @@
 }
 
 // upgrades are the scenarios to run: those that stand in no file with their text.
-func upgrades(short, masks bool) (names []string, sources map[string]string, err error) {
-	if names = rehearse.UpgradeNames(); short {
-		return []string{"upgrade-roll", "upgrade-hands"}, nil, nil
-	}
+func upgrades(short, masks bool, seed uint64, random int) (names []string, sources map[string]string, err error) {
 	sources = map[string]string{}
 	add := func(name, source string, err error) error {
 		names, sources[name] = append(names, name), source
 		return err
 	}
-	for _, n := range names {
-		if err := add(rehearse.Alike(n)); err != nil {
-			return nil, nil, err
+	if names = []string{"upgrade-roll", "upgrade-hands"}; !short {
+		names = rehearse.UpgradeNames()
+		for _, n := range rehearse.UpgradeNames() {
+			if err := add(rehearse.Alike(n)); err != nil {
+				return nil, nil, err
+			}
 		}
 	}
 	if masks {
@@ -101,5 +103,10 @@
 			}
 		}
 	}
+	for k := range random {
+		if err := add(rehearse.Random(seed + uint64(k))); err != nil {
+			return nil, nil, err
+		}
+	}
 	return names, sources, nil
 }
--- a/internal/rehearse/upgrade.go
+++ b/internal/rehearse/upgrade.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"strings"
 
@@ -51,6 +52,53 @@
 	return s.text()
 }
 
+// Random is an upgrade with troubles drawn from a seed: controllers of either version die, are
+// exchanged forward and back, links to each other and to the state service are cut, the state
+// service refuses one or loses changes for a while. At last all are exchanged.
+func Random(seed uint64) (name, source string, err error) {
+	s, err := Load(maskOf)
+	if err != nil {
+		return "", "", err
+	}
+	rng := rand.New(rand.NewPCG(seed, 39))
+	some := func(names ...string) string { return names[rng.IntN(len(names))] }
+	s.Name = fmt.Sprintf("upgrade-random-%d", seed)
+	s.About = "Troubles drawn from a seed in the middle of an upgrade."
+	s.Faults = nil
+	at := 8.0
+	for range 8 {
+		f := Fault{Target: some("c0", "c1", "c2"), AtS: at, ForS: 2 + float64(rng.IntN(9))}
+		switch rng.IntN(8) {
+		case 0, 1, 2:
+			f.Kind, f.Value, f.ForS = "controller_upgrade", 1, 2
+		case 3:
+			f.Kind, f.ForS = "controller_upgrade", 2 // back to the earlier version
+		case 4:
+			f.Kind = "controller_kill"
+		case 5:
+			f.Kind, f.Target = "state_refuses", some("leader", "c0", "c1", "c2")
+		case 6:
+			f.Kind, f.Mode, f.OneWay = "link", "hold", rng.IntN(2) == 0
+			f.Peer = some("state", map[string]string{"c0": "c1", "c1": "c2", "c2": "c0"}[f.Target])
+		default:
+			f.Kind, f.Target, f.Value = "state_late_writes", "", 0.3
+		}
+		s.Faults = append(s.Faults, f)
+		at += 2 + float64(rng.IntN(6))
+	}
+	for _, n := range []string{"c0", "c1", "c2"} {
+		at += 8
+		s.Faults = append(s.Faults, Fault{Kind: "controller_upgrade", Target: n, Value: 1, AtS: at, ForS: 2})
+	}
+	s.MostS = at + 60
+	for i := range s.Expect { // however long the troubles last
+		if s.Expect[i].Kind != "up" {
+			s.Expect[i].WithinS = s.MostS
+		}
+	}
+	return s.text()
+}
+
 func (s *Scenario) text() (name, source string, err error) {
 	b, err := toml.Marshal(s)
 	return s.Name, string(b), err
@@ -62,7 +110,8 @@
 	Runs         int            `json:"runs"`
 	Failed       int            `json:"failed"`
 	Broken       int            `json:"rules_broken"`
-	ReplicaLostS [2]float64     `json:"replica_lost_s"` // mean and most
+	ReplicaLostS [2]float64     `json:"replica_lost_s"` // a run, mean and most
+	WaitS        [2]float64     `json:"wait_s"`         // of jobs, from submission until they run in full, mean and most
 	Refused      int            `json:"refused"`        // 503
 	Unanswered   int            `json:"unanswered"`
 	Asked        int            `json:"asked"`
@@ -71,7 +120,7 @@
 
 // RollCosts sums results up by scenario.
 func RollCosts(results []Result) []RollCost {
-	by := map[string]*RollCost{}
+	by, jobs := map[string]*RollCost{}, map[string]int{}
 	for _, r := range results {
 		c := by[r.Scenario]
 		if c == nil {
@@ -86,6 +135,13 @@
 		c.ReplicaLostS[0] += r.Cost.ReplicaLostS
 		c.ReplicaLostS[1] = max(c.ReplicaLostS[1], r.Cost.ReplicaLostS)
 		c.Refused, c.Unanswered, c.Asked = c.Refused+r.Cost.Refused, c.Unanswered+r.Cost.Unanswered, c.Asked+r.Cost.Asked
+		for _, w := range r.Waits {
+			if w.RunningS >= 0 {
+				jobs[r.Scenario]++
+				c.WaitS[0] += w.RunningS
+				c.WaitS[1] = max(c.WaitS[1], w.RunningS)
+			}
+		}
 		for k, n := range r.Cost.Handed {
 			if c.Handed == nil {
 				c.Handed = map[string]int{}
@@ -96,6 +152,7 @@
 	out := make([]RollCost, 0, len(by))
 	for _, c := range by {
 		c.ReplicaLostS[0] /= float64(c.Runs)
+		c.WaitS[0] /= float64(max(1, jobs[c.Scenario]))
 		out = append(out, *c)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Scenario < out[j].Scenario })
@@ -105,11 +162,12 @@
 // RollTable prints them for people.
 func RollTable(costs []RollCost) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-28s %4s %6s %6s %18s %22s %10s %10s\n", "scenario", "runs", "failed", "broken", "replica s lost", "refused/unanswered/asked", ToNewer, ToEarlier)
+	fmt.Fprintf(&b, "%-34s %4s %6s %6s %16s %16s %25s %11s %11s\n", "scenario", "runs", "failed", "broken", "replica s lost", "wait s", "refused/unanswered/asked", ToNewer, ToEarlier)
 	for _, c := range costs {
-		fmt.Fprintf(&b, "%-28s %4d %6d %6d %8.1f (most %4.1f) %8d/%d/%d", c.Scenario, c.Runs, c.Failed, c.Broken, c.ReplicaLostS[0], c.ReplicaLostS[1], c.Refused, c.Unanswered, c.Asked)
+		asked := fmt.Sprintf("%d/%d/%d", c.Refused, c.Unanswered, c.Asked)
+		fmt.Fprintf(&b, "%-34s %4d %6d %6d %5.1f, most %4.1f %5.1f, most %4.1f %25s", c.Scenario, c.Runs, c.Failed, c.Broken, c.ReplicaLostS[0], c.ReplicaLostS[1], c.WaitS[0], c.WaitS[1], asked)
 		if c.Handed != nil {
-			fmt.Fprintf(&b, " %14d %10d", c.Handed[ToNewer], c.Handed[ToEarlier])
+			fmt.Fprintf(&b, " %11d %11d", c.Handed[ToNewer], c.Handed[ToEarlier])
 		}
 		b.WriteString("\n")
 	}
--- a/internal/rehearse/upgrade_test.go
+++ b/internal/rehearse/upgrade_test.go
@@ -46,6 +46,18 @@
 		}
 		seen[name] = true
 	}
+	for seed := range uint64(50) {
+		name, source, err := Random(seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, again, _ := Random(seed); again != source {
+			t.Errorf("%s is not the same twice", name)
+		}
+		if s, err := Parse(name, []byte(source)); err != nil || len(s.Faults) != 11 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
 	if len(seen) != 18 { // six links, each both ways and in either direction
 		t.Errorf("%d masks", len(seen))
 	}
