--- a/internal/core/chains.go
+++ b/internal/core/chains.go
@@ -66,10 +66,19 @@
 	return dependency.Demand{Priority: wire.PriorityRank(j.Priority), Rank: c.ladder.Rank(j), Due: c.aims.Due(workOf(j)), Length: dependency.Length(s)}
 }
 
-// rankJob puts a job on its rung, or on that of a job that needs it.
+// rankJob puts a job on its rung, or on that of a job that needs it: on that one's own once there
+// is little slack, until then among normal work, which goes by due times and stops none of it.
 func (c *Core) rankJob(e *jobEntry) {
 	d := c.chain.Inherited(e.rec.ID)
-	e.prio, e.rank, e.due = max(wire.PriorityRank(e.rec.Priority), d.Priority), max(c.ladder.Rank(&e.rec), d.Rank), d.Due
+	e.prio, e.rank, e.due = wire.PriorityRank(e.rec.Priority), c.ladder.Rank(&e.rec), d.Due
+	if d.Priority > e.prio {
+		if own := c.demandOf(&e.rec); d.Slack(float64(c.wall.UnixMilli())/1000, own.Length) > tuning.ChainSlack.Seconds() {
+			as := e.rec
+			as.Priority = wire.PriorityName(normalRank)
+			d.Priority, d.Rank = min(d.Priority, normalRank), min(d.Rank, c.ladder.Rank(&as))
+		}
+	}
+	e.prio, e.rank = max(e.prio, d.Priority), max(e.rank, d.Rank)
 	if e.run == nil {
 		return
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -76,6 +76,9 @@
 // urgentRank is the lowest priority that is served ahead of room and cost.
 var urgentRank = wire.PriorityRank("urgent")
 
+// normalRank is the priority of work that can wait for room, and for nothing else.
+var normalRank = wire.PriorityRank("normal")
+
 // idleRank is the priority of work that is run when there is nothing else to do.
 var idleRank = wire.PriorityRank("idle")
 
--- a/internal/dependency/dependency.go
+++ b/internal/dependency/dependency.go
@@ -234,6 +234,10 @@
 	return d
 }
 
+// Slack is how many seconds a job that takes so long from now on has to spare before those after
+// it are late; +Inf: none of them has to be done by any time.
+func (d Demand) Slack(now, length float64) float64 { return d.Due - length - now }
+
 // Stage is what the expected length of a job hangs on.
 type Stage struct {
 	Tasks  int
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -236,7 +236,10 @@
 	// machines and start to fetch: two writes, and the workers' next reports.
 	ChainBegin = 4 * time.Second
 	// ChainSpread (of the logarithm): how far run times of one job's tasks lie apart.
-	ChainSpread = 0.3
+	ChainSpread = 0.1
+	// ChainSlack (duration): with less to spare a job of a chain is served as those that need it
+	// would be; it then has others stopped, and machines rented at any price.
+	ChainSlack = 15 * time.Second
 	// TrackTasks (tasks): jobs of at most so many have the machine of each start
 	// written down, so that after a takeover they wait for that one machine
 	// only. A start elsewhere costs such a job a write, so it is not for arrays.
