The checker of the load's test knows the teams

Cause: it judges whether an accepted job can run at all now, and that test gave it no teams: every job counted as unfit, and as not accepted. Change: the test names its teams; nothing is looked at less.

--- a/internal/load/pipeline_test.go
+++ b/internal/load/pipeline_test.go
@@ -197,7 +197,7 @@
 	s := &service{t: t, specs: map[string]wire.JobSpec{}, done: map[string]time.Time{}}
 	srv := httptest.NewServer(s)
 	t.Cleanup(srv.Close)
-	o := &told{nobody: nobody(time.Now()), c: checker.New(checker.Params{})}
+	o := &told{nobody: nobody(time.Now()), c: checker.New(checker.Params{Teams: map[string]checker.Limit{"red": {CPUs: 1000}, "blue": {CPUs: 1000}}})}
 	out := Run(context.Background(), plan(t, piped), 3, 1, NewClient([]string{strings.TrimPrefix(srv.URL, "http://")}, o), nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
