--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -66,6 +66,7 @@
 	completed map[string]bool // tasks
 	repeated  []string        // tasks that started after they had completed, as often as they did
 	troubles
+	asked *effects // nil: not digested
 }
 
 type ctrl struct {
@@ -126,6 +127,7 @@
 	for _, o := range opts {
 		o(w)
 	}
+	w.digested()
 	w.store = state.New(w.limits, w.rng)
 	w.store.Trouble.Refused = w.cutFrom
 	w.cloud = cloud.New(cloud.Params{ListLag: 4 * time.Second, Otherwise: w.capacity, Types: []wire.MachineType{
@@ -253,6 +255,7 @@
 	if w.spent != nil {
 		w.spent(time.Since(began))
 	}
+	w.digest(n.name, out)
 	for _, e := range out {
 		switch v := e.(type) {
 		case Answer:
