The calendar keeps what departures demand and have shown

core/crews.go decided what a departure demands of jobs, how it went, what is booked ahead and what an operators' change makes of a record. That is calendar.Book now, a pure structure that asks its owner for jobs, CPUs and ends through one interface; core writes what it says.

--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -140,7 +140,7 @@
 	}
 	j, run := &e.rec, e.run
 	q := queue.Job{ID: j.ID, Team: j.Team, Accepted: j.ReadySince(), Number: j.Number, Rank: e.rank, Strict: j.Zone != "" || j.OneZone, Service: j.Shape == wire.ShapeService,
-		Due: min(c.aims.Due(workOf(j)), c.crewDue(j.ID), e.due), Pressed: c.departs[j.ID].pressed, Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.Count(), Pending: c.trials(e),
+		Due: min(c.aims.Due(workOf(j)), c.crewDue(j.ID), e.due), Pressed: c.crewPressed(j.ID), Turn: aimLimits.Turn(workOf(j)), Estimate: j.EstimateS, Ask: jobSize(j), Rest: j.Tasks - run.done.Count(), Pending: c.trials(e),
 		Begun: j.Started > 0 || run.next > 0}
 	if c.health.Trial(j.ID) {
 		q.Rest = min(q.Rest, 1) // it keeps no place of others
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/aims"
+	"github.com/barrowbridge/barrowbridge/internal/calendar"
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/hold"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
@@ -86,12 +87,12 @@
 	rollout *rollout.Book // what the controllers understand
 	holder
 	books
-	desk   *prompt.Desk[*machine]       // workers to call directly
-	roll   *takeover.Roll[*machine]     // machines to be accounted for
-	places map[int]*hold.Book[*machine] // by shard: kept for tasks that fit nowhere
-	kept   map[string]hold.Hold         // by team: of its limit, for a job that does not fit into the rest
-	runs   *forecast.Book
-	crewing
+	desk     *prompt.Desk[*machine]       // workers to call directly
+	roll     *takeover.Roll[*machine]     // machines to be accounted for
+	places   map[int]*hold.Book[*machine] // by shard: kept for tasks that fit nowhere
+	kept     map[string]hold.Hold         // by team: of its limit, for a job that does not fit into the rest
+	runs     *forecast.Book
+	calendar *calendar.Book // the crews, and what is planned for their departures
 	chaining
 	addrs   *takeover.Book // where workers listen
 	listing bool           // the cloud's list is being read for that
@@ -119,7 +120,7 @@
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
-	c.crewing, c.chaining = newCrewing(), newChaining()
+	c.calendar, c.chaining = newCalendar(p), newChaining()
 	c.kept = map[string]hold.Hold{}
 	c.places = map[int]*hold.Book[*machine]{}
 	c.runs = forecast.New(forecast.Params{Prior: tuning.ForecastPrior, Keep: tuning.ForecastKeep, Spread: tuning.ForecastSpread})
--- a/internal/core/crews_test.go
+++ b/internal/core/crews_test.go
@@ -213,7 +213,7 @@
 		w.run(3 * sec)
 	}
 	c := w.nodes[w.shardRec("red").Holder].core
-	if d := c.departs["job-700001"]; d.pressed || d.due == 0 {
+	if d, ok := c.calendar.Demand("job-700001"); !ok || d.Pressed || d.Due == 0 {
 		t.Fatalf("the departure should be known and not press: %+v", d)
 	}
 	w.addMachine("n", false, sec) // room for one of them
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -32,7 +32,6 @@
 	started  *starts.Book
 	progress *progress.Book
 	boots    *boot.Book
-	crews    map[string]*crewEntry
 	biases   map[string]wire.Bias // by key
 
 	// Kept up with the records, so that a report or a poll costs the same
@@ -75,7 +74,7 @@
 	return mirror{ver: records.New(), jobs: map[string]*jobEntry{},
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
 		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
-		settings: defaultSettings(), ladder: ladder.Of(wire.Ladder{}), cordons: map[string]wire.Cordon{}, crews: map[string]*crewEntry{}, biases: map[string]wire.Bias{},
+		settings: defaultSettings(), ladder: ladder.Of(wire.Ladder{}), cordons: map[string]wire.Cordon{}, biases: map[string]wire.Bias{},
 		blockIn: map[string]string{}, dropping: map[string]bool{}, shardHas: map[int]map[string]int{}, newest: map[int]uint64{}, teamHome: map[string]int{}, cached: map[string][]string{}}
 }
 
@@ -239,7 +238,7 @@
 	case strings.HasPrefix(key, wire.PrefixCrew):
 		var r wire.Crew
 		if read(&r) {
-			c.crews[key[len(wire.PrefixCrew):]] = &crewEntry{r, ver}
+			c.calendar.Put(key[len(wire.PrefixCrew):], r, ver)
 		}
 	case strings.HasPrefix(key, wire.PrefixBias):
 		var r wire.Bias
@@ -388,7 +387,7 @@
 	case strings.HasPrefix(key, wire.PrefixCordon):
 		c.putCordon(key[len(wire.PrefixCordon):], wire.Cordon{Lifted: true})
 	case strings.HasPrefix(key, wire.PrefixCrew):
-		delete(c.crews, key[len(wire.PrefixCrew):])
+		c.calendar.Remove(key[len(wire.PrefixCrew):])
 	case strings.HasPrefix(key, wire.PrefixReach):
 		delete(c.words, key[len(wire.PrefixReach):])
 	case strings.HasPrefix(key, wire.PrefixNode):
