What controllers say of their reach is kept by duty.Book

core/reaching.go kept the words of the controllers and weighed them: whose word is the newest, who is near, who is missed, to whom a silent shard or the lead without the cloud goes, what may go home, and the view of all that. It reads who is present and the two links it is given, and tells core what to write; homeShards asks it too.

One test reached into the map of answers to pings and now makes them old instead; what it checks is the same.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -128,7 +128,7 @@
 	c.users = newUsers()
 	c.peers = newPeers(p)
 	c.ways = newWays()
-	c.reaching = newReaching(p)
+	c.reaching = newReaching(p, c.nodes)
 	c.leader.reset()
 	return c
 }
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -158,7 +158,7 @@
 			silent++
 		}
 	}
-	cut := silent > max(tuning.MissingFew, c.machinesIn(shard)/tuning.MissingShare)
+	cut := dutyLimits.Many(silent, c.machinesIn(shard))
 	for _, m := range c.heldMachines() {
 		if m.shard != shard || m.drop {
 			continue
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -166,10 +166,7 @@
 		})
 		return
 	}
-	held := map[string]int{}
-	for _, s := range c.shards {
-		held[s.rec.Holder]++
-	}
+	held := c.shardsHeld()
 	for _, i := range c.shardIDs() {
 		s := c.shards[i]
 		n, up := c.nodes[s.rec.Holder]
@@ -177,13 +174,11 @@
 		switch {
 		case !up || (n.Boot != s.rec.Boot && c.now-l.nodeUp[s.rec.Holder] > tuning.GrantTTL):
 			// Dead, or back without having retaken it. All of it goes to one successor.
-			members := c.members(i)
-			for k := range members {
-				members[k].Held = held[members[k].Node]
+			to = duty.Successor(s.rec.Home, c.p.Nodes, c.words.Members(c.now, c.self(), i, held))
+		case s.rec.Home != s.rec.Holder:
+			if at, here := l.nodeUp[s.rec.Home]; here && c.words.GoesHome(c.now, c.self(), i, &s.rec, at, held[s.rec.Home]) {
+				to = s.rec.Home
 			}
-			to = duty.Successor(s.rec.Home, c.p.Nodes, members)
-		case s.rec.Home != s.rec.Holder && c.mayGoHome(i, held):
-			to = s.rec.Home
 		}
 		if to != "" && (to != s.rec.Holder || c.nodes[to].Boot != s.rec.Boot) {
 			// A leader that has stood still believes so until it hears otherwise: without the
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -248,7 +248,7 @@
 	case strings.HasPrefix(key, wire.PrefixReach):
 		var r wire.Reach
 		if read(&r) {
-			c.words[key[len(wire.PrefixReach):]] = r
+			c.words.Wrote(key[len(wire.PrefixReach):], r)
 		}
 	case strings.HasPrefix(key, wire.PrefixNode):
 		var r wire.Node
@@ -389,7 +389,7 @@
 	case strings.HasPrefix(key, wire.PrefixCrew):
 		c.calendar.Remove(key[len(wire.PrefixCrew):])
 	case strings.HasPrefix(key, wire.PrefixReach):
-		delete(c.words, key[len(wire.PrefixReach):])
+		c.words.Withdrew(key[len(wire.PrefixReach):])
 	case strings.HasPrefix(key, wire.PrefixNode):
 		delete(c.nodes, key[len(wire.PrefixNode):])
 		c.note(wire.TrailEvent{Kind: trail.NodeGone, Node: key[len(wire.PrefixNode):]})
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -17,7 +17,6 @@
 	nonce   uint64
 	vouch   *membership.Vouching
 	counts  map[string]JobCount
-	heard   map[string]Time      // peer -> its last answer to a ping
 	yielded map[int]string       // shards a peer holds under a later token than we have heard of
 	relays  map[string]*relaying // machines whose reports we pass on
 	passed  map[uint64]passedOn  // reports passed on, by relay id
@@ -55,7 +54,7 @@
 			others = append(others, n)
 		}
 	}
-	return peers{vouch: membership.New(others, tuning.PeerPings, tuning.PeerNews), heard: map[string]Time{}, yielded: map[int]string{}, relays: map[string]*relaying{},
+	return peers{vouch: membership.New(others, tuning.PeerPings, tuning.PeerNews), yielded: map[int]string{}, relays: map[string]*relaying{},
 		passed: map[uint64]passedOn{}, relayed: map[uint64]relayedIn{}, counts: map[string]JobCount{}}
 }
 
@@ -186,7 +185,7 @@
 		c.addrs.Learn(a.Machine, a.Addr, a.Session)
 	}
 	if m.Word != nil {
-		c.spoken[m.From] = spokenWord{*m.Word, c.now}
+		c.words.Spoke(c.now, m.From, *m.Word)
 	}
 	if !m.Reply {
 		for _, j := range m.Jobs {
@@ -201,7 +200,7 @@
 	if _, ok := c.vouch.Sent(m.Nonce); !ok {
 		return // not ours, or too old to mean anything
 	}
-	c.heard[m.From] = c.now
+	c.words.Answered(c.now, m.From)
 	up := time.Duration(float64(m.UpMS)*(1-tuning.Drift)) * time.Millisecond
 	p := membership.Peer{Name: m.From, Since: c.now - up, Revision: m.Revision, Statement: m.Statement}
 	if m.Statement != nil {
@@ -258,8 +257,7 @@
 // is sent there first: after a takeover hundreds come at once, and to pass all
 // their reports on took two controllers' time instead of one's.
 func (c *Core) relay(req uint64, r *wire.Report, holder string, granted uint64) bool {
-	at, ok := c.heard[holder]
-	if !ok || c.now-at > 3*tuning.PeerEvery {
+	if !c.near(holder) {
 		return false
 	}
 	x := c.relays[r.Machine]
--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"slices"
 	"sort"
 	"time"
 
@@ -17,43 +16,35 @@
 // reaching is what this controller and the others say of what they reach.
 type reaching struct {
 	workers    *reach.Workers
-	words      map[string]wire.Reach // by controller, as the state has them
-	spoken     map[string]spokenWord // as peers last told us
-	misses     []int                 // held shards of whose machines many are silent
-	began      Time                  // when this life began to judge
-	writing    bool
-	shown      map[string]reach.Level // links, as last told to those who scrape
-	lacked     map[string]Time        // controller -> when it last lacked workers, as far as we know
 	cloud      *reach.Link
+	words      *duty.Book
+	writing    bool
 	askedCloud bool // the cloud is being asked on behalf of a leader that does not reach it
 	stands     Time // until then we do not claim leadership that we gave away
 }
 
-type spokenWord struct {
-	word wire.Reach
-	at   Time
-}
+var dutyLimits = duty.Limits{Keep: tuning.WayKeep, Near: 3 * tuning.PeerEvery, Apart: tuning.ApartAfter, Cloud: 2 * tuning.AskCloud,
+	Home: tuning.HomeAfter, Few: tuning.MissingFew, Share: tuning.MissingShare}
 
-func newReaching(p Params) reaching {
-	return reaching{shown: map[string]reach.Level{}, cloud: reach.NewLink(reach.LinkLimits{Late: time.Minute, Down: tuning.CloudDown, Back: tuning.CloudBack, BackMax: tuning.CloudBackMax, Window: tuning.CloudWindow}),
-		words: map[string]wire.Reach{}, spoken: map[string]spokenWord{}, lacked: map[string]Time{},
+func newReaching(p Params, present map[string]wire.Node) reaching {
+	r := reaching{cloud: reach.NewLink(reach.LinkLimits{Late: time.Minute, Down: tuning.CloudDown, Back: tuning.CloudBack, BackMax: tuning.CloudBackMax, Window: tuning.CloudWindow}),
 		workers: reach.NewWorkers(reach.WorkerLimits{Probe: tuning.ProbeEvery, Wait: tuning.ProbeWait, Sample: tuning.ProbeSample, Again: tuning.ProbeAgain, Deaf: tuning.DeafFor, DeafMax: tuning.DeafMax,
 			Crowd: reach.CrowdLimits{Every: p.Report, Least: tuning.SilenceLeast, Gaps: tuning.SilenceGaps, Most: tuning.SuspectReports, Ask: tuning.AskGaps, Asked: tuning.AskReports}})}
+	r.words = duty.NewBook(p.Node, p.Nodes, present, r.workers, r.cloud, duty.Rules{Gain: tuning.MoveGain, After: tuning.GiveAfter}, dutyLimits)
+	return r
 }
 
-var rules = duty.Rules{Gain: tuning.MoveGain, After: tuning.GiveAfter}
-
-// wordOf is a controller's newest word that we have.
-func (c *Core) wordOf(node string) wire.Reach {
-	if s, ok := c.reaching.spoken[node]; ok && c.now-s.at < tuning.WayKeep {
-		return s.word
-	}
-	if w := c.reaching.words[node]; w.Boot == c.nodes[node].Boot {
-		return w
-	}
-	return wire.Reach{}
+func (c *Core) self() duty.Self {
+	return duty.Self{Boot: c.boot, Leading: c.leading(), Leader: c.chief.Node}
 }
 
+func (c *Core) wordOf(node string) wire.Reach { return c.words.Of(c.now, node) }
+
+func (c *Core) ownWord() wire.Reach { return c.words.Own(c.now, c.self()) }
+
+// near tells whether a peer has answered us just now.
+func (c *Core) near(peer string) bool { return c.words.Near(c.now, peer) }
+
 // watchReach judges the workers of what is held, asks where nothing shows whether workers
 // are reached, says what has changed, and gives away what others can do and we cannot.
 func (c *Core) watchReach() {
@@ -78,42 +69,17 @@
 		}
 		held[m.shard] = x
 	}
-	r := &c.reaching
-	if r.began == 0 {
-		r.began = c.now
-	}
-	r.workers.Watch(c.now, held)
-	r.misses = nil
-	for _, i := range sortedInts(missed) {
-		if missed[i] > max(tuning.MissingFew, c.machinesIn(i)/tuning.MissingShare) {
-			r.misses = append(r.misses, i)
-		}
-	}
-	if c.workers.Lacks(c.now) {
-		r.lacked[c.p.Node] = c.now
-	}
-	sought := map[int]bool{}
-	for n := range c.nodes {
-		w := c.wordOf(n)
-		if n == c.p.Node {
-			continue
-		}
-		if w.Lacks {
-			r.lacked[n] = c.now
-		}
-		for _, i := range w.Seeks {
-			if !c.mine(i) {
-				sought[i] = true
-			}
-		}
-	}
-	for _, name := range r.workers.Probe(c.now, sought, c.pickToProbe) {
+	c.workers.Watch(c.now, held)
+	c.words.Watch(c.now, missed, c.machinesIn)
+	for _, name := range c.workers.Probe(c.now, c.words.Sought(c.now, c.mine), c.pickToProbe) {
 		at, _ := c.addrs.Of(name)
 		c.out = append(c.out, Order{Machine: name, Addr: at.Addr, Look: true})
 	}
 	c.giveAway(held)
 	c.standDown()
-	c.showLinks()
+	for _, l := range c.words.Turned(c.now, c.ways.link.Judge(c.now).Level) {
+		c.out = append(c.out, LinkSeen{To: l.To, Level: l.Level})
+	}
 	c.tellReach()
 }
 
@@ -136,17 +102,11 @@
 // they could reach, until their leases were over.
 func (c *Core) giveAway(held map[int]reach.Crowd) {
 	for _, i := range sortedInts(held) {
-		silent := c.reaching.workers.Silent(c.now, i)
+		silent := c.workers.Silent(c.now, i)
 		if silent == 0 || c.shards[i] == nil {
 			continue
 		}
-		var others []duty.Member
-		for _, m := range c.members(i) {
-			if m.Node != c.p.Node {
-				others = append(others, m)
-			}
-		}
-		to := rules.GiveTo(duty.Reach{Of: held[i].Of}, silent, c.shards[i].rec.Home, c.p.Nodes, others)
+		to := c.words.GiveTo(c.now, c.self(), i, held[i].Of, silent, c.shards[i].rec.Home, c.shardsHeld())
 		if to == "" || c.now < c.retryAt["take:"+shardKey(i)] {
 			continue
 		}
@@ -155,6 +115,15 @@
 	}
 }
 
+// shardsHeld counts the shards that each controller holds.
+func (c *Core) shardsHeld() map[string]int {
+	held := map[string]int{}
+	for _, s := range c.shards {
+		held[s.rec.Holder]++
+	}
+	return held
+}
+
 // cloudSeen takes note of how a call of the cloud went. That it has no machines to give is
 // an answer.
 func (c *Core) cloudSeen(call CloudCall, sent Time, r CloudReply) {
@@ -169,7 +138,7 @@
 }
 
 // standDown gives leadership away for want of the cloud, if another present controller
-// has just been answered there. In an outage of the cloud that all share nobody has.
+// has just been answered there.
 func (c *Core) standDown() {
 	r := &c.reaching
 	if !c.leading() {
@@ -179,17 +148,8 @@
 		}
 		return
 	}
-	if !c.ownWord().NoCloud || c.leader.claiming {
-		return
-	}
-	var others []duty.Member
-	for _, n := range sortedKeys(c.nodes) {
-		if n != c.p.Node {
-			others = append(others, duty.Member{Node: n, Cloud: c.wordOf(n).Cloud, Lacks: c.wordOf(n).Lacks})
-		}
-	}
-	to := duty.Leader(others)
-	if to == "" {
+	to := c.words.LeadTo(c.now, c.self())
+	if to == "" || c.leader.claiming {
 		return
 	}
 	r.stands, c.leader.claiming = c.now+tuning.StandDown, true
@@ -201,54 +161,11 @@
 	})
 }
 
-// members are the controllers that are present, with their words on a shard.
-func (c *Core) members(shard int) []duty.Member {
-	held := map[string]int{}
-	for _, s := range c.shards {
-		held[s.rec.Holder]++
-	}
-	var out []duty.Member
-	for _, n := range sortedKeys(c.nodes) {
-		w := c.wordOf(n)
-		if n == c.p.Node {
-			w = c.ownWord()
-		}
-		m := duty.Member{Node: n, Zone: c.nodes[n].Zone, Held: held[n], Lacks: w.Lacks, Near: c.near(n)}
-		for _, h := range w.Hears {
-			if h.Shard == shard {
-				m.Reaches = &duty.Reach{Of: h.Of, Heard: h.Heard}
-			}
-		}
-		out = append(out, m)
-	}
-	return out
-}
-
-// near tells whether a peer has answered us just now.
-func (c *Core) near(peer string) bool {
-	at, ok := c.heard[peer]
-	return ok && c.now-at <= 3*tuning.PeerEvery
-}
-
-func (c *Core) ownWord() wire.Reach {
-	w := c.reaching.workers.Word(c.now)
-	w.Boot, w.Misses = c.boot, c.reaching.misses
-	j := c.reaching.cloud.Judge(c.now)
-	w.NoCloud = c.leading() && j.Level == reach.Down
-	w.Cloud = !c.leading() && j.Level == reach.Up && c.now-c.reaching.cloud.LastOK() < 2*tuning.AskCloud && c.wordOf(c.chief.Node).NoCloud
-	for _, n := range sortedKeys(c.nodes) {
-		if n != c.p.Node && c.now-max(c.heard[n], c.reaching.began) > tuning.ApartAfter {
-			w.Apart = append(w.Apart, n)
-		}
-	}
-	return w
-}
-
 // tellReach writes our word where all can read it, unless it stands there. Peers that we
 // reach hear it with each ping as well.
 func (c *Core) tellReach() {
 	r := &c.reaching
-	key, w, stands := wire.PrefixReach+c.p.Node, c.ownWord(), r.words[c.p.Node]
+	key, w, stands := wire.PrefixReach+c.p.Node, c.ownWord(), c.words.Written(c.p.Node)
 	if stands.Boot != c.boot {
 		stands = wire.Reach{Boot: c.boot} // an earlier life's, or none: it goes with its grant
 	}
@@ -269,75 +186,6 @@
 	return errX == nil && errY == nil && bytes.Equal(x, y)
 }
 
-// mayGoHome tells whether a shard may go back to the controller it is homed at.
-func (c *Core) mayGoHome(shard int, held map[string]int) bool {
-	s := c.shards[shard]
-	at, ok := c.leader.nodeUp[s.rec.Home]
-	if !ok || !s.rec.Settled {
-		return false
-	}
-	holder := c.wordOf(s.rec.Holder)
-	if s.rec.Holder == c.p.Node {
-		holder = c.ownWord()
-	}
-	up := c.now - at
-	if lacked, ever := c.reaching.lacked[s.rec.Home]; ever {
-		up = min(up, c.now-lacked)
-	}
-	w := c.wordOf(s.rec.Home)
-	if s.rec.Home == c.p.Node {
-		w = c.ownWord()
-	}
-	return rules.GoesHome(duty.Member{Node: s.rec.Home, Held: held[s.rec.Home], Lacks: w.Lacks}, slices.Contains(holder.Misses, shard), up, tuning.HomeAfter)
-}
-
-// showLinks says what has changed, for those who scrape.
-func (c *Core) showLinks() {
-	workers := reach.Up
-	if c.workers.Lacks(c.now) {
-		workers = reach.Down
-	}
-	for _, l := range []LinkSeen{{To: "state", Level: c.ways.link.Judge(c.now).Level}, {To: "cloud", Level: c.reaching.cloud.Judge(c.now).Level}, {To: "workers", Level: workers}} {
-		if old, shown := c.shown[l.To]; !shown || old != l.Level {
-			c.shown[l.To] = l.Level
-			c.out = append(c.out, l)
-		}
-	}
-}
-
 func (c *Core) onAdminReach(v AdminReach) {
-	view := wire.ReachView{Node: c.p.Node, Links: []wire.LinkView{}, Words: []wire.ReachWord{}}
-	j := c.ways.link.Judge(c.now)
-	view.Links = append(view.Links, wire.LinkView{To: "state", Level: j.Level.String(), ForS: (c.now - j.Since).Seconds(), Why: j.Why, Through: c.wayAround()})
-	j = c.reaching.cloud.Judge(c.now)
-	view.Links = append(view.Links, wire.LinkView{To: "cloud", Level: j.Level.String(), ForS: (c.now - j.Since).Seconds(), Why: j.Why})
-	for _, n := range sortedKeys(c.p.Nodes) {
-		if n == c.p.Node {
-			continue
-		}
-		l := wire.LinkView{To: "controller " + n, Level: reach.Unknown.String(), Why: "never answered"}
-		if at, ok := c.heard[n]; ok {
-			l.Level, l.ForS, l.Why = reach.Up.String(), (c.now - at).Seconds(), "answered a ping"
-			if !c.near(n) {
-				l.Level, l.Why = reach.Down.String(), "last answer to a ping"
-			}
-		}
-		view.Links = append(view.Links, l)
-	}
-	for _, i := range sortedInts(c.held) {
-		l := wire.LinkView{To: fmt.Sprintf("shard %d", i), Level: reach.Up.String(), Why: "its machines report"}
-		if s := c.reaching.workers.Silent(c.now, i); s > 0 {
-			l.Level, l.ForS, l.Why = reach.Down.String(), s.Seconds(), "all its machines are silent"
-		}
-		view.Links = append(view.Links, l)
-	}
-	if c.reaching.workers.Lacks(c.now) {
-		view.Links = append(view.Links, wire.LinkView{To: "workers", Level: reach.Down.String(), Why: "none reports, none that was called answers"})
-	}
-	for _, n := range sortedKeys(c.nodes) {
-		if w := c.wordOf(n); n != c.p.Node {
-			view.Words = append(view.Words, wire.ReachWord{Node: n, Lacks: w.Lacks, Seeks: w.Seeks, Hears: w.Hears, Misses: w.Misses, Apart: w.Apart, NoCloud: w.NoCloud})
-		}
-	}
-	c.answer(v.Req, 200, view)
+	c.answer(v.Req, 200, c.words.View(c.now, c.ways.link.Judge(c.now), c.wayAround(), sortedInts(c.held)))
 }
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -19,7 +19,10 @@
 	}
 	for _, n := range sortedKeys(w.nodes) {
 		var got Answer
-		w.nodes[n].core.heard = map[string]Time{} // no peer in reach to pass it on to
+		c := w.nodes[n].core
+		for p := range w.nodes {
+			c.words.Answered(c.now-time.Hour, p) // no peer in reach to pass it on to
+		}
 		w.ask(n, func(q uint64) any {
 			return WorkerReport{Req: q, Report: wire.Report{Machine: name, Type: "std", Zone: "n", Session: 9, Seq: 1}}
 		}, func(a Answer) { got = a })
