The ways to the state service, and the calls under way, are reach.Ways

core/ways.go kept the link, the routes through peers, the peers without a way and the table of calls, and decided by which way a call goes, which are given up, and whether we are cut off. That is reach.Ways now; core numbers the calls, sends them and hands replies on.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/progress"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
+	"github.com/barrowbridge/barrowbridge/internal/reach"
 	"github.com/barrowbridge/barrowbridge/internal/rollout"
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
@@ -57,7 +58,6 @@
 	seq  uint64
 	life uint64 // tells this life from earlier ones in what peers answer: numbers begin anew
 
-	stateWait map[uint64]*waiting
 	cloudWait map[uint64]func(CloudReply)
 
 	// Own presence.
@@ -98,7 +98,8 @@
 	listing bool           // the cloud's list is being read for that
 	users
 	peers
-	ways ways
+	ways    *reach.Ways[StateReply]
+	probing bool // the link to the state service is being tried, while calls go around it
 	reaching
 	leader leaderState
 }
@@ -106,8 +107,8 @@
 // New returns a core that has yet to read the state.
 func New(p Params) *Core {
 	c := &Core{p: p,
-		stateWait: map[uint64]*waiting{}, cloudWait: map[uint64]func(CloudReply){},
-		retryAt: map[string]Time{},
+		cloudWait: map[uint64]func(CloudReply){},
+		retryAt:   map[string]Time{},
 	}
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(p.Node))
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -189,13 +189,7 @@
 }
 
 // oldestCall is the first call of the state service that is under way.
-func (c *Core) oldestCall() uint64 {
-	oldest := c.seq + 1
-	for id := range c.stateWait {
-		oldest = min(oldest, id)
-	}
-	return oldest
-}
+func (c *Core) oldestCall() uint64 { return c.ways.Oldest(c.seq + 1) }
 
 // put applies a write. Older news of the same key changes nothing, whichever
 // way it came: watch, list, read or own commit.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -63,7 +63,7 @@
 // tell sends a message, with what every message says of its sender.
 func (c *Core) tell(to string, m PeerMessage) {
 	m.From, m.Boot, m.Revision, m.UpMS = c.p.Node, c.boot, c.topRev, c.now.Milliseconds()
-	m.Way = c.wayFor(to)
+	m.Way = c.ways.Offer(c.now, to)
 	c.out = append(c.out, PeerSend{To: to, Msg: m})
 }
 
@@ -136,10 +136,7 @@
 		c.log(1, "message from no controller of this deployment", "from", m.From)
 		return
 	}
-	c.ways.routes.Offer(c.now, m.From, m.Way-1)
-	if delete(c.ways.wayless, m.From); m.Way == 0 {
-		c.ways.wayless[m.From] = c.now
-	}
+	c.ways.Offered(c.now, m.From, m.Way)
 	switch {
 	case m.Order != nil:
 		v := *m.Order
--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -77,7 +77,7 @@
 	}
 	c.giveAway(held)
 	c.standDown()
-	for _, l := range c.words.Turned(c.now, c.ways.link.Judge(c.now).Level) {
+	for _, l := range c.words.Turned(c.now, c.ways.Judge(c.now).Level) {
 		c.out = append(c.out, LinkSeen{To: l.To, Level: l.Level})
 	}
 	c.tellReach()
@@ -187,5 +187,5 @@
 }
 
 func (c *Core) onAdminReach(v AdminReach) {
-	c.answer(v.Req, 200, c.words.View(c.now, c.ways.link.Judge(c.now), c.wayAround(), sortedInts(c.held)))
+	c.answer(v.Req, 200, c.words.View(c.now, c.ways.Judge(c.now), c.ways.Around(c.now), sortedInts(c.held)))
 }
--- a/internal/core/ways_test.go
+++ b/internal/core/ways_test.go
@@ -62,7 +62,7 @@
 	w.submit(spec("job-000001", "red", wire.ShapeBatch, 3))
 	w.run(40 * sec)
 	c := w.nodes[holder].core
-	if via := c.wayAround(); via != others[0] || c.now-c.lastConfirmed() > 5*sec {
+	if via := c.ways.Around(c.now); via != others[0] || c.now-c.lastConfirmed() > 5*sec {
 		t.Errorf("%s goes through %q, confirmed %v ago", holder, via, c.now-c.lastConfirmed())
 	}
 	if w.check.Final("job-000001") == "" {
