The cloud's list is read against the blocks in a package of its own

core/leader.go kept eight maps of what lists, reports and deletions had shown, and decided with them which machines are strangers, dead, to be deleted, deleted or to be adopted. That is internal/inventory now, with the times that lists lag by as its limits; the leader reads pages, deletes and writes blocks as it says. The two seconds beyond three lags are tuning.GoneAfter.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,7 +130,7 @@
 	c.peers = newPeers(p)
 	c.ways = newWays()
 	c.reaching = newReaching(p, c.nodes)
-	c.leader.reset()
+	c.leader.reset(p.ListLag)
 	return c
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/duty"
+	"github.com/barrowbridge/barrowbridge/internal/inventory"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -13,39 +14,32 @@
 // leaderState is what only the leading controller keeps; it starts empty with
 // each term, since all of it can be learned again.
 type leaderState struct {
-	claiming   bool
-	since      Time // leading since; 0: not leading
-	boot       uint64
-	listing    bool
-	listedAt   map[string]Time // machine -> last time a list had it
-	strangers  map[string]wire.MachineInfo
-	strangeAt  map[string]Time
-	strangerUp map[string]bool // has answered a call of ours
-	cameAt     map[string]Time // when a machine in no block was last called for having reported
-	firstList  bool
-	deleting   bool
-	dead       map[string]bool            // to be deleted: failed, or no longer listed
-	goneReady  map[string]bool            // deleted in the cloud, to be taken out of its block
-	renting    map[int]bool               // shards being served
-	booked     map[int][]wire.MachineInfo // rented, not yet in a block
-	pause      map[string]Time            // refused type/zone/kind
-	writing    bool
-	backoff    time.Duration
-	cloudAt    Time
-	typing     bool
-	tidying    bool
-	unsure     bool   // a write that forms blocks got no answer, and may be executed yet
-	fence      uint64 // the mirror must have reached this before blocks are formed
-	nodeUp     map[string]Time
-	bookings   uint64
-	standing   bool // the first machines, found when there was no block at all
-	founded    Time // when this term made the shards: the cluster started for the first time; 0: it did not
+	claiming bool
+	since    Time // leading since; 0: not leading
+	boot     uint64
+	listing  bool
+	known    *inventory.Book // the cloud's machines
+	deleting bool
+	renting  map[int]bool               // shards being served
+	booked   map[int][]wire.MachineInfo // rented, not yet in a block
+	pause    map[string]Time            // refused type/zone/kind
+	writing  bool
+	backoff  time.Duration
+	cloudAt  Time
+	typing   bool
+	tidying  bool
+	unsure   bool   // a write that forms blocks got no answer, and may be executed yet
+	fence    uint64 // the mirror must have reached this before blocks are formed
+	nodeUp   map[string]Time
+	bookings uint64
+	standing bool // the first machines, found when there was no block at all
+	founded  Time // when this term made the shards: the cluster started for the first time; 0: it did not
 }
 
-func (l *leaderState) reset() {
+func (l *leaderState) reset(listLag time.Duration) {
 	b := l.bookings // request names never repeat
-	*l = leaderState{listedAt: map[string]Time{}, strangers: map[string]wire.MachineInfo{}, strangeAt: map[string]Time{}, strangerUp: map[string]bool{}, cameAt: map[string]Time{},
-		dead: map[string]bool{}, goneReady: map[string]bool{}, renting: map[int]bool{}, booked: map[int][]wire.MachineInfo{}, pause: map[string]Time{}, nodeUp: map[string]Time{}, bookings: b}
+	*l = leaderState{known: inventory.New(inventory.Limits{Lag: listLag, Gone: 3*listLag + tuning.GoneAfter, Grace: tuning.SurpriseGrace, Again: tuning.SurpriseAgain}),
+		renting: map[int]bool{}, booked: map[int][]wire.MachineInfo{}, pause: map[string]Time{}, nodeUp: map[string]Time{}, bookings: b}
 }
 
 // leading tells whether this life of this controller is the leader.
@@ -60,7 +54,7 @@
 		if l.since != 0 {
 			c.note(wire.TrailEvent{Kind: trail.NoLongerLeading, Node: c.chief.Node})
 			c.log(1, "no longer leading")
-			l.reset()
+			l.reset(c.p.ListLag)
 		}
 		// Free, or held by this node's earlier life, which is dead.
 		if (c.chief.Node == "" || c.chief.Node == c.p.Node) && c.present && !l.claiming && c.now >= c.reaching.stands && c.every("claim", tuning.RetryAfter) {
@@ -74,7 +68,7 @@
 		return
 	}
 	if l.since == 0 {
-		l.reset()
+		l.reset(c.p.ListLag)
 		l.since, l.fence = c.now, c.ver.Of(wire.KeyLeader) // what an earlier leader formed stands before that
 		c.note(wire.TrailEvent{Kind: trail.Leading, Token: c.ver.Of(wire.KeyLeader)})
 		c.log(1, "leading", "revision", c.ver.Of(wire.KeyLeader))
@@ -296,84 +290,30 @@
 		if !c.leading() {
 			return
 		}
-		l.firstList = true
-		for n, at := range l.cameAt {
-			if c.now-at > tuning.SurpriseAgain {
-				delete(l.cameAt, n)
-			}
-		}
 		c.learnAddrs(all)
 		in := map[string]bool{}
-		for _, id := range c.blockIDs() {
-			for _, bm := range c.blocks[id].rec.Machines {
+		for _, b := range c.blocks {
+			for _, bm := range b.rec.Machines {
 				in[bm.Name] = true
-				m, listed := all[bm.Name]
-				at, seen := l.listedAt[bm.Name]
-				switch {
-				case listed && m.Status == wire.MachineFailed:
-					c.dropNow(bm.Name)
-				case listed:
-					l.listedAt[bm.Name] = c.now
-				case seen && c.now-at > 3*c.p.ListLag+2*time.Second:
-					// Listed once and then not for longer than lists lag: gone.
-					c.dropNow(bm.Name)
-				}
-			}
-		}
-		for _, n := range sortedKeys(all) {
-			m := all[n]
-			if _, known := l.strangeAt[n]; in[n] || c.leader.goneReady[n] {
-				continue
-			} else if !known {
-				l.strangeAt[n] = c.now
-			}
-			l.strangers[n] = m
-		}
-		for n := range l.strangers {
-			// In a block by now, or no longer listed: a machine that an earlier
-			// leader deleted stays in lists for a while.
-			if _, listed := all[n]; in[n] || !listed && !l.strangerUp[n] {
-				delete(l.strangers, n)
-				delete(l.strangeAt, n)
-				delete(l.strangerUp, n)
 			}
 		}
+		l.known.Read(c.now, all, in)
 		c.lead()
 	})
 }
 
-// dropNow has a machine deleted that is already dead to us.
-func (c *Core) dropNow(name string) {
-	if !c.leader.goneReady[name] {
-		c.leader.dead[name] = true
-	}
-}
-
 // surprise is a report of a machine in no block, told by its worker.
 func (c *Core) surprise(r *wire.Report) {
-	l := &c.leader
-	if !c.leading() || l.goneReady[r.Machine] {
-		return
-	}
-	// A report may be a copy of one that a machine made before it was deleted, and many
-	// copies come one after the other: only its own answer to our call proves that it lives.
-	if at, ok := l.cameAt[r.Machine]; r.Addr != "" && (!ok || c.now-at > tuning.SurpriseAgain) {
-		l.cameAt[r.Machine] = c.now
+	if c.leading() && r.Addr != "" && c.leader.known.Came(c.now, r.Machine) {
 		c.out = append(c.out, Order{Machine: r.Machine, Addr: r.Addr, Look: true})
 	}
 }
 
 // lives takes note that a machine in no block has answered a call of ours.
 func (c *Core) lives(r *wire.Report) {
-	l := &c.leader
-	if !c.leading() || l.goneReady[r.Machine] || c.blockOf(r.Machine) != nil {
-		return
+	if c.leading() && c.blockOf(r.Machine) == nil {
+		c.leader.known.Lives(c.now, wire.MachineInfo{Name: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Status: wire.MachineRunning})
 	}
-	if _, ok := l.strangeAt[r.Machine]; !ok {
-		l.strangeAt[r.Machine] = c.now
-	}
-	l.strangerUp[r.Machine] = true
-	l.strangers[r.Machine] = wire.MachineInfo{Name: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Status: wire.MachineRunning}
 }
 
 // takeOutGone takes machines that the cloud has deleted out of their blocks, and tells
@@ -383,7 +323,7 @@
 	when := []wire.Condition{c.leaderCond()}
 	var then []wire.Change
 	done := map[string]bool{}
-	for _, n := range sortedKeys(l.goneReady) {
+	for _, n := range l.known.AllGone() {
 		id, in := c.blockIn[n]
 		if !in || done[id] || len(then) >= c.p.TxnOps {
 			continue
@@ -393,7 +333,7 @@
 		rec := b.rec
 		rec.Machines = nil
 		for _, bm := range b.rec.Machines {
-			if !l.goneReady[bm.Name] {
+			if !l.known.Gone(bm.Name) {
 				rec.Machines = append(rec.Machines, bm)
 			}
 		}
@@ -409,16 +349,7 @@
 		c.commit(LaneLater, when, then, func(r StateReply) { l.writing = false; c.changed() })
 		return true
 	}
-	// Kept a while longer: old lists still name them.
-	for n := range l.goneReady {
-		if at, ok := l.strangeAt["gone:"+n]; ok && c.now-at > 4*c.p.ListLag {
-			delete(l.goneReady, n)
-			delete(l.strangeAt, "gone:"+n)
-			delete(l.strangers, n)
-			delete(l.strangeAt, n)
-			delete(l.listedAt, n)
-		}
-	}
+	l.known.Forget(c.now)
 	return false
 }
 
@@ -429,28 +360,13 @@
 	if l.writing {
 		return
 	}
-	if len(l.goneReady) > 0 && c.every("gone", 100*time.Millisecond) && c.takeOutGone() {
+	if len(l.known.AllGone()) > 0 && c.every("gone", 100*time.Millisecond) && c.takeOutGone() {
 		return
 	}
 	if l.deleting || c.now < l.cloudAt {
 		return
 	}
-	var names []string
-	for _, n := range sortedKeys(c.dropping) {
-		if !l.goneReady[n] && len(names) < tuning.DeleteMax {
-			names = append(names, n)
-		}
-	}
-	for _, n := range sortedKeys(l.dead) {
-		if c.blockIn[n] != "" && !c.dropping[n] && !l.goneReady[n] && len(names) < tuning.DeleteMax {
-			names = append(names, n)
-		}
-	}
-	for _, n := range sortedKeys(l.strangers) {
-		if l.strangers[n].Status == wire.MachineFailed && !l.goneReady[n] && len(names) < tuning.DeleteMax {
-			names = append(names, n)
-		}
-	}
+	names := l.known.ToDelete(c.dropping, func(n string) bool { return c.blockIn[n] != "" }, tuning.DeleteMax)
 	if len(names) == 0 {
 		return
 	}
@@ -463,12 +379,7 @@
 			return
 		}
 		l.backoff = 0
-		for _, n := range names {
-			l.goneReady[n] = true
-			l.strangeAt["gone:"+n] = c.now
-			delete(l.dead, n)
-			delete(l.strangers, n)
-		}
+		l.known.Deleted(c.now, names)
 		c.changed()
 	})
 }
@@ -478,36 +389,18 @@
 	l := &c.leader
 	// Without the machine types all blocks weigh nothing, and all standing machines
 	// went to one shard.
-	if l.writing || !l.firstList || len(c.types) == 0 || len(c.shards) < len(c.p.Nodes) || len(l.strangers) == 0 || !c.every("adopt", 200*time.Millisecond) || !c.fenced() {
+	if l.writing || !l.known.Strangers() || len(c.types) == 0 || len(c.shards) < len(c.p.Nodes) || !c.every("adopt", 200*time.Millisecond) || !c.fenced() {
 		return
 	}
 	// Lists lag by up to twice the usual time.
 	first := l.founded > 0 && c.now-l.founded < 2*c.p.ListLag && (len(c.blocks) == 0 || l.standing)
-	var names []string
-	for _, n := range sortedKeys(l.strangers) {
-		if c.blockOf(n) != nil {
-			delete(l.strangers, n)
-			delete(l.strangeAt, n)
-			continue
-		}
-		grace := tuning.SurpriseGrace
-		if !l.strangerUp[n] {
-			grace = max(grace, 2*c.p.ListLag) // it may be gone, and listed still
-		}
-		if (first || c.now-l.strangeAt[n] > grace) && !l.goneReady[n] && l.strangers[n].Status != wire.MachineFailed {
-			names = append(names, n)
-		}
-	}
-	l.standing = first && len(names) > 0
-	if len(names) == 0 {
-		return
-	}
+	infos := l.known.Adopt(c.now, first, func(n string) bool { return c.blockOf(n) != nil })
 	// Machines found when the cluster starts for the first time are the
 	// operator's standing ones. A stray one found later, when all others have been
 	// returned, is not: it would be paid for ever.
-	var infos []wire.MachineInfo
-	for _, n := range names {
-		infos = append(infos, l.strangers[n])
+	l.standing = first && len(infos) > 0
+	if len(infos) == 0 {
+		return
 	}
 	have := c.shardCPUs()
 	c.writeBlocks(infos, first, false, func(b *wire.Block) {
--- a/internal/core/rollcall.go
+++ b/internal/core/rollcall.go
@@ -86,7 +86,7 @@
 // learnAddrs takes note of where a list says that workers listen.
 func (c *Core) learnAddrs(list map[string]wire.MachineInfo) {
 	for n, i := range list {
-		if c.blockIn[n] != "" || c.leader.strangeAt[n] != 0 {
+		if c.blockIn[n] != "" || c.leader.known.Stranger(n) {
 			c.addrs.Learn(n, i.Addr, 0)
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -312,6 +312,9 @@
 	// SurpriseGrace (duration): a listed machine in no block is adopted after
 	// this; the block of a fresh rental may still be on its way.
 	SurpriseGrace = 4 * time.Second
+	// GoneAfter (duration): a machine that was listed once and has left the list is gone after
+	// this and three times what lists lag.
+	GoneAfter = 2 * time.Second
 	// SurpriseAgain (duration): between calls to a machine in no block that seems to report;
 	// it is believed in once it answers one.
 	SurpriseAgain = 1500 * time.Millisecond
