Records and views of ladder, settings and trail are made beside their data

A ladder's record with its history (ladder.Revise), settings with a patch (SettingsPatch.Apply) and a controller's stored trail (trail.Stored) are made by the packages whose data they are.

--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -27,16 +27,7 @@
 		c.answer(v.Req, 200, c.settingsView())
 		return
 	}
-	s := c.settings
-	if p := v.Patch.IdleReturnS; p != nil {
-		s.IdleReturnS = *p
-	}
-	if p := v.Patch.SilentDropS; p != nil {
-		s.SilentDropS = *p
-	}
-	if p := v.Patch.Spot; p != nil {
-		s.Spot = *p
-	}
+	s := v.Patch.Apply(c.settings)
 	if err := s.Check(); err != nil {
 		c.answer(v.Req, 400, wire.Problem{Error: err.Error()})
 		return
--- a/internal/core/laddering.go
+++ b/internal/core/laddering.go
@@ -35,15 +35,7 @@
 		return
 	}
 	ver := c.ver.Of(wire.KeyLadder)
-	rec := wire.Ladder{Rungs: v.Patch.Rungs, History: append([]wire.LadderChange(nil), c.rungs.History...)}
-	if ver > 0 || len(c.rungs.Rungs) > 0 {
-		was := wire.LadderChange{Version: ver, AtMS: c.wall.UnixMilli(), Node: c.p.Node, Rungs: []string{}}
-		for _, r := range c.rungs.Rungs {
-			was.Rungs = append(was.Rungs, r.Name)
-		}
-		rec.History = append(rec.History, was)
-	}
-	rec.History = rec.History[max(0, len(rec.History)-tuning.LadderHistory):]
+	rec := ladder.Revise(c.rungs, ver, v.Patch.Rungs, c.wall, c.p.Node, tuning.LadderHistory)
 	if raw, err := wire.Marshal(rec); err != nil || !wire.FitsIn(raw, c.p.ValueBytes) {
 		c.answer(v.Req, 400, wire.Problem{Error: "rungs: too large to keep"})
 		return
--- a/internal/core/trailing.go
+++ b/internal/core/trailing.go
@@ -124,13 +124,7 @@
 			c.answer(v.Req, 500, wire.Problem{Error: "the stored trail is not readable"})
 			return
 		}
-		t := wire.Trail{Node: v.Node, Boot: rec.Boot, Stored: true, Events: []wire.TrailEvent{}}
-		for _, e := range rec.Events {
-			if v.Query.Matches(&e) {
-				t.Events = append(t.Events, e)
-			}
-		}
-		c.answer(v.Req, 200, t)
+		c.answer(v.Req, 200, trail.Stored(v.Node, &rec, v.Query))
 	})
 }
 
--- a/internal/ladder/ladder.go
+++ b/internal/ladder/ladder.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -102,6 +103,21 @@
 	return list, hex.EncodeToString(h.Sum(nil))
 }
 
+// Revise is a ladder's record with other rungs, put there at a controller now; the last keep of
+// those that it has had stand in its history. ver is the version of the record it replaces.
+func Revise(old wire.Ladder, ver uint64, rungs []wire.Rung, now time.Time, node string, keep int) wire.Ladder {
+	rec := wire.Ladder{Rungs: rungs, History: slices.Clone(old.History)}
+	if ver > 0 || len(old.Rungs) > 0 {
+		was := wire.LadderChange{Version: ver, AtMS: now.UnixMilli(), Node: node, Rungs: []string{}}
+		for _, r := range old.Rungs {
+			was.Rungs = append(was.Rungs, r.Name)
+		}
+		rec.History = append(rec.History, was)
+	}
+	rec.History = rec.History[max(0, len(rec.History)-keep):]
+	return rec
+}
+
 // Check tells in one line what is wrong with rungs.
 func Check(rungs []wire.Rung, team func(string) bool) error {
 	if len(rungs) > MostRungs {
--- a/internal/ladder/ladder_test.go
+++ b/internal/ladder/ladder_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -109,3 +110,16 @@
 		}
 	}
 }
+
+// A new ladder keeps the names of the last few before it; where none was written there was none.
+func TestRevise(t *testing.T) {
+	now := time.UnixMilli(1e12)
+	if rec := Revise(wire.Ladder{}, 0, alarms, now, "a", 2); len(rec.History) != 0 || len(rec.Rungs) != len(alarms) {
+		t.Errorf("the first: %+v", rec)
+	}
+	old := wire.Ladder{Rungs: alarms, History: []wire.LadderChange{{Version: 1}, {Version: 2}}}
+	rec := Revise(old, 3, nil, now, "b", 2)
+	if len(rec.History) != 2 || rec.History[0].Version != 2 || rec.History[1].Version != 3 || rec.History[1].Node != "b" || len(rec.History[1].Rungs) != len(alarms) || len(old.History) != 2 {
+		t.Errorf("%+v", rec)
+	}
+}
--- a/internal/trail/record.go
+++ b/internal/trail/record.go
@@ -34,6 +34,17 @@
 	return wire.TrailRecord{Boot: boot, Events: append([]wire.TrailEvent(nil), t.kept...)}, true
 }
 
+// Stored is what a controller's record has of its trail.
+func Stored(node string, r *wire.TrailRecord, q Query) wire.Trail {
+	t := wire.Trail{Node: node, Boot: r.Boot, Stored: true, Events: []wire.TrailEvent{}}
+	for i := range r.Events {
+		if q.Matches(&r.Events[i]) {
+			t.Events = append(t.Events, r.Events[i])
+		}
+	}
+	return t
+}
+
 // Failed tells that the write did not happen: it is tried again after a while.
 func (t *Trail) Failed(now Time) { t.ripe = now }
 
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -41,6 +41,20 @@
 	Spot        *bool    `cbor:"spot,omitempty"`
 }
 
+// Apply returns settings with the changes of a patch, unchecked.
+func (p *SettingsPatch) Apply(s Settings) Settings {
+	if p.IdleReturnS != nil {
+		s.IdleReturnS = *p.IdleReturnS
+	}
+	if p.SilentDropS != nil {
+		s.SilentDropS = *p.SilentDropS
+	}
+	if p.Spot != nil {
+		s.Spot = *p.Spot
+	}
+	return s
+}
+
 // SettingsView answers the administration API.
 type SettingsView struct {
 	Version  uint64   `cbor:"version" json:"version"`
