Which shard machines go to, and which kind is rented, is decided in supply and boot

core/renting.go and preempt.go chose the poorest shard and the one furthest beyond its guarantee, what shards lack beside what is on its way and in which order it is served, the names of blocks, and the kind to rent when none can be trusted. These are supply.Poorest, Borrower, Lacking, ByRung, NewBlockID and boot.Book.Choose now; boot.Book.Ask is May.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -211,9 +211,9 @@
 	return out
 }
 
-// Ask tells how many machines of a kind may be rented now, of count wanted: all, if the
+// May tells how many machines of a kind may be rented now, of count wanted: all, if the
 // kind can be trusted, and else one at a time.
-func (b *Book) Ask(now time.Duration, k Kind, count int) int {
+func (b *Book) May(now time.Duration, k Kind, count int) int {
 	switch {
 	case b.Fresh(now, k) >= b.p.Trust:
 		return count
@@ -223,6 +223,32 @@
 	return min(count, 1)
 }
 
+// Ask is a way to rent, and how many machines of it are wanted.
+type Ask struct {
+	Kind  Kind
+	Count int
+}
+
+// Choose is the first of some ways to rent of which machines may be rented now, and how many. If
+// no kind can be trusted, and one of each is on its way, what is needed is asked for all the same,
+// half of it at a time, of the kind that is likeliest to come: it may be late everywhere. -1:
+// there is none.
+func (b *Book) Choose(now time.Duration, asks []Ask) (k, count int) {
+	best, chance := -1, 0.0
+	for i, a := range asks {
+		if n := b.May(now, a.Kind, a.Count); n > 0 {
+			return i, n
+		}
+		if p := b.Fresh(now, a.Kind); p > chance {
+			best, chance = i, p
+		}
+	}
+	if best < 0 {
+		return -1, 0
+	}
+	return best, (asks[best].Count + 1) / 2
+}
+
 // pending tells whether a machine of a kind is still within its usual time.
 func (b *Book) pending(now time.Duration, k Kind) bool {
 	if b.count[k] == 0 {
--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -39,21 +39,21 @@
 func TestAKindThatFails(t *testing.T) {
 	b := New(params)
 	now := time.Duration(0)
-	if n := b.Ask(now, kind, 10); n != 10 {
+	if n := b.May(now, kind, 10); n != 10 {
 		t.Fatalf("asked for %d of 10 without evidence", n)
 	}
 	for i := range 12 {
 		b.Booked(now, fmt.Sprint("m", i), kind, ready)
 	}
 	now += 35 * time.Second // all wait beyond the horizon
-	if n := b.Ask(now, kind, 10); n != 1 {
+	if n := b.May(now, kind, 10); n != 1 {
 		t.Errorf("asked for %d of a kind that fails", n)
 	}
-	if n := b.Ask(now, other, 10); n != 10 {
+	if n := b.May(now, other, 10); n != 10 {
 		t.Errorf("asked for %d of another kind", n)
 	}
 	b.Booked(now, "probe", kind, ready)
-	if n := b.Ask(now, kind, 10); n != 0 {
+	if n := b.May(now, kind, 10); n != 0 {
 		t.Errorf("asked for %d beside a probe", n)
 	}
 	for i := range 12 {
@@ -64,10 +64,10 @@
 		b.Booked(now, fmt.Sprint("p", i), kind, ready)
 		b.Up(now+ready, fmt.Sprint("p", i))
 	}
-	if n := b.Ask(now+ready, kind, 10); n != 10 {
+	if n := b.May(now+ready, kind, 10); n != 10 {
 		t.Errorf("asked for %d once they come again", n)
 	}
-	if n := b.Ask(now+20*time.Minute, kind, 10); n != 10 {
+	if n := b.May(now+20*time.Minute, kind, 10); n != 10 {
 		t.Errorf("asked for %d long after", n)
 	}
 }
@@ -142,3 +142,34 @@
 		}
 	})
 }
+
+// The first kind that may be rented is; where none can be trusted and one of each is on its way,
+// half of what is needed is asked for of the likeliest.
+func TestChoose(t *testing.T) {
+	b := New(params)
+	asks := []Ask{{kind, 5}, {other, 7}}
+	if k, n := b.Choose(0, asks); k != 0 || n != 5 {
+		t.Errorf("nothing is known against the first: %d of %d", n, k)
+	}
+	if k, _ := b.Choose(0, nil); k != -1 {
+		t.Error("there is none")
+	}
+	for i := range 60 { // neither comes, the first least
+		k := []Kind{kind, kind, other}[i%3]
+		n := fmt.Sprint(k, i)
+		b.Booked(0, n, k, ready)
+		b.Gone(10*ready, n)
+	}
+	now := 10 * ready
+	if k, n := b.Choose(now, asks); k != 0 || n != 1 {
+		t.Fatalf("one to try: %d of %d", n, k)
+	}
+	b.Booked(now, "x", kind, ready)
+	if k, n := b.Choose(now, asks); k != 1 || n != 1 {
+		t.Fatalf("one of the other: %d of %d", n, k)
+	}
+	b.Booked(now, "y", other, ready)
+	if k, n := b.Choose(now, asks); k != 1 || n != 4 {
+		t.Errorf("half of it, of the likeliest: %d of %d", n, k)
+	}
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -6,6 +6,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/duty"
 	"github.com/barrowbridge/barrowbridge/internal/inventory"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -404,7 +405,7 @@
 	}
 	have := c.shardCPUs()
 	c.writeBlocks(infos, first, false, func(b *wire.Block) {
-		b.Shard = c.poorest(b.Zone, have)
+		b.Shard = supply.Poorest(c.richness(b.Zone, have))
 		have[b.Shard] += c.blockCPUs(b)
 	}, nil)
 }
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -8,6 +8,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -122,7 +123,7 @@
 				continue
 			}
 			dire = true
-			k := c.borrower(i)
+			k := supply.Borrower(c.richness("", c.shardCPUs()), i)
 			if k < 0 || !c.mine(k) {
 				continue
 			}
@@ -137,18 +138,6 @@
 	}
 }
 
-// borrower is the shard with the most CPUs beyond its teams' guarantees.
-func (c *Core) borrower(except int) int {
-	best, most := -1, 0.0
-	have := c.shardCPUs()
-	for _, i := range c.shardIDs() {
-		if over := have[i] - c.guarantee(i); i != except && over > most {
-			best, most = i, over
-		}
-	}
-	return best
-}
-
 // shardCPUs sums up the machines of each shard's blocks.
 func (c *Core) shardCPUs() map[int]float64 {
 	have := map[int]float64{}
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -1,9 +1,7 @@
 package core
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/boot"
@@ -35,7 +33,7 @@
 		var then []wire.Change
 		for k := range rest[:n] {
 			assign(&rest[k])
-			id := c.newBlockID(rest[k].Machines[0].Name)
+			id := supply.NewBlockID(rest[k].Machines[0].Name, func(id string) bool { return c.blocks[id] != nil })
 			when = append(when, wire.Condition{Key: blockKey(id)})
 			then = append(then, wire.Change{Put: blockKey(id), Value: rest[k]})
 		}
@@ -50,31 +48,12 @@
 	write(blocks, true)
 }
 
-// newBlockID names a block after its first machine. A block outlives that machine
-// if others are in it, and a late list may bring the machine's name back: with
-// the same id twice, the leader once tried for minutes to form a block in vain.
-func (c *Core) newBlockID(machine string) string {
-	id := machine
-	for i := 2; c.blocks[id] != nil; i++ {
-		id = fmt.Sprintf("%s.%d", machine, i)
-	}
-	return id
-}
-
-// poorest is the shard with the fewest machines for its teams' guarantees,
-// among those held in the zone if any is.
-func (c *Core) poorest(zone string, have map[int]float64) int {
-	best, score := -1, 0.0
+// richness is what each shard has for its teams' guarantees, as machines of a zone see it.
+func (c *Core) richness(zone string, have map[int]float64) (list []supply.Shard) {
 	for _, i := range c.shardIDs() {
-		s := (have[i] + 0.001) / (c.guarantee(i) + 0.001)
-		if c.p.Nodes[c.shards[i].rec.Holder] == zone {
-			s *= 0.7
-		}
-		if best < 0 || s < score {
-			best, score = i, s
-		}
+		list = append(list, supply.Shard{Shard: i, Have: have[i], Guarantee: c.guarantee(i), Near: c.p.Nodes[c.shards[i].rec.Holder] == zone})
 	}
-	return best
+	return list
 }
 
 // serveWants gives shards the machines they ask for: idle blocks of others
@@ -84,35 +63,19 @@
 	if l.writing || len(c.types) == 0 {
 		return
 	}
-	type need struct {
-		shard int
-		n     wire.Need
-	}
-	var open []need
+	var open []supply.Open
 	for _, i := range c.shardIDs() {
 		w := c.wantOf(i)
-		if len(w.Needs) == 0 || l.renting[i] {
-			continue
-		}
-		if w.Seen < c.newestBlock(i) {
-			continue // asked before it knew of what it has
+		if len(w.Needs) == 0 || l.renting[i] || w.Seen < c.newestBlock(i) {
+			continue // served, or asked before it knew of what it has
 		}
 		// Rented and not yet in a block: the holder does not know of them. To wait for
 		// their blocks before renting more took ten seconds where changes were short.
-		coming := c.booked(i)
-		for _, n := range w.Needs {
-			if !n.Booting {
-				n.Tasks -= coming.Take(supply.AskOf(n), n.Tasks)
-			}
-			if n.Tasks > 0 {
-				open = append(open, need{i, n})
-			}
-		}
+		open = append(open, supply.Lacking(i, w.Needs, c.booked(i))...)
 	}
-	// What one shard lacks for an upper rung goes before what another lacks for routine work.
-	slices.SortStableFunc(open, func(a, b need) int { return cmp.Compare(b.n.Rung, a.n.Rung) })
+	supply.ByRung(open)
 	for _, x := range open {
-		if c.moveIdle(x.shard, x.n) || !x.n.Booting && c.rent(x.shard, x.n) {
+		if c.moveIdle(x.Shard, x.Need) || !x.Need.Booting && c.rent(x.Shard, x.Need) {
 			return
 		}
 	}
@@ -162,33 +125,22 @@
 	if c.now < l.cloudAt {
 		return false
 	}
-	offers := supply.Offers(c.types, n, c.p.Nodes[c.shards[shard].rec.Holder], c.settings.Spot)
-	var best *supply.Offer
-	chance := 0.0
-	for k := range offers {
-		o := &offers[k]
-		if c.now < l.pause[offerKey(o)] {
-			continue
-		}
-		if count := c.boots.Ask(c.now, kindOf(o), o.Machines(n.Tasks, tuning.RentMax)); count > 0 {
-			c.rentOf(shard, o, count, n)
-			return true
-		}
-		if p := c.boots.Fresh(c.now, kindOf(o)); p > chance {
-			best, chance = o, p
+	var offers []supply.Offer
+	var asks []boot.Ask
+	for _, o := range supply.Offers(c.types, n, c.p.Nodes[c.shards[shard].rec.Holder], c.settings.Spot) {
+		if c.now >= l.pause[offerKey(&o)] {
+			offers = append(offers, o)
+			asks = append(asks, boot.Ask{Kind: boot.Kind{Type: o.Type, Zone: o.Zone, Spot: o.Spot}, Count: o.Machines(n.Tasks, tuning.RentMax)})
 		}
 	}
-	if best == nil {
+	k, count := c.boots.Choose(c.now, asks)
+	if k < 0 {
 		return false
 	}
-	// No kind can be trusted, and one of each is on its way: what is needed is asked for
-	// all the same, half of it at a time. It may be late everywhere.
-	c.rentOf(shard, best, (best.Machines(n.Tasks, tuning.RentMax)+1)/2, n)
+	c.rentOf(shard, &offers[k], count, n)
 	return true
 }
 
-func kindOf(o *supply.Offer) boot.Kind { return boot.Kind{Type: o.Type, Zone: o.Zone, Spot: o.Spot} }
-
 func offerKey(o *supply.Offer) string { return fmt.Sprintf("%s|%s|%v", o.Type, o.Zone, o.Spot) }
 
 func (c *Core) rentOf(shard int, o *supply.Offer, count int, n wire.Need) {
@@ -216,10 +168,7 @@
 			if len(r.Names) < req.Count {
 				l.pause[key] = c.now + tuning.NoCapacityPause
 			}
-			var infos []wire.MachineInfo
-			for _, n := range r.Names {
-				infos = append(infos, wire.MachineInfo{Name: n, Type: req.Type, Zone: req.Zone, Spot: req.Spot})
-			}
+			infos := supply.Machines(req, r.Names)
 			if len(infos) == 0 {
 				delete(l.renting, shard)
 				return
