Room kept for urgent tasks is counted by supply.Reserve

The largest urgent task that a shard has seen lately and the arrivals of such jobs were two maps of core/holder.go, read and pruned in three files. They are supply.Reserve now, which says when the size that room is counted in changes and for how many tasks room is kept.

--- a/internal/core/books.go
+++ b/internal/core/books.go
@@ -118,8 +118,9 @@
 	if m.inherited && !m.accounted {
 		n++ // anything may run there, for any team
 	}
+	urgent, _ := c.reserve.Task(m.shard)
 	f := ledger.Facts{Kind: ledger.Kind{Shard: m.shard, Type: m.typ, Zone: m.zone, Spot: m.spot, Opens: !m.base && len(m.attempts) == 0},
-		Usable: usable, Free: c.freeToAll(m), Uses: x.teams, Spare: c.roomFor(m, c.urgent[m.shard].size)}
+		Usable: usable, Free: c.freeToAll(m), Uses: x.teams, Spare: c.roomFor(m, urgent)}
 	for range n {
 		f.Unknown = f.Unknown.Add(full)
 	}
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -9,6 +9,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/ranges"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/internal/wants"
@@ -43,20 +44,12 @@
 	vacating                         map[string]bool   // blocks being emptied for another shard's guarantee
 	offered                          map[string]uint64 // blocks whose mark as idle has been sent, and at which version
 	dire                             map[int]Time      // since when a shard's guaranteed work finds no room
-	urgent                           map[int]urgentSize
-	came                             map[int][]Time // arrivals of urgent jobs, by shard
+	reserve                          *supply.Reserve   // room kept for urgent tasks
 
 	machineList []*machine            // by name; nil: to be made again
 	onTask      map[string][]*attempt // task -> its attempts on machines
 }
 
-// urgentSize is the largest urgent task a shard has seen lately.
-type urgentSize struct {
-	size placement.Size
-	rank int // of its rung
-	seen Time
-}
-
 // machine is one machine of a block this controller holds.
 type machine struct {
 	name, block, typ, zone string
@@ -148,7 +141,8 @@
 
 func newHolder() holder {
 	return holder{health: newHealth(), startsBusy: map[int]bool{}, startsAt: map[int]Time{}, startsNext: map[int]Time{}, warm: map[string]bool{}, taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
-		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, offered: map[string]uint64{}, dire: map[int]Time{}, urgent: map[int]urgentSize{}, came: map[int][]Time{}}
+		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, offered: map[string]uint64{}, dire: map[int]Time{},
+		reserve: supply.NewReserve(supply.ReserveLimits{Memory: tuning.UrgentMemory, Window: tuning.ArrivalWindow})}
 }
 
 // jobSeen is called for every new version of a live job.
@@ -175,17 +169,8 @@
 		}
 	}
 	if e.prio >= urgentRank {
-		u := c.urgent[i]
-		if s := jobSize(&e.rec); s.CPUs >= u.size.CPUs || c.now-u.seen > tuning.UrgentMemory {
-			if u.size != s {
-				c.touchShard(i) // room is counted in tasks of this size
-			}
-			u.size, u.rank = s, e.rank
-		}
-		u.seen = c.now
-		c.urgent[i] = u
-		if fresh && e.rec.Started == 0 {
-			c.came[i] = append(c.came[i], c.now)
+		if c.reserve.Seen(c.now, i, jobSize(&e.rec), e.rank, fresh && e.rec.Started == 0) {
+			c.touchShard(i) // room is counted in tasks of this size
 		}
 	}
 	if e.rec.Started > e.run.next {
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/disruption"
@@ -54,23 +53,13 @@
 	return ms
 }
 
-// spareTarget is for how many urgent tasks a shard keeps room: one, and as many
-// as come while a machine boots.
+// spareTarget is for how many urgent tasks a shard keeps room.
 func (c *Core) spareTarget(shard int) int {
-	u, ok := c.urgent[shard]
-	if !ok || c.now-u.seen > tuning.UrgentMemory {
-		return 0
-	}
-	came := c.came[shard]
-	for len(came) > 0 && c.now-came[0] > tuning.ArrivalWindow {
-		came = came[1:]
-	}
-	c.came[shard] = came
 	boot := 0.0
 	for _, t := range c.types {
 		boot = max(boot, t.BootS)
 	}
-	return 1 + int(math.Ceil(float64(len(came))*boot/tuning.ArrivalWindow.Seconds()))
+	return c.reserve.Target(c.now, shard, boot)
 }
 
 // roomFor counts the urgent tasks that a machine could take at once, lesser
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -47,7 +47,7 @@
 		if s := p.Job.Ask; least == nil {
 			least = &s
 		} else {
-			*least = placement.Size{CPUs: min(least.CPUs, s.CPUs), GPUs: min(least.GPUs, s.GPUs), MemGB: min(least.MemGB, s.MemGB)}
+			*least = lesser(*least, s)
 		}
 		return true
 	})
@@ -92,7 +92,7 @@
 		return wire.Need{}, false
 	}
 	left -= c.room.Spare(shard)
-	u := c.urgent[shard].size
+	u, rank := c.reserve.Task(shard)
 	doubted := c.doubted(shard)
 	for m := range c.coming {
 		if m.shard != shard || m.spot || doubted[m.name] {
@@ -104,7 +104,7 @@
 			left -= placement.Beta(full, u) + 1
 		}
 	}
-	return wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left, Rung: c.urgent[shard].rank}, left > 0 // joins what such a task asks for itself
+	return wire.Need{CPUs: u.CPUs, GPUs: u.GPUs, MemGB: u.MemGB, Tasks: left, Rung: rank}, left > 0 // joins what such a task asks for itself
 }
 
 // underLimit is how many more tasks of a size a team may start before its limit.
--- a/internal/core/recount_test.go
+++ b/internal/core/recount_test.go
@@ -104,7 +104,8 @@
 			s := most[m.shard]
 			most[m.shard] = placement.Size{CPUs: max(s.CPUs, f.Free.CPUs), GPUs: max(s.GPUs, f.Free.GPUs), MemGB: max(s.MemGB, f.Free.MemGB)}
 			if !m.spot {
-				spare[m.shard] += c.roomFor(m, c.urgent[m.shard].size)
+				urgent, _ := c.reserve.Task(m.shard)
+				spare[m.shard] += c.roomFor(m, urgent)
 			}
 		}
 		if m.inherited && !m.accounted {
