--- a/internal/core/starting.go
+++ b/internal/core/starting.go
@@ -34,6 +34,7 @@
 	c.p.ValueBytes, c.p.TxnOps = b.ValueBytes, b.Changes
 	c.started.KeepTo(starts.Limits{Entries: tuning.StartEntries, Bytes: b.ValueBytes * 7 / 8})
 	c.trail.KeepTo(min(tuning.TrailBytes, b.ValueBytes/2))
+	c.calendar.KeepTo(b.ValueBytes)
 }
 
 // overlay brings a job's record up to what has been written of its starts apart from it.
