--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -361,7 +361,7 @@
 	if l.writing {
 		return
 	}
-	if len(l.known.AllGone()) > 0 && c.every("gone", 100*time.Millisecond) && c.takeOutGone() {
+	if l.known.AnyGone() && c.every("gone", 100*time.Millisecond) && c.takeOutGone() {
 		return
 	}
 	if l.deleting || c.now < l.cloudAt {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -139,6 +139,9 @@
 // Gone tells whether a machine has been deleted.
 func (b *Book) Gone(name string) bool { _, is := b.gone[name]; return is }
 
+// AnyGone tells whether machines have been deleted and not forgotten.
+func (b *Book) AnyGone() bool { return len(b.gone) > 0 }
+
 // AllGone lists the machines that have been deleted and not forgotten, sorted.
 func (b *Book) AllGone() []string { return slices.Sorted(maps.Keys(b.gone)) }
 
