A machine is called as urgently as the most urgent start that waits for it

Cause: after a report, the loop in onReport that asks for a call once unsent starts are written took the first such start that the map gave.

Change: the most urgent of them counts.

--- a/internal/core/blame_test.go
+++ b/internal/core/blame_test.go
@@ -41,11 +41,10 @@
 	w.submit(spec("job-000001", "red", wire.ShapeBatch, 12)) // sound work on all machines
 	w.pollAll()
 	w.run(20 * sec)
-	for id, s := range map[string]wire.JobSpec{"job-000002": spec("job-000002", "red", wire.ShapeBatch, 400),
-		"job-000003": spec("job-000003", "red", wire.ShapeService, 1), "job-000004": spec("job-000004", "red", wire.ShapeGang, 3)} {
-		w.fails[id] = true
+	for _, s := range []wire.JobSpec{spec("job-000002", "red", wire.ShapeBatch, 400), spec("job-000003", "red", wire.ShapeService, 1), spec("job-000004", "red", wire.ShapeGang, 3)} {
+		w.fails[*s.ID] = true
 		s.DueS = nil
-		if id == "job-000003" {
+		if *s.ID == "job-000003" {
 			s.Priority = ptr("urgent")
 		}
 		w.submit(s)
--- a/internal/core/prompting_test.go
+++ b/internal/core/prompting_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/barrowbridge/barrowbridge/internal/prompt"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -38,6 +39,30 @@
 	}
 }
 
+// A machine is called as urgently as the most urgent of the starts that its report could not be
+// answered with. Which of them counted hung on the order of a map, and a seed did not repeat.
+func TestTheMostUrgentUnsentStartCounts(t *testing.T) {
+	w := newWorld(t, 7, 1, func(w *world) { w.reportS = 8 * sec })
+	a, b := w.addMachine("n", false, sec), w.addMachine("n", false, sec)
+	w.run(30 * sec)
+	c := w.nodes["c0"].core
+	m, other := c.machines[a], c.machines[b]
+	for i, lesser := range []bool{true, false, true} {
+		c.addAttempt(&attempt{key: attemptKey{wire.TaskName("job-000001", i), uint64(i)}, job: "job-000001", idx: i, lesser: lesser, known: true, m: m, created: c.now, running: c.now})
+	}
+	for k := range 12 {
+		c.desk.Forget(m)
+		c.desk.Forget(other)
+		c.desk.Want(c.now, other, false)
+		r, _ := w.machines[a].Inspect(w.now)
+		r.Seq += uint64(50 + k)
+		c.Step(c.now+sec, c.wall, WorkerReport{Req: uint64(1000 + k), Report: r})
+		if calls := c.desk.Take(c.now, func(*machine) prompt.Verdict { return prompt.Call }); len(calls) != 2 || calls[0] != m {
+			t.Fatalf("%d are called, the machine with an urgent start not first", len(calls))
+		}
+	}
+}
+
 // The workers of a block that moves are sent to its next holder at once.
 func TestMovedBlockReportsToItsNextHolder(t *testing.T) {
 	w := newWorld(t, 6, 3, func(w *world) { w.reportS = 8 * sec })
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -63,12 +63,15 @@
 	m.ear.Answered(r, token, from.from, reply.Commands)
 	c.answer(v.Req, 200, reply)
 	c.desk.Forget(m)
+	unsent, urgent := false, false
 	for _, a := range m.attempts {
 		if !a.sent && a.status == "" {
-			c.wantReport(m, !a.lesser) // its start is still being written
-			break
+			unsent, urgent = true, urgent || !a.lesser
 		}
 	}
+	if unsent { // starts that are still being written
+		c.wantReport(m, urgent)
+	}
 	c.flush()
 }
 
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -168,8 +168,8 @@
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeService, 8))
 	w.run(15 * sec)
-	for _, m := range w.machines {
-		if len(m.tasks()) > 0 {
+	for _, n := range w.order { // the same one each time: it was whichever a map gave
+		if m := w.machines[n]; len(m.tasks()) > 0 {
 			w.hang(m)
 			break
 		}
