--- a/internal/calendar/departure_test.go
+++ b/internal/calendar/departure_test.go
@@ -59,7 +59,7 @@
 
 func TestBookInParts(t *testing.T) {
 	c := crew(func(c *wire.Crew) { c.Booked = nil })
-	Book(c, 9, wire.CrewBooking{LeavesMS: 5, Count: 70}, 32)
+	AddBookings(c, 9, wire.CrewBooking{LeavesMS: 5, Count: 70}, 32)
 	n, names := 0, map[string]bool{}
 	for _, b := range c.Booked {
 		n += b.Count
--- a/internal/calendar/plan.go
+++ b/internal/calendar/plan.go
@@ -130,9 +130,9 @@
 	return fmt.Sprintf("crew-%s-%d-%d", c.Name, ver, n)
 }
 
-// Book adds bookings for so many machines in all, none of more than most, to the record that
+// AddBookings adds bookings for so many machines in all, none of more than most, to the record that
 // stands at ver. Their names follow from that, so whoever books them asks for the same.
-func Book(c *wire.Crew, ver uint64, all wire.CrewBooking, most int) {
+func AddBookings(c *wire.Crew, ver uint64, all wire.CrewBooking, most int) {
 	for k, left := 0, all.Count; left > 0; k++ {
 		all.Request, all.Count = Booking(c, ver, k), min(left, most)
 		c.Booked = append(c.Booked, all)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/aims"
+	"github.com/barrowbridge/barrowbridge/internal/calendar"
 	"github.com/barrowbridge/barrowbridge/internal/duty"
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/hold"
@@ -19,6 +20,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/progress"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
+	"github.com/barrowbridge/barrowbridge/internal/reach"
 	"github.com/barrowbridge/barrowbridge/internal/rollout"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
@@ -60,7 +62,6 @@
 	seq  uint64
 	life uint64 // tells this life from earlier ones in what peers answer: numbers begin anew
 
-	stateWait map[uint64]*waiting
 	cloudWait map[uint64]func(CloudReply)
 
 	// Own presence.
@@ -91,18 +92,19 @@
 	rollout *rollout.Book // what the controllers understand
 	holder
 	books
-	desk   *prompt.Desk[*machine]       // workers to call directly
-	roll   *takeover.Roll[*machine]     // machines to be accounted for
-	places map[int]*hold.Book[*machine] // by shard: kept for tasks that fit nowhere
-	kept   map[string]hold.Hold         // by team: of its limit, for a job that does not fit into the rest
-	runs   *forecast.Book
-	crewing
+	desk     *prompt.Desk[*machine]       // workers to call directly
+	roll     *takeover.Roll[*machine]     // machines to be accounted for
+	places   map[int]*hold.Book[*machine] // by shard: kept for tasks that fit nowhere
+	kept     map[string]hold.Hold         // by team: of its limit, for a job that does not fit into the rest
+	runs     *forecast.Book
+	calendar *calendar.Book // the crews, and what is planned for their departures
 	chaining
 	addrs   *takeover.Book // where workers listen
 	listing bool           // the cloud's list is being read for that
 	users
 	peers
-	ways ways
+	ways    *reach.Ways[StateReply]
+	probing bool // the link to the state service is being tried, while calls go around it
 	reaching
 	leader leaderState
 	form   *limits.Form // what the state service takes
@@ -111,8 +113,8 @@
 // New returns a core that has yet to read the state.
 func New(p Params) *Core {
 	c := &Core{p: p,
-		stateWait: map[uint64]*waiting{}, cloudWait: map[uint64]func(CloudReply){},
-		retryAt: map[string]Time{},
+		cloudWait: map[uint64]func(CloudReply){},
+		retryAt:   map[string]Time{},
 	}
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(p.Node))
@@ -125,7 +127,7 @@
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
-	c.crewing, c.chaining = newCrewing(), newChaining()
+	c.calendar, c.chaining = newCalendar(), newChaining()
 	c.kept = map[string]hold.Hold{}
 	c.places = map[int]*hold.Book[*machine]{}
 	c.runs = forecast.New(forecast.Params{Prior: tuning.ForecastPrior, Keep: tuning.ForecastKeep, Spread: tuning.ForecastSpread})
@@ -133,8 +135,8 @@
 	c.users = newUsers()
 	c.peers = newPeers(p)
 	c.ways = newWays()
-	c.reaching = newReaching(p)
-	c.leader.reset()
+	c.reaching = newReaching(p, c.nodes)
+	c.leader.reset(p.ListLag)
 	c.form = limits.NewForm(formParams, limits.Bounds{ValueBytes: p.ValueBytes, Changes: p.TxnOps})
 	c.keepTo(c.form.Bounds())
 	return c
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/standin/state"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -250,3 +251,18 @@
 		t.Errorf("%d of %d services run", n, services)
 	}
 }
+
+// A limit that has fallen reaches the packages that make records.
+func TestALimitThatFallsReachesTheCalendar(t *testing.T) {
+	c := New(Params{Node: "c0", Nodes: map[string]string{"c0": "n"}, TxnOps: 8, ValueBytes: 8192})
+	yes := func(string) bool { return true }
+	crew := wire.Crew{Team: "red", Classes: []string{strings.Repeat("c", 700)}, Leaves: "2026-12-03T06:30", TimeZone: "UTC"}
+	now := time.Date(2026, 12, 2, 6, 0, 0, 0, time.UTC)
+	if _, err := c.calendar.Revise("early", crew, now, "c0", yes, yes); err != nil {
+		t.Fatal(err)
+	}
+	c.keepTo(limits.Bounds{ValueBytes: 600, Changes: 8})
+	if _, err := c.calendar.Revise("early", crew, now, "c0", yes, yes); err == nil {
+		t.Error("the calendar keeps to the limit that was told")
+	}
+}
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -19,7 +19,10 @@
 	}
 	for _, n := range sortedKeys(w.nodes) {
 		var got Answer
-		w.nodes[n].core.heard = map[string]Time{} // no peer in reach to pass it on to
+		c := w.nodes[n].core
+		for p := range w.nodes {
+			c.words.Answered(c.now-time.Hour, p) // no peer in reach to pass it on to
+		}
 		w.ask(n, func(q uint64) any {
 			return WorkerReport{Req: q, Report: wire.Report{Machine: name, Type: "std", Zone: "n", Session: 9, Seq: 1}}
 		}, func(a Answer) { got = a })
@@ -165,8 +168,8 @@
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeService, 8))
 	w.run(15 * sec)
-	for _, m := range w.machines {
-		if len(m.tasks()) > 0 {
+	for _, n := range w.order { // the same one each time: it was whichever a map gave
+		if m := w.machines[n]; len(m.tasks()) > 0 {
 			w.hang(m)
 			break
 		}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -66,6 +66,7 @@
 	completed map[string]bool // tasks
 	repeated  []string        // tasks that started after they had completed, as often as they did
 	troubles
+	asked *effects // nil: not digested
 }
 
 type ctrl struct {
@@ -126,6 +127,7 @@
 	for _, o := range opts {
 		o(w)
 	}
+	w.digested()
 	w.store = state.New(w.limits, w.rng)
 	w.store.Trouble.Refused = w.cutFrom
 	types := append([]wire.MachineType{{Name: "std", CPUs: 4, MemoryGB: 16, FetchGBps: 1, Price: 0.2, SpotPrice: 0.05, BootS: 5, Zones: []string{"n", "s"}}}, w.moreTypes...)
@@ -253,6 +255,7 @@
 	if w.spent != nil {
 		w.spent(time.Since(began))
 	}
+	w.digest(n.name, out)
 	for _, e := range out {
 		switch v := e.(type) {
 		case Answer:
@@ -592,19 +595,3 @@
 	}
 	return r
 }
-
-// holderOf names the holder of a machine's block as the state has it.
-func (w *world) holderOf(machine string) (holder string) {
-	w.store.Scan(wire.PrefixBlock, func(it wire.Item) {
-		var b wire.Block
-		_ = wire.Unmarshal(it.Value, &b)
-		for _, m := range b.Machines {
-			if m.Name == machine {
-				var s wire.Shard
-				_ = wire.Unmarshal(w.key(shardKey(b.Shard)).Value, &s)
-				holder = s.Holder
-			}
-		}
-	})
-	return holder
-}
--- a/internal/core/world_users_test.go
+++ b/internal/core/world_users_test.go
@@ -114,3 +114,19 @@
 	}
 	return out
 }
+
+// holderOf names the holder of a machine's block as the state has it.
+func (w *world) holderOf(machine string) (holder string) {
+	w.store.Scan(wire.PrefixBlock, func(it wire.Item) {
+		var b wire.Block
+		_ = wire.Unmarshal(it.Value, &b)
+		for _, m := range b.Machines {
+			if m.Name == machine {
+				var s wire.Shard
+				_ = wire.Unmarshal(w.key(shardKey(b.Shard)).Value, &s)
+				holder = s.Holder
+			}
+		}
+	})
+	return holder
+}
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -41,7 +41,7 @@
 	Spot        *bool    `cbor:"spot,omitempty"`
 }
 
-// Apply returns settings with what the patch changes.
+// Apply returns settings with what the patch changes, unchecked.
 func (p *SettingsPatch) Apply(s Settings) Settings {
 	if p.IdleReturnS != nil {
 		s.IdleReturnS = *p.IdleReturnS
