A controller takes its shards back only once it is present; orders with a lone holder

Cause: another life of a node, present, proves the death of the one that held a shard. A controller that began again took its shards back while its presence might be on its way, and the record of an earlier life in its place then said that it was dead.

Change: retake waits for presence, which is written side by side with the first read of the state. The orders of small troubles have a holder that is alone with its zone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -324,6 +324,7 @@
 			case c.grant != g:
 			case r.Status == 200:
 				c.present = true
+				c.retake()
 				c.log(1, "present", "node", c.p.Node, "boot", c.boot, "grant", g)
 			case r.Status == 400:
 				c.grant = 0
@@ -429,8 +430,12 @@
 }
 
 // retake claims what this node's earlier life held. That life is dead, so no
-// one else can act for it, and its workers' leases are running out.
+// one else can act for it, and its workers' leases are running out. It is present first: a
+// record of an earlier life in its place would prove to others that this one is dead.
 func (c *Core) retake() {
+	if !c.loaded || !c.present {
+		return
+	}
 	for _, i := range c.shardIDs() {
 		if e := c.shards[i]; e.rec.Holder == c.p.Node && e.rec.Boot != c.boot {
 			c.takeShard(i, c.p.Node, c.boot)
--- a/internal/core/meeting_copies_test.go
+++ b/internal/core/meeting_copies_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -140,3 +141,35 @@
 		}
 	}
 }
+
+// A controller takes its shards back only once it is present as the life that it is. Until then
+// the record of an earlier life stands in its place, and to whoever takes the shard over then a
+// record of another life says that this one is dead, and answers no worker any more.
+func TestPresentBeforeItsShardsAreTakenBack(t *testing.T) {
+	w := staffed(t, 745, 2)
+	taken := 0
+	w.noAnswer = func(node string, v StateCall) (time.Duration, bool) {
+		for _, ch := range v.Txn.Then {
+			rec, ok := ch.Value.(wire.Shard)
+			if !ok || rec.Holder != node || w.nodes[node].core.boot != rec.Boot {
+				continue
+			}
+			var there wire.Node
+			if err := wire.Unmarshal(w.key(wire.PrefixNode+node).Value, &there); err != nil || there.Boot != rec.Boot {
+				t.Errorf("%v: %s takes a shard as life %d, present is %d", w.now, node, rec.Boot, there.Boot)
+			}
+			taken++
+		}
+		return 4 * sec, kindOfWrite(v) == "presence" && w.now < 35*sec && w.rng.IntN(2) == 0
+	}
+	for i := range 3 {
+		w.bounce(sec/5, fmt.Sprintf("c%d", i))
+		w.run(700 * time.Millisecond)
+		w.bounce(sec/5, fmt.Sprintf("c%d", i))
+		w.run(5 * sec)
+	}
+	w.run(20 * sec)
+	if taken == 0 {
+		t.Error("no shard was taken back")
+	}
+}
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -199,6 +199,17 @@
 		s.deafen(true, s.busy.info.Name)
 		s.at(4*sec, func() { s.deafen(false, s.busy.info.Name) })
 	},
+	"the holder is alone with its zone": func(s *small) {
+		s.lossy = true
+		h := s.shardRec("red").Holder
+		s.hung[h], s.apart[[2]string{"n", "s"}] = true, true
+		s.silence(h, true)
+		s.at(14*sec, func() {
+			s.hung[h] = false
+			delete(s.apart, [2]string{"n", "s"})
+			s.silence(h, false)
+		})
+	},
 	"a zone is cut off": func(s *small) {
 		s.lossy = true
 		s.apart[[2]string{"n", "s"}] = true
