--- a/internal/core/crews.go
+++ b/internal/core/crews.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/calendar"
-	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -114,7 +113,7 @@
 	var jobs []calendar.Job
 	for _, id := range c.crewJobs(x, leaves) {
 		e := c.jobs[id]
-		left := e.rec.Tasks - ranges.Count(e.rec.Done)
+		left := e.rec.Tasks - c.known(e).Count()
 		if e.run != nil {
 			left = e.rec.Tasks - e.run.done.Count()
 		}
