--- a/internal/core/crews.go
+++ b/internal/core/crews.go
@@ -9,7 +9,6 @@
 	"github.com/barrowbridge/barrowbridge/internal/calendar"
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/limits"
-	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -38,7 +37,7 @@
 
 func (w crewWork) Left(job string) (int, time.Duration) {
 	e := w.c.jobs[job]
-	left := e.rec.Tasks - ranges.Count(e.rec.Done)
+	left := e.rec.Tasks - w.c.known(e).Count()
 	if e.run != nil {
 		left = e.rec.Tasks - e.run.done.Count()
 	}
