--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -283,10 +283,7 @@
 
 // accept writes a job that nobody knows yet, and answers its user.
 func (c *Core) accept(req uint64, job *wire.Job, change wire.Change, status wire.JobStatus, known func(otherwise func())) {
-	when := []wire.Condition{{Key: jobKey(job.ID)}, {Key: finalKey(job.ID)}}
-	if c.understood(rollout.Chains) {
-		when = append(when, wire.Condition{Key: waitingKey(job.ID)})
-	}
+	when := []wire.Condition{{Key: jobKey(job.ID)}, {Key: finalKey(job.ID)}, {Key: waitingKey(job.ID)}}
 	c.commit(LaneUser, when, []wire.Change{change}, func(r StateReply) {
 		switch r.Status {
 		case 200:
