--- a/internal/core/meeting_chains_test.go
+++ b/internal/core/meeting_chains_test.go
@@ -365,3 +365,71 @@
 		t.Errorf("the moments miss one of the two: %v", outcomes)
 	}
 }
+
+// Three hundred jobs of three teams await one, a few of them through others, and thirty follow each
+// other, under the limits to come. The one is cancelled, and all controllers end: what hangs on it
+// is cancelled at once, cleared in the end, and the thirty run one after the other.
+func TestManyDependentsAndALongChain(t *testing.T) {
+	w := staffed(t, 940, 1, func(w *world) {
+		w.limits.ValueBytes, w.limits.TxnOps, w.limits.WriteRPS = 2048, 4, 15
+		w.runS = 2 * sec
+	})
+	teams := []string{"red", "blue", "green"}
+	w.submit(spec("job-001000", "red", wire.ShapeBatch, 500)) // has not ended when it is cancelled
+	w.run(2 * sec)
+	var needs []string
+	for i := 1; i <= 300; i++ {
+		id, on := fmt.Sprintf("job-%06d", 1000+i), "job-001000"
+		if i%10 == 0 {
+			on = fmt.Sprintf("job-%06d", 1000+i-1)
+		}
+		w.submit(after(spec(id, teams[i%3], wire.ShapeBatch, 1), on))
+		needs = append(needs, id)
+		w.run(300 * time.Millisecond)
+	}
+	w.submit(spec("job-002000", "red", wire.ShapeBatch, 1))
+	w.run(sec)
+	last := ""
+	for i := 1; i < 30; i++ {
+		last = fmt.Sprintf("job-%06d", 2000+i)
+		w.submit(after(spec(last, teams[i%3], wire.ShapeBatch, 1), fmt.Sprintf("job-%06d", 2000+i-1)))
+		w.run(300 * time.Millisecond)
+	}
+	if n := len(w.nodes["c1"].core.waitingAt); n < 300 {
+		t.Fatalf("%d jobs wait", n)
+	}
+	told := false
+	w.cancelAt("c1", "job-001000", func() {
+		told = true
+		w.at(time.Millisecond, func() {
+			for i := 0; i < 300; i += 7 {
+				for _, n := range sortedKeys(w.nodes) {
+					w.ask(n, func(q uint64) any { return Poll{Req: q, ID: needs[i]} }, func(a Answer) {
+						if st, _ := a.Body.(wire.JobStatus); a.Status != 503 && st.Status != wire.JobAborted {
+							t.Errorf("%s says %d %s of %s", n, a.Status, st.Status, needs[i])
+						}
+					})
+				}
+			}
+			w.at(200*time.Millisecond, func() { w.bounce(4*sec, sortedKeys(w.nodes)...) })
+		})
+	})
+	w.run(w.cancelS)
+	if !told {
+		t.Fatal("the cancellation was not confirmed")
+	}
+	for id, got := range w.whole(needs) {
+		if !slices.Equal(got, []string{wire.JobAborted}) {
+			t.Errorf("%s: %v when the time for cancellations is over", id, got)
+		}
+	}
+	w.until(400*sec, func() bool { return w.check.Final(last) != "" && len(w.nodes["c0"].core.waitingAt) == 0 })
+	if got := w.check.Final(last); got != wire.JobDone {
+		t.Errorf("the last of thirty is %q", got)
+	}
+	for _, n := range sortedKeys(w.nodes) {
+		if left := w.nodes[n].core.waitingAt; len(left) > 0 {
+			t.Errorf("%s: %d jobs still stand as waiting", n, len(left))
+		}
+	}
+}
