--- a/internal/core/meeting_chains_test.go
+++ b/internal/core/meeting_chains_test.go
@@ -177,6 +177,9 @@
 func TestACancellationTakesThoseAfterIt(t *testing.T) {
 	troubles := map[string]func(w *world, told time.Duration){
 		"nothing": func(*world, time.Duration) {},
+		"watches late": func(w *world, told time.Duration) { // set before the cancellation, below
+			w.at(20*sec, func() { w.watchLag = 0 })
+		},
 		"all end at once": func(w *world, told time.Duration) {
 			w.bounce(4*sec, sortedKeys(w.nodes)...)
 		},
@@ -205,6 +208,9 @@
 				w := staffed(t, 910+uint64(k), 1)
 				w.runS = 30 * sec
 				ids := w.chain()
+				if what == "watches late" {
+					w.watchLag = 1500 * time.Millisecond
+				}
 				needs := [][]string{ids, {ids[1], ids[3], ids[4]}, {ids[2], ids[3], ids[4]}, {ids[3], ids[4]}}[k]
 				told := false
 				older := func(when string) {
