A shard that went to another and came back between two looks is taken up anew

Cause: a read made after a refused or unanswered write may tell of a later grant before the watch tells of the one in between, which is older news then. A record that named the same holder and life was taken for no change of hands: the holder went on with what it knew of its machines, and tasks that the other had started might have been started again.

Change: duty.Regained tells by the record's past lives and its mark `settled` that another held the shard; it is left and taken up once the mirror has reached the grant.

--- a/internal/core/meeting_takeovers_test.go
+++ b/internal/core/meeting_takeovers_test.go
@@ -59,3 +59,51 @@
 	}
 	w.calm(t)
 }
+
+// A shard goes to another and comes back to the same life of its holder, which learns of both at
+// once: a read tells of the later grant, and the watch's word of the earlier one is older news
+// then. What the other started is not known, so its machines have to be accounted for anew.
+func TestAShardThatWasAwayInBetween(t *testing.T) {
+	b, a7 := wire.Life{Node: "b", Boot: 5}, wire.Life{Node: "a", Boot: 7}
+	for _, x := range []struct {
+		name      string
+		old, now  wire.Shard
+		inherited bool
+	}{
+		{"settled before", wire.Shard{Settled: true, Known: true}, wire.Shard{Past: []wire.Life{a7, b}, Known: true}, true},
+		{"taken from the same before", wire.Shard{Settled: true, Past: []wire.Life{b}, Known: true}, wire.Shard{Past: []wire.Life{b}, Known: true}, true},
+		{"not settled before", wire.Shard{Past: []wire.Life{b}, Known: true}, wire.Shard{Past: []wire.Life{b, a7, b}, Known: true}, true},
+		{"settled by us", wire.Shard{Past: []wire.Life{b}, Known: true}, wire.Shard{Past: []wire.Life{b}, Known: true, Settled: true}, false},
+		{"a team more", wire.Shard{Settled: true, Past: []wire.Life{b}, Known: true}, wire.Shard{Settled: true, Past: []wire.Life{b}, Known: true, Teams: []string{"red", "blue"}}, false},
+	} {
+		c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
+		c.boot, c.loaded, c.rev = 7, true, 70
+		put := func(key string, v any, ver uint64) {
+			raw, err := wire.Marshal(v)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.put(key, raw, ver)
+		}
+		shard := func(s wire.Shard) wire.Shard {
+			if s.Holder, s.Boot = "a", 7; s.Teams == nil {
+				s.Teams = []string{"red"}
+			}
+			return s
+		}
+		put(shardKey(0), shard(x.old), 50)
+		put(blockKey("x"), wire.Block{Type: "std", Zone: "n", Machines: []wire.BlockMachine{{Name: "n-1"}}}, 60)
+		m := c.machines["n-1"]
+		if m == nil || m.inherited {
+			t.Fatalf("%s: the machine should be ours since it was rented: %+v", x.name, m)
+		}
+		put(shardKey(0), shard(x.now), 90)
+		if away := !c.mine(0); away != x.inherited {
+			t.Errorf("%s: held before the mirror is there: %v", x.name, !away)
+		}
+		c.follow(&wire.Events{Revision: 95})
+		if m := c.machines["n-1"]; !c.mine(0) || m == nil || m.inherited != x.inherited {
+			t.Errorf("%s: to be accounted for anew, want %v: %+v", x.name, x.inherited, m)
+		}
+	}
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -304,11 +304,8 @@
 }
 
 func dropInt(list *[]int, v int) {
-	for i, x := range *list {
-		if x == v {
-			*list = append((*list)[:i], (*list)[i+1:]...)
-			return
-		}
+	if i := slices.Index(*list, v); i >= 0 {
+		*list = slices.Delete(*list, i, i+1)
 	}
 }
 
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -55,8 +55,7 @@
 	}
 }
 
-// settleOn does the same for jobs of few tasks once a machine is accounted for
-// that one of them was started on: which machine that is stands in the record.
+// settleOn does the same for jobs of few tasks once a machine of their records is accounted for.
 func (c *Core) settleOn(m *machine) {
 	if !c.unsettle[m.shard] {
 		return
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -6,7 +6,12 @@
 // Pure functions over what the controllers say of themselves.
 package duty
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
 
 // Reach is how many of a shard's machines a controller reaches, of those it knows to
 // speak for the rest.
@@ -100,6 +105,13 @@
 	return !home.Lacks && home.Held == 0 && !missed && up > after
 }
 
+// Regained tells whether between two versions of a shard's record that name the same life of the
+// same holder another held it: each change of hands names the last life or, if all was
+// accounted for, begins that list anew and takes the mark of it back.
+func Regained(old, now wire.Shard) bool {
+	return old.Settled && !now.Settled || !slices.Equal(old.Past, now.Past) || old.Known && !now.Known
+}
+
 func best(members []Member, home string, zones map[string]string) string {
 	name, score := "", 0.0
 	for _, m := range members {
