--- a/internal/core/meeting_copies_test.go
+++ b/internal/core/meeting_copies_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/duty"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -136,7 +137,7 @@
 		old, now := held, held
 		x.old(&old)
 		x.now(&now)
-		if regranted(&old, &now) != x.grant {
+		if duty.Regained(old, now) != x.grant {
 			t.Errorf("%s: taken for a grant: %v", what, !x.grant)
 		}
 	}
