Which reports are passed on, and how long for, is decided in internal/relay

Change: a whole decision leaves it, without a change of behaviour: which reports are passed on to a holder that their worker may not reach, when the worker is sent there all the same, and when an answer is waited for no more (relay.Book). Which workers have just come up, to be told to the peers, is kept beside the addresses (takeover.Book.News).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -214,13 +214,12 @@
 }
 
 func (c *Core) answer(req uint64, status int, body any) {
-	if x, ok := c.relayed[req]; ok { // the report came through a peer, so does its answer
-		delete(c.relayed, req)
-		ans := &RelayAnswer{ID: x.id, Status: status}
+	if x, ok := c.relays.Return(req); ok { // the report came through a peer, so does its answer
+		ans := &RelayAnswer{ID: x.ID, Status: status}
 		if r, ok := body.(wire.ReportReply); ok {
 			ans.Token, ans.Commands = r.Token, r.Commands
 		}
-		c.tell(x.from, PeerMessage{Answer: ans})
+		c.tell(x.From, PeerMessage{Answer: ans})
 		return
 	}
 	a := Answer{Req: req, Status: status, Body: body}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,12 +1,12 @@
 package core
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/membership"
+	"github.com/barrowbridge/barrowbridge/internal/relay"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -17,34 +17,9 @@
 	nonce   uint64
 	vouch   *membership.Vouching
 	counts  map[string]JobCount
-	yielded map[int]string       // shards a peer holds under a later token than we have heard of
-	relays  map[string]*relaying // machines whose reports we pass on
-	passed  map[uint64]passedOn  // reports passed on, by relay id
-	relayed map[uint64]relayedIn // reports passed to us, by request
-	cameUp  []cameUp             // held machines that have lately come up, the latest last
-	topRev  uint64               // newest revision known, ahead of the watch or not
-}
-
-// relaying counts the reports passed on for one machine.
-type relaying struct {
-	n    int
-	last Time
-	home Time // when it was last sent to its holder
-}
-
-type cameUp struct {
-	machine string
-	at      Time
-}
-
-type passedOn struct {
-	req uint64
-	at  Time
-}
-
-type relayedIn struct {
-	from string
-	id   uint64
+	yielded map[int]string // shards a peer holds under a later token than we have heard of
+	relays  *relay.Book    // reports passed on, by us and to us
+	topRev  uint64         // newest revision known, ahead of the watch or not
 }
 
 func newPeers(p Params) peers {
@@ -54,8 +29,8 @@
 			others = append(others, n)
 		}
 	}
-	return peers{vouch: membership.New(others, tuning.PeerPings, tuning.PeerNews), yielded: map[int]string{}, relays: map[string]*relaying{},
-		passed: map[uint64]passedOn{}, relayed: map[uint64]relayedIn{}, counts: map[string]JobCount{}}
+	return peers{vouch: membership.New(others, tuning.PeerPings, tuning.PeerNews), yielded: map[int]string{}, counts: map[string]JobCount{},
+		relays: relay.New(relay.Limits{Lease: p.Lease, For: tuning.RelayFor, Reports: tuning.RelayReports, Wait: tuning.RelayWait})}
 }
 
 func (c *Core) knows(rev uint64) { c.topRev = max(c.topRev, rev) }
@@ -85,11 +60,7 @@
 	for _, i := range sortedInts(c.held) {
 		holds = append(holds, HeldShard{Shard: i, Token: c.shards[i].ver})
 	}
-	for name, x := range c.relays {
-		if c.now-x.last > 2*tuning.RelayFor {
-			delete(c.relays, name)
-		}
-	}
+	c.relays.Forget(c.now)
 	word, addrs := c.ownWord(), c.newAddrs()
 	for _, n := range sortedKeys(c.p.Nodes) {
 		if n != c.p.Node {
@@ -98,36 +69,21 @@
 	}
 }
 
-// newAddrs are the workers that have come up since the last few pings. The cloud's list
-// tells the others of them seconds later: a holder cut off from machines that had just come
-// up kept its shard, since nobody else knew how to call them.
+// newAddrs are the workers that have come up since the last few pings.
 func (c *Core) newAddrs() (out []WorkerAddr) {
-	for len(c.cameUp) > 0 && c.now-c.cameUp[0].at > tuning.AddrsFor {
-		c.cameUp = c.cameUp[1:]
-	}
-	for _, x := range c.cameUp[max(0, len(c.cameUp)-tuning.AddrsMost):] {
-		if m := c.machines[x.machine]; m != nil {
+	for _, name := range c.addrs.News(c.now, tuning.AddrsFor, tuning.AddrsMost) {
+		if m := c.machines[name]; m != nil {
 			out = append(out, WorkerAddr{Machine: m.name, Addr: m.addr, Session: m.session})
 		}
 	}
 	return out
 }
 
-// giveUpRelays answers reports that were passed on to a holder that keeps silent: it
-// may have just died, and each second the worker waits is one of its lease. A late
+// giveUpRelays answers reports that were passed on to a holder that keeps silent. A late
 // answer of the holder is dropped then, as one that the worker did not wait for.
 func (c *Core) giveUpRelays() {
-	var late []uint64
-	for id, x := range c.passed {
-		if c.now-x.at > tuning.RelayWait {
-			late = append(late, id)
-		}
-	}
-	slices.Sort(late)
-	for _, id := range late {
-		x := c.passed[id]
-		delete(c.passed, id)
-		c.answer(x.req, 503, unavailable("holder does not answer"))
+	for _, req := range c.relays.GiveUp(c.now) {
+		c.answer(req, 503, unavailable("holder does not answer"))
 	}
 }
 
@@ -163,16 +119,15 @@
 	case m.Relay != nil:
 		c.seq++
 		req := 1<<63 | c.seq
-		c.relayed[req] = relayedIn{m.From, m.Relay.ID}
+		c.relays.Take(req, relay.Taken{From: m.From, ID: m.Relay.ID})
 		c.onReport(WorkerReport{Req: req, Report: m.Relay.Report})
 		return
 	case m.Answer != nil:
-		if x, ok := c.passed[m.Answer.ID]; ok {
-			delete(c.passed, m.Answer.ID)
+		if req, ok := c.relays.Answered(m.Answer.ID); ok {
 			if m.Answer.Status == 200 {
-				c.answer(x.req, 200, wire.ReportReply{Token: m.Answer.Token, Commands: m.Answer.Commands})
+				c.answer(req, 200, wire.ReportReply{Token: m.Answer.Token, Commands: m.Answer.Commands})
 			} else {
-				c.answer(x.req, 503, unavailable("holder does not take it"))
+				c.answer(req, 503, unavailable("holder does not take it"))
 			}
 		}
 		return
@@ -250,32 +205,13 @@
 	}
 }
 
-// relay passes a report on to its holder, for a worker that may be cut off from
-// it: being sent there would cost it a time-out, and two of them a lease. After a
-// few it is sent home once; if it comes back, home cannot be reached from there
-// and the next try waits longer. A worker that has not seen the holder's token yet
-// is sent there first: after a takeover hundreds come at once, and to pass all
-// their reports on took two controllers' time instead of one's.
+// relay passes a report on to its holder, for a worker that may be cut off from it.
 func (c *Core) relay(req uint64, r *wire.Report, holder string, granted uint64) bool {
-	if !c.near(holder) {
-		return false
-	}
-	x := c.relays[r.Machine]
-	if x == nil || c.now-x.last > c.p.Lease {
-		x = &relaying{home: -tuning.RelayFor}
-		c.relays[r.Machine] = x
-		if r.Token < granted && !c.wordOf(holder).Lacks {
-			x.last, x.home = c.now, c.now
-			return false
-		}
-	}
-	x.last = c.now
-	if x.n++; x.n > tuning.RelayReports && c.now-x.home > tuning.RelayFor && !c.wordOf(holder).Lacks {
-		x.n, x.home = 0, c.now
+	if !c.near(holder) || !c.relays.Passes(c.now, r.Machine, r.Token < granted, c.wordOf(holder).Lacks) {
 		return false
 	}
 	c.seq++
-	c.passed[c.seq] = passedOn{req, c.now}
+	c.relays.Pass(c.now, c.seq, req)
 	c.tell(holder, PeerMessage{Relay: &RelayReport{ID: c.seq, Report: *r}})
 	return true
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -15,7 +15,7 @@
 	r := &v.Report
 	c.addrs.Learn(r.Machine, r.Addr, r.Session)
 	m := c.machines[r.Machine]
-	from, passed := c.relayed[v.Req]
+	from, passed := c.relays.Through(v.Req)
 	switch { // an older report is a copy: it says of no worker that we reach it
 	case m != nil && c.older(m, r):
 	case !passed:
@@ -45,7 +45,7 @@
 		c.trust(v.Req, m, r, token)
 		return
 	}
-	c.listen(m, r, from.from)
+	c.listen(m, r, from.From)
 	c.heardFrom(m, r)
 	c.takeStock(m, r)
 	if c.cordons[m.name].Drain {
@@ -60,7 +60,7 @@
 	}
 	reply := wire.ReportReply{Token: token, Commands: c.commands(m)}
 	m.lastOK = c.now
-	m.ear.Answered(r, token, from.from, reply.Commands)
+	m.ear.Answered(r, token, from.From, reply.Commands)
 	c.answer(v.Req, 200, reply)
 	c.desk.Forget(m)
 	unsent, urgent := false, false
@@ -155,7 +155,7 @@
 	if !m.reported {
 		m.reported = true
 		if len(c.p.Nodes) > 1 { // told with the next pings, and forgotten then
-			c.cameUp = append(c.cameUp, cameUp{m.name, c.now})
+			c.addrs.CameUp(c.now, m.name)
 		}
 		c.boots.Up(c.now, m.name)
 		if m.fresh {
@@ -190,7 +190,7 @@
 			if r.Token > c.rev || c.cutOff() {
 				holder = ""
 			}
-			if _, ours := c.relayed[req]; holder != "" && holder != c.p.Node && !ours {
+			if _, ours := c.relays.Through(req); holder != "" && holder != c.p.Node && !ours {
 				switch {
 				case c.relay(req, r, holder, s.ver):
 				case c.deaf(holder, b.rec.Shard): // it would wait there in vain
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -124,7 +124,7 @@
 		t.Errorf("%d of %d replicas run after the wave", len(up), replicas)
 	}
 	for _, n := range sortedKeys(w.nodes) {
-		if got := len(w.nodes[n].core.relays); got > machines {
+		if got := w.nodes[n].core.relays.Len(); got > machines {
 			t.Errorf("%s remembers %d relayed machines", n, got)
 		}
 	}
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -77,3 +77,16 @@
 		t.Error("m is held by nobody and still known")
 	}
 }
+
+func TestNewsOfWorkersThatCameUp(t *testing.T) {
+	b := NewBook()
+	for k, m := range []string{"a", "b", "c"} {
+		b.CameUp(time.Duration(k)*time.Second, m)
+	}
+	if got := b.News(2*time.Second, 2*time.Second, 2); len(got) != 2 || got[0] != "b" || got[1] != "c" {
+		t.Errorf("the last two: %v", got)
+	}
+	if got := b.News(4*time.Second, 2*time.Second, 2); len(got) != 1 || got[0] != "c" {
+		t.Errorf("the lately: %v", got)
+	}
+}
