--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -61,9 +61,6 @@
 	mute    map[[2]string]bool // controllers that cannot speak to each other, each pair both ways round
 	noWays  bool               // controllers make no calls for each other, as those of earlier versions
 	check   *checker.Checker
-
-	completed map[string]bool // tasks
-	repeated  []string        // tasks that started after they had completed, as often as they did
 	troubles
 }
 
@@ -118,8 +115,7 @@
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), calls: map[uint64]func(StateReply){}, capacity: 10, runS: 4 * time.Second, bootS: 3 * time.Second, fails: map[string]bool{}, reportS: 2 * time.Second, lease: 10 * time.Second,
 		limits:   state.Limits{ValueBytes: 8192, TxnOps: 8, PageItems: 20}, // short pages, to be crossed
 		machines: map[string]*host{}, work: worker.NewWork(), cutFrom: map[string]bool{}, reached: map[string]int{}, tried: map[string]int{},
-		completed: map[string]bool{},
-		nodes:     map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, hung: map[string]bool{}, noCloud: map[string]bool{}, oneWay: map[string]string{}, mute: map[[2]string]bool{}, cancelS: 40 * time.Second,
+		nodes: map[string]*ctrl{}, jobs: map[string]*userJob{}, apart: map[[2]string]bool{}, lost: map[string]bool{}, hung: map[string]bool{}, noCloud: map[string]bool{}, oneWay: map[string]string{}, mute: map[[2]string]bool{}, cancelS: 40 * time.Second,
 		teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 12}, "blue": {CPUs: 8, CPUsMax: 12}, "green": {CPUs: 8, CPUsMax: 12}},
 	}
 	for _, o := range opts {
@@ -515,16 +511,12 @@
 		switch v := e.(type) {
 		case worker.Started:
 			w.check.TaskStarted(w.now, m.info.Name, v.Task, v.Attempt)
-			if w.completed[v.Task] {
-				w.repeated = append(w.repeated, v.Task)
-			}
+			w.noteStart(v.Task)
 		case worker.Ordered:
 			w.onOrdered(m, v)
 		case worker.Left:
 			w.check.TaskLeft(w.now, m.info.Name, v.Task, v.Cause)
-			if v.Cause == wire.CauseDone {
-				w.completed[v.Task] = true
-			}
+			w.noteEnd(v.Task, v.Cause)
 		case worker.Send:
 			w.post(m, v)
 		}
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -20,6 +20,9 @@
 	keep     map[string][]wire.Report    // by machine, if not nil
 	stale    map[string]int              // machines that are gone: copies of their reports that have come
 
+	completed map[string]bool // tasks
+	repeated  []string        // tasks that started after they had completed, as often as they did
+
 	taskRuns   func(index int) time.Duration // how long tasks run; nil: runS and a little
 	holdOrders time.Duration                 // calls of workers are held for up to so long, then delivered
 	slowState  time.Duration                 // the state service answers so much later
@@ -30,6 +33,21 @@
 	peerDelay func(from string, v PeerSend) time.Duration
 }
 
+func (w *world) noteStart(task string) {
+	if w.completed[task] {
+		w.repeated = append(w.repeated, task)
+	}
+}
+
+func (w *world) noteEnd(task, cause string) {
+	if w.completed == nil {
+		w.completed = map[string]bool{}
+	}
+	if cause == wire.CauseDone {
+		w.completed[task] = true
+	}
+}
+
 func (w *world) unanswered(node string, v StateCall) (time.Duration, bool) {
 	if w.noAnswer == nil {
 		return 0, false
