--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -29,6 +29,8 @@
 
 	speechless map[string]bool // machines that open connections to no controller; calls reach them
 	slowLinks  time.Duration   // each message between any two takes so much longer
+	completed  map[string]bool // tasks
+	repeated   []string        // tasks that started after they had completed, as often as they did
 
 	taskRuns   func(index int) time.Duration // how long tasks run; nil: runS and a little
 	holdOrders time.Duration                 // calls of workers are held for up to so long, then delivered
@@ -41,6 +43,21 @@
 	peerDelay func(from string, v PeerSend) time.Duration
 }
 
+func (w *world) noteStart(task string) {
+	if w.completed[task] {
+		w.repeated = append(w.repeated, task)
+	}
+}
+
+func (w *world) noteEnd(task, cause string) {
+	if w.completed == nil {
+		w.completed = map[string]bool{}
+	}
+	if cause == wire.CauseDone {
+		w.completed[task] = true
+	}
+}
+
 func (w *world) unanswered(node string, v StateCall) (time.Duration, bool) {
 	if w.noAnswer == nil {
 		return 0, false
