Tasks that have begun are counted, not those that run at one moment

Cause: TestLargeFleetWithinNextLimits asked that 2,000 tasks of arrays run 40 s after all came; they run for 30 to 34 s, and all 3,900 had begun after 16 s, so that 1,917 were done by then and 2,133 were counted. Change: those that are done count too, and 3,500 have to have begun: more is asked than before.

--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -237,8 +237,8 @@
 		w.submit(s)
 	}
 	w.run(40 * sec)
-	if n := w.runningTasks(); n < services+2000 {
-		t.Errorf("%d tasks run 40 s after all came at once", n)
+	if n := w.runningTasks() + len(w.completed); n < services+3500 { // of 3,900, which run for 30 to 34 s
+		t.Errorf("%d tasks have begun 40 s after all came at once", n)
 	}
 	w.kill("c0")
 	w.run(20 * sec)
