--- a/internal/core/laddering_test.go
+++ b/internal/core/laddering_test.go
@@ -128,6 +128,7 @@
 		{"the holder, another day", holder, 98}, {"the leader, another day", leader, 97}, {"all, another day", all, 96}, {"all, a third", all, 99},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			w := crowded(t, c.seed)
 			if got := w.setLadder("c0", 0, alarmRungs); got != 200 {
 				t.Fatalf("set: %d", got)
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -74,6 +74,7 @@
 	for seed := uint64(800); seed < 800+schedules/2; seed++ {
 		told := seed%3 != 2
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t, seed, 3, roomy)
 			for i := range 12 {
 				w.addMachine([]string{"n", "s"}[i%2], false, sec)
--- a/internal/core/meeting_chains_test.go
+++ b/internal/core/meeting_chains_test.go
@@ -340,40 +340,50 @@
 // A job is cancelled in the moment in which the last task of the one before it ends, over many
 // moments: what the user is told holds, and those after go on after done alone.
 func TestCancelledAsThePredecessorEnds(t *testing.T) {
-	outcomes := map[string]int{}
-	for k := range 24 {
-		w := staffed(t, 930+uint64(k), 1)
-		ids := w.chain()
-		w.until(60*sec, func() bool { return w.nodes["c0"].core.jobs[ids[0]] != nil && w.begun(ids[0]) })
-		// Its tasks run 4 to 8 s; the moments lie around the end of the last.
-		var at time.Duration
-		w.until(30*sec, func() bool {
-			e := w.nodes["c1"].core
-			at = w.now
-			return e.finals[ids[0]].Status != "" || e.jobs[ids[0]] == nil
-		})
-		w2 := staffed(t, 930+uint64(k), 1)
-		w2.chain()
-		w2.run(at - w2.now + time.Duration(k*10-160)*time.Millisecond)
-		got := ""
-		w2.ask("c2", func(q uint64) any { w2.check.Aborting(ids[0]); return Abort{Req: q, ID: ids[0]} }, func(a Answer) {
-			st, _ := a.Body.(wire.JobStatus)
-			w2.aborted(ids[0], a, w2.now)
-			got = st.Status
-		})
-		w2.run(100 * sec)
-		outcomes[got]++
-		want := map[string]string{wire.JobDone: wire.JobDone, wire.JobAborted: wire.JobAborted}[got]
-		for id, all := range w2.whole(ids) {
-			if want == "" || !slices.Equal(all, []string{want}) {
-				t.Errorf("moment %d: told %q, and %s is %v", k, got, id, all)
-			}
+	told := make([]string, 24)
+	t.Run("moments", func(t *testing.T) {
+		for k := range told {
+			t.Run(fmt.Sprint(k), func(t *testing.T) {
+				t.Parallel()
+				told[k] = cancelledAtTheEnd(t, k)
+			})
 		}
+	})
+	t.Logf("told: %v", told)
+	if !slices.Contains(told, wire.JobDone) || !slices.Contains(told, wire.JobAborted) {
+		t.Errorf("the moments miss one of the two: %v", told)
 	}
-	t.Logf("told: %v", outcomes)
-	if outcomes[wire.JobDone] == 0 || outcomes[wire.JobAborted] == 0 {
-		t.Errorf("the moments miss one of the two: %v", outcomes)
+}
+
+// cancelledAtTheEnd plays one moment, and returns what the user was told.
+func cancelledAtTheEnd(t *testing.T, k int) string {
+	w := staffed(t, 930+uint64(k), 1)
+	ids := w.chain()
+	w.until(60*sec, func() bool { return w.nodes["c0"].core.jobs[ids[0]] != nil && w.begun(ids[0]) })
+	// Its tasks run 4 to 8 s; the moments lie around the end of the last.
+	var at time.Duration
+	w.until(30*sec, func() bool {
+		e := w.nodes["c1"].core
+		at = w.now
+		return e.finals[ids[0]].Status != "" || e.jobs[ids[0]] == nil
+	})
+	w2 := staffed(t, 930+uint64(k), 1)
+	w2.chain()
+	w2.run(at - w2.now + time.Duration(k*10-160)*time.Millisecond)
+	got := ""
+	w2.ask("c2", func(q uint64) any { w2.check.Aborting(ids[0]); return Abort{Req: q, ID: ids[0]} }, func(a Answer) {
+		st, _ := a.Body.(wire.JobStatus)
+		w2.aborted(ids[0], a, w2.now)
+		got = st.Status
+	})
+	w2.run(100 * sec)
+	want := map[string]string{wire.JobDone: wire.JobDone, wire.JobAborted: wire.JobAborted}[got]
+	for id, all := range w2.whole(ids) {
+		if want == "" || !slices.Equal(all, []string{want}) {
+			t.Errorf("moment %d: told %q, and %s is %v", k, got, id, all)
+		}
 	}
+	return got
 }
 
 // Three hundred jobs of three teams await one, a few of them through others, and thirty follow each
--- a/internal/core/schedules_test.go
+++ b/internal/core/schedules_test.go
@@ -32,6 +32,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t, seed, 3, func(w *world) { w.teams["guest"] = Team{CPUsMax: inf, GPUsMax: inf} })
 			for i := range 5 {
 				w.addMachine([]string{"n", "s"}[i%2], false, sec)
