The orders of troubles are played in part under the race detector

Change: under the race detector every eighth order of TestOrdersOfTroubles is played; each of its worlds has one goroutine, so the orders between find no more races.

--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -304,6 +304,10 @@
 		seen := make([]map[uint64]bool, len(last))
 		t.Run(start, func(t *testing.T) {
 			for i, o := range last {
+				// Each world has one goroutine, so more orders find no more races.
+				if raceDetector && i%8 > 0 {
+					continue
+				}
 				seen[i] = map[uint64]bool{}
 				t.Run(strings.Join(o, ", "), func(t *testing.T) {
 					t.Parallel()
--- /dev/null
+++ b/internal/core/race_off_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package core
+
+// raceDetector tells whether the tests were built with it.
+const raceDetector = false
