--- a/cmd/barrowbridge/upgrade.go
+++ b/cmd/barrowbridge/upgrade.go
@@ -55,7 +55,7 @@
 		},
 	}
 	f.common(cmd)
-	cmd.Flags().BoolVar(&short, "short", false, "the plain roll and the one that changes hands, not beside rolls of one version")
+	cmd.Flags().BoolVar(&short, "short", false, "the plain roll, the one that changes hands and the one with chains and lowered limits, not beside rolls of one version")
 	cmd.Flags().BoolVar(&masks, "masks", false, "also each link between controllers and to the state service cut in turn, both ways and in either direction")
 	cmd.Flags().IntVar(&random, "random", 0, "also so many upgrades with troubles drawn from seeds, from --seed on")
 	cmd.Flags().StringVar(&f.repo, "repo", ".", "a folder in a checkout of this program with its history")
@@ -88,7 +88,7 @@
 		names, sources[name] = append(names, name), source
 		return err
 	}
-	if names = []string{"upgrade-roll", "upgrade-hands"}; !short {
+	if names = []string{"upgrade-roll", "upgrade-hands", "upgrade-chains"}; !short {
 		names = rehearse.UpgradeNames()
 		for _, n := range rehearse.UpgradeNames() {
 			if err := add(rehearse.Alike(n)); err != nil {
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -75,6 +75,8 @@
 		{`kind = "done"`, `kind = "finished"`, "f.toml:20: expect[0].kind: must be one of"},
 		{`most_s = 30`, `most_s = nan`, "f.toml:2: most_s: must be from"},
 		{`[[jobs]]`, `[[jobs`, "f.toml:9: "},
+		{`run_s = 1`, `awaits = ["job-000009"]`, `f.toml:13: jobs[0].awaits: "job-000009" is no job of the scenario that is listed before`},
+		{"tasks = 4\nrun_s = 1", "shape = \"service\"\n[[jobs]]\nid = \"job-000002\"\nteam = \"red\"\nawaits = [\"job-000001\"]", "f.toml:16: jobs[1].awaits: job-000001 is a service"},
 	} {
 		_, err := Parse("f.toml", []byte(strings.Replace(good, x.from, x.to, 1)))
 		if err == nil || !strings.HasPrefix(err.Error(), x.want) || strings.Contains(err.Error(), "\n") {
@@ -91,6 +93,19 @@
 	}
 }
 
+// A job that was cancelled is over; whether its user was told is measured from its submission.
+func TestCancelledIsTold(t *testing.T) {
+	r := &rehearsal{jobs: map[string]*job{"job-000001": {begun: 2 * time.Second}}}
+	j := r.jobs["job-000001"]
+	if got := r.measure("cancelled", j); got != -1 || (facts{r}).JobOver("job-000001") {
+		t.Errorf("not told, and measured as %v s, or over", got)
+	}
+	j.cancelled = 9 * time.Second
+	if got := r.measure("cancelled", j); got != 7 || !(facts{r}).JobOver("job-000001") {
+		t.Errorf("told after 7 s, and measured as %v s, or not over", got)
+	}
+}
+
 func FuzzScenario(f *testing.F) {
 	f.Add([]byte(fmt.Sprintf(quick, "seed")))
 	for _, n := range Names() {
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -65,7 +66,7 @@
 	plan              Job
 	begun             time.Duration // first attempt to submit
 	accepted, running time.Duration // 0: not yet
-	done              time.Duration
+	done, cancelled   time.Duration // when its user was told
 	refused           error
 	up, watched       time.Duration // time with all replicas, of the time since they first ran
 	last              int
@@ -278,12 +279,19 @@
 	r.jobs[a.Submit] = j
 	r.mu.Unlock()
 	r.wg.Go(func() {
+		r.awaitAccepted(ctx, plan.Awaits)
+		r.mu.Lock()
+		j.begun = r.now()
+		r.mu.Unlock()
 		_, err := r.users.Submit(ctx, spec)
 		r.mu.Lock()
 		if j.refused = err; err == nil {
 			j.accepted = r.now()
 		}
 		r.mu.Unlock()
+		if err == nil && plan.CancelS > 0 {
+			r.wg.Go(func() { r.cancel(ctx, a.Submit, seconds(plan.CancelS)) })
+		}
 		for err == nil && ctx.Err() == nil && !r.poll(ctx, a.Submit, j) {
 			select {
 			case <-ctx.Done():
@@ -293,6 +301,26 @@
 	})
 }
 
+// awaitAccepted waits until jobs have been accepted.
+func (r *rehearsal) awaitAccepted(ctx context.Context, ids []string) {
+	for ctx.Err() == nil && slices.ContainsFunc(ids, func(id string) bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.jobs[id] == nil || r.jobs[id].accepted == 0
+	}) {
+		time.Sleep(pulse)
+	}
+}
+
+// cancel has a user call a job off after a while.
+func (r *rehearsal) cancel(ctx context.Context, id string, after time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(after):
+		_, _ = r.users.Abort(ctx, id) // what it is answered reaches the checker
+	}
+}
+
 // poll asks once and tells whether the job is over.
 func (r *rehearsal) poll(ctx context.Context, id string, j *job) bool {
 	status, st := r.users.Poll(ctx, id)
@@ -310,6 +338,9 @@
 	if st.Status == wire.JobDone && j.done == 0 {
 		j.done = r.now()
 	}
+	if st.Status == wire.JobAborted && j.cancelled == 0 {
+		j.cancelled = r.now()
+	}
 	return over
 }
 
@@ -319,7 +350,7 @@
 	est := j.RunS
 	s := wire.JobSpec{ID: &id, Class: &j.Class, Team: &j.Team, Shape: &j.Shape, Priority: &j.Priority, Tasks: &tasks, CPUs: &j.CPUs, GPUs: &gpus,
 		MemoryGB: &j.MemoryGB, OneZone: &no, Spread: &j.Spread, Spot: &j.Spot, Image: &j.Class, ImageGB: &j.ImageGB, EstimateS: &est,
-		CheckpointEvery: &j.SaveS, SaveS: &save, DueS: &due}
+		CheckpointEvery: &j.SaveS, SaveS: &save, DueS: &due, Predecessors: j.Awaits}
 	if j.Shape == wire.ShapeService {
 		est, s.DueS = 0, nil
 	}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -93,6 +93,10 @@
 	AtS      float64 `toml:"at_s"`
 	When     string  `toml:"when"`
 	AfterS   float64 `toml:"after_s"`
+	// Awaits are jobs of the scenario, listed before, that have to be done before any task of this one starts; it is
+	// submitted once they are accepted.
+	Awaits  []string `toml:"awaits"`
+	CancelS float64  `toml:"cancel_s"` // its user cancels it so long after it was accepted; 0: never
 }
 
 // Crew is put into the calendar as the rehearsal begins.
@@ -129,7 +133,7 @@
 // Expect is what must hold. Kinds: "running" (all tasks of a job, or of every job
 // of a class, run within WithinS of their submission), "done" (and its user is
 // told), "accepted", "up" (all replicas run for at least Share of the time since they
-// first did), "recovered" (the Fault-th fault's Step comes within WithinS of it),
+// first did), "cancelled" (its user is told so), "recovered" (the Fault-th fault's Step comes within WithinS of it),
 // "starts" (no more than Most tasks were started in all), "handed" (leadership or a shard
 // passed from a controller of one version to one of the other, as Step says).
 type Expect struct {
@@ -330,9 +334,19 @@
 		within(k+"tasks", float64(j.Tasks), 1, 10000), within(k+"cpus", j.CPUs, 0.01, s.Fleet.CPUs), within(k+"memory_gb", j.MemoryGB, 0, s.Fleet.MemoryGB),
 		within(k+"run_s", j.RunS, 0.1, 3600), within(k+"image_gb", j.ImageGB, 0, 1000), within(k+"checkpoint_every_s", j.SaveS, 0, 3600),
 		within(k+"count", float64(j.Count), 1, 1000), within(k+"every_s", j.EveryS, 0, 600), within(k+"at_s", j.AtS, 0, s.MostS),
-		within(k+"after_s", j.AfterS, 0, s.MostS), s.condition(k+"when", j.When, ids)); err != nil {
+		within(k+"after_s", j.AfterS, 0, s.MostS), within(k+"cancel_s", j.CancelS, 0, s.MostS), s.condition(k+"when", j.When, ids)); err != nil {
 		return err
 	}
+	for _, a := range j.Awaits {
+		if !ids[a] {
+			return &problem{k + "awaits", fmt.Sprintf("%q is no job of the scenario that is listed before", a)}
+		}
+		if slices.ContainsFunc(s.Jobs[:i], func(o Job) bool {
+			return o.Shape == wire.ShapeService && slices.ContainsFunc(o.ids(), func(id string) bool { return id == a })
+		}) {
+			return &problem{k + "awaits", a + " is a service, which is never done"}
+		}
+	}
 	for n := range j.Count {
 		id := jobID(j.ID, n)
 		if ids[id] {
@@ -354,7 +368,7 @@
 
 func (s *Scenario) checkExpect(i int, ids map[string]bool) error {
 	e, k := s.Expect[i], fmt.Sprintf("expect[%d].", i)
-	if err := oneOf(k+"kind", e.Kind, "running", "done", "accepted", "up", "recovered", "starts", "handed"); err != nil {
+	if err := oneOf(k+"kind", e.Kind, "running", "done", "accepted", "up", "cancelled", "recovered", "starts", "handed"); err != nil {
 		return err
 	}
 	switch e.Kind {
@@ -414,6 +428,14 @@
 	return nil
 }
 
+// ids are the names of a job's copies.
+func (j Job) ids() (out []string) {
+	for n := range j.Count {
+		out = append(out, jobID(j.ID, n))
+	}
+	return out
+}
+
 // jobID is the n-th id after the first.
 func jobID(first string, n int) string {
 	k, _ := strconv.Atoi(strings.TrimPrefix(first, "job-"))
--- a/internal/rehearse/watch.go
+++ b/internal/rehearse/watch.go
@@ -187,7 +187,7 @@
 	f.r.mu.Lock()
 	defer f.r.mu.Unlock()
 	j := f.r.jobs[id]
-	return j != nil && (j.done > 0 || j.refused != nil)
+	return j != nil && (j.done > 0 || j.cancelled > 0 || j.refused != nil)
 }
 
 func (f facts) Lifted(n int) bool {
@@ -301,6 +301,8 @@
 		at = j.running
 	case "done":
 		at = j.done
+	case "cancelled":
+		at = j.cancelled
 	}
 	if at == 0 {
 		return -1
