Arrays beyond a guarantee ask for as many machines as their deadline needs

Cause: a machine was rented for each waiting task of an array, whenever it was due.

Change: as for idle work, but by three quarters of the time until the deadline and by what the class has shown; jobs within a guarantee, urgent ones, services and those without a deadline of their own ask for each task as before.

--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -172,13 +172,18 @@
 }
 
 // deserves is for how many of a job's waiting tasks machines are asked for. Of work that
-// is run when there is nothing else to do it is as many as are needed in time.
+// is run when there is nothing else to do, and of arrays with a deadline beyond a guarantee, it
+// is as many as are needed in time.
 func (c *Core) deserves(p *queue.Place[*jobEntry]) int {
-	if p.Handle.prio > idleRank {
-		return p.Job.Pending
+	e, pace, run := p.Handle, aimLimits, p.Job.Estimate
+	if e.prio > idleRank {
+		if e.prio >= urgentRank || p.Within || p.Job.Service || e.rec.DueS <= 0 {
+			return p.Job.Pending
+		}
+		pace.Headroom, run = tuning.DueHeadroom, c.runs.Typical(e.rec.Class, e.rec.EstimateS).Seconds()
 	}
-	n := aimLimits.Places(p.Job.Rest, p.Job.Estimate, p.Job.Due, float64(c.wall.UnixMilli())/1000)
-	return max(0, min(p.Job.Pending, n-len(p.Handle.run.active)))
+	n := pace.Places(p.Job.Rest, run, p.Job.Due, float64(c.wall.UnixMilli())/1000)
+	return max(0, min(p.Job.Pending, n-len(e.run.active)))
 }
 
 var wantPace = wants.Pace{Again: tuning.WantAgain, Write: tuning.WantWrite, Keep: tuning.WantKeep}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -161,6 +161,10 @@
 	IdleHorizon  = 300 * time.Second
 	IdleLeast    = 60 * time.Second
 	IdleHeadroom = 0.5
+	// DueHeadroom (share): the same for arrays of normal priority that have a deadline, of the time
+	// until then. For each waiting task a machine was rented that ran one or two: boots, fetches and
+	// empty minutes took as much as a third of the money.
+	DueHeadroom = 0.75
 	// NeedsMax (needs): kinds of machines a shard asks for at a time; those beyond
 	// come once the first are served.
 	NeedsMax = 24
