--- a/internal/core/blame_test.go
+++ b/internal/core/blame_test.go
@@ -88,6 +88,7 @@
 // A machine that fails everything and is given mistaken jobs first is found all the same,
 // once sound ones have failed there.
 func TestFaultyMachineAmongMistakenJobs(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 42, 1, func(w *world) { w.teams = map[string]Team{"red": {CPUs: 40, CPUsMax: 40}} })
 	sick := w.addMachine("n", false, sec)
 	w.machines[sick].sick = true
--- a/internal/core/chains_told_test.go
+++ b/internal/core/chains_told_test.go
@@ -13,6 +13,7 @@
 // What becomes of jobs that wait is counted and stands in the trail of the controller that wrote
 // it, once.
 func TestChainsAreToldOf(t *testing.T) {
+	t.Parallel()
 	w := staffed(t, 900, 4)
 	w.until(60*sec, func() bool { return w.leaderNode() != "" })
 	w.run(10 * sec)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -13,6 +13,7 @@
 // Jobs of three teams run to their end on rented machines, over three
 // controllers, and the machines are given back afterwards.
 func TestQuietDay(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1, 3)
 	w.run(5 * sec)
 	for i := range 6 {
@@ -32,6 +33,7 @@
 }
 
 func TestUserAnswers(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 3)
 	status := func(node string, in func(uint64) any) (int, string) {
 		got, st := 0, ""
@@ -106,6 +108,7 @@
 // Machines found at the very first start are the operator's and stay; a stray
 // one that turns up when nothing is held is returned like any other.
 func TestStandingMachinesStayStraysGo(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 11, 1)
 	standing := w.addMachine("n", false, sec)
 	w.run(60 * sec)
@@ -128,6 +131,7 @@
 // A replica left alone on a rented machine moves to one in use that has its
 // image, and the machine goes back; nothing runs twice on the way.
 func TestLoneReplicaMovesOff(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 13, 1)
 	w.run(4 * sec)
 	for i := range 2 {
@@ -157,6 +161,7 @@
 // Zone, one-zone, spread, spot and team limits hold for every start; the world
 // checks them. Without its guard this fleet breaks each of them.
 func TestPlacesAllowed(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 14, 1)
 	for i := range 12 {
 		w.addMachine([]string{"n", "s"}[i%2], i < 2, sec)
@@ -180,6 +185,7 @@
 
 // A drained machine is emptied and given back, a cordoned one gets nothing new.
 func TestCordonAndDrain(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 15, 1)
 	a, b := w.addMachine("n", false, sec), w.addMachine("n", false, sec)
 	w.run(6 * sec)
@@ -233,6 +239,7 @@
 // protocol does, in JSON form: records near the limit were counted as encoded, half
 // as long, and a job whose progress was scattered could be written no more.
 func TestScatteredProgressStaysWithinTheLimit(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 18, 1, func(w *world) { w.limits.ValueBytes = 4096 })
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeBatch, 3000))
@@ -251,6 +258,7 @@
 // A watch that is too old is answered 410: the keys are read again, and what
 // vanished meanwhile leaves the mirror.
 func TestWatchTooOld(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 17, 1)
 	w.run(4 * sec)
 	c := w.nodes["c0"].core
--- a/internal/core/crews_test.go
+++ b/internal/core/crews_test.go
@@ -139,6 +139,7 @@
 // Controllers that know the same plan the same; a departure moved earlier counts at once; of
 // two operators one reads again; what is wrong is refused and changes nothing.
 func TestCrewsAreOneCalendar(t *testing.T) {
+	t.Parallel()
 	w := crowded(t, 112)
 	leaves := w.hourIn(3600 * sec)
 	if s := w.putCrew("c0", "early", 0, crewOf(leaves)); s != 200 {
@@ -201,6 +202,7 @@
 // A departure counts as a job's due time long before its work is pressed: of two jobs the one
 // that has to be done by the hour goes first, though the other came before it.
 func TestADepartureIsADueTime(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 113, 3, func(w *world) { w.capacity = 0 })
 	w.run(5 * sec)
 	if s := w.putCrew("c1", "early", 0, crewOf(w.hourIn(40*time.Minute))); s != 200 {
--- a/internal/core/guest_test.go
+++ b/internal/core/guest_test.go
@@ -17,6 +17,7 @@
 // gives way within seconds to work that lies within another team's guarantee, though both
 // are of one shard; in the end all of it is done.
 func TestGuestGivesWay(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 31, 1, func(w *world) {
 		w.teams = map[string]Team{"red": {CPUs: 16, CPUsMax: 16}, "guest": {CPUsMax: inf, GPUsMax: inf}}
 		w.capacity, w.runS = 0, 60*sec // nothing can be rented
@@ -47,6 +48,7 @@
 // Single idle tasks are not kept waiting by an array that came before them, nor does
 // idle work rent a machine for each of its tasks.
 func TestGuestsOrderAndRent(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 32, 1, func(w *world) {
 		w.teams = map[string]Team{"guest": {CPUsMax: inf, GPUsMax: inf}}
 		w.capacity = 40
--- a/internal/core/holding_test.go
+++ b/internal/core/holding_test.go
@@ -90,6 +90,7 @@
 
 // Urgent work takes a place that is held for other work at once.
 func TestHeldPlacesDoNotKeepUrgentWorkOut(t *testing.T) {
+	t.Parallel()
 	w := crowded(t, 82)
 	s := spec("job-100000", "red", wire.ShapeBatch, 4)
 	s.CPUs, s.DueS = ptr(4.0), nil
@@ -120,6 +121,7 @@
 
 // A task that needs more of its team's limit than small ones ever leave free gets it kept.
 func TestLimitKeptForAWideTask(t *testing.T) {
+	t.Parallel()
 	w := crowded(t, 83)
 	w.teams["red"] = Team{CPUs: 8, CPUsMax: 6} // read by the cores as they start
 	w.bounce(200*time.Millisecond, sortedKeys(w.nodes)...)
--- a/internal/core/laddering_test.go
+++ b/internal/core/laddering_test.go
@@ -117,6 +117,7 @@
 // routine work that fills every corner, whoever ends: no start is an inversion, all
 // controllers have the same order to the byte, and a new one inherits it.
 func TestLadderHoldsWhoeverEnds(t *testing.T) {
+	t.Parallel()
 	holder := func(w *world) []string { return []string{w.shardRec("red").Holder} }
 	leader := func(w *world) []string { return []string{w.leaderNode()} }
 	all := func(w *world) []string { return sortedKeys(w.nodes) }
@@ -190,6 +191,7 @@
 // Of two operators who change the ladder at once one is told to read again; a bad one changes
 // nothing; a change in the moment its controller or the holder ends is there as a whole or not.
 func TestLadderChanges(t *testing.T) {
+	t.Parallel()
 	w := staffed(t, 96, 2)
 	var got []int
 	for _, n := range []string{"c0", "c1"} {
@@ -263,6 +265,7 @@
 // Routine work has had every place reserved and is not told of it yet: an alarm of normal
 // priority, which may stop nothing, gets one of them.
 func TestReservedPlacesGoToUpperRungs(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 98, 1, func(w *world) {
 		w.teams, w.capacity = map[string]Team{"red": {CPUs: 8, CPUsMax: 50}}, 0
 		w.reportS, w.lease, w.cancelS, w.runS = 8*sec, 26*sec, 60*sec, 60*sec
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -72,6 +72,7 @@
 // refused for its form then, and everything accepted is done. Every third day they fall
 // further than told: then some are refused, and everything accepted is done as well.
 func TestLimitsFallAsTold(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(800); seed < 800+schedules/2; seed++ {
 		told := seed%3 != 2
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -136,6 +137,7 @@
 // A start that the state service refuses in any form stops no other one, its refusal is told
 // to operators, and it is not tried without end.
 func TestOneStartRefused(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 710, 1, roomy)
 	for i := range 12 {
 		w.addMachine([]string{"n", "s"}[i%2], false, sec)
@@ -260,6 +262,7 @@
 
 // A limit that has fallen reaches the packages that make records.
 func TestALimitThatFallsReachesTheCalendar(t *testing.T) {
+	t.Parallel()
 	c := New(Params{Node: "c0", Nodes: map[string]string{"c0": "n"}, TxnOps: 8, ValueBytes: 8192})
 	yes := func(string) bool { return true }
 	crew := wire.Crew{Team: "red", Classes: []string{strings.Repeat("c", 700)}, Leaves: "2026-12-03T06:30", TimeZone: "UTC"}
--- a/internal/core/local_test.go
+++ b/internal/core/local_test.go
@@ -9,6 +9,7 @@
 // A place on a machine goes to the job whose image is there, though another is served
 // before it; for a while only.
 func TestPlaceGoesToTheJobWhoseImageIsThere(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 12, 1, func(w *world) { w.runS, w.capacity = 1000*sec, 0 })
 	name := w.addMachine("n", false, sec)
 	w.run(20 * sec)
@@ -57,6 +58,7 @@
 
 // A gang leaves no place to others: a part of it would wait on its machines.
 func TestGangIsPlacedWhole(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 13, 1, func(w *world) {
 		w.runS, w.capacity, w.teams = 1000*sec, 0, map[string]Team{"red": {CPUs: 100, CPUsMax: 100}}
 	})
--- a/internal/core/masks_test.go
+++ b/internal/core/masks_test.go
@@ -232,6 +232,7 @@
 // set played without BARROWBRIDGE_MASKS=all has each link cut alone and left alone, and
 // every pair of links in all four ways.
 func TestMasks(t *testing.T) {
+	t.Parallel()
 	const seed = 77
 	t.Logf("seed %d", seed)
 	all := os.Getenv("BARROWBRIDGE_MASKS") == "all"
@@ -280,6 +281,7 @@
 // Two masks one after the other within three seconds, some of their links cut one way only,
 // with calls that are lost or late in between: the rules hold, and all is back soon after.
 func TestMaskPairs(t *testing.T) {
+	t.Parallel()
 	n, err := strconv.ParseUint(os.Getenv("BARROWBRIDGE_PAIRS"), 10, 64)
 	if err != nil {
 		n = 10
@@ -319,6 +321,7 @@
 // A controller that no worker reaches calls workers through a peer, which makes the very
 // call and sends the answer back.
 func TestOrdersGoThroughAPeer(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 38, 3)
 	for i := range 6 {
 		w.addMachine([]string{"n", "s"}[i%2], false, sec)
--- a/internal/core/meeting_ahead_test.go
+++ b/internal/core/meeting_ahead_test.go
@@ -11,6 +11,7 @@
 // then: they are up as it begins. If its holder has just ended it waits for a boot at most. For what is cancelled
 // before it could run nothing is kept. Fails (6 s instead of 4) without soon in needs.
 func TestMachinesAreUpAsAStageBegins(t *testing.T) {
+	t.Parallel()
 	for _, how := range []string{"", "its holder ends", "cancelled"} {
 		t.Run(how, func(t *testing.T) {
 			w := newWorld(t, 980, 3, func(w *world) {
--- a/internal/core/meeting_asking_test.go
+++ b/internal/core/meeting_asking_test.go
@@ -167,6 +167,7 @@
 // without the read of what has left the mirror (`readFor` in askAll); with one refused also with
 // polls answered from the mirror where the look at the changes fails (`default` in askAll).
 func TestAskedEverywhereWithinMilliseconds(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		name string
 		do   func(w *world)
--- a/internal/core/meeting_beliefs_test.go
+++ b/internal/core/meeting_beliefs_test.go
@@ -223,6 +223,7 @@
 // seconds: no block is marked idle before the last of it has gone. Fails (work on an idle block) if blocks
 // are marked with work on them.
 func TestABlockThatIsEmptiedIsNotIdleWhileTasksSave(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 970, 3, func(w *world) {
 		w.capacity, w.runS = 0, 100*sec
 		for n := range w.teams {
--- a/internal/core/meeting_cancel_test.go
+++ b/internal/core/meeting_cancel_test.go
@@ -27,6 +27,7 @@
 // than half a second after the confirmation (a mirror may lag by so much). It fails without `!live`
 // in commandsFor, and with tasks of unknown jobs left out in takeStock.
 func TestCancelledWhileHandsChange(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		name string
 		do   func(w *world, holder string)
--- a/internal/core/meeting_chains_test.go
+++ b/internal/core/meeting_chains_test.go
@@ -76,6 +76,7 @@
 // A chain over three teams and shards runs in its order and is done in time, also if all
 // controllers end in the middle of it, or one by one.
 func TestAChainRunsInOrder(t *testing.T) {
+	t.Parallel()
 	for what, trouble := range map[string]func(*world){
 		"nothing":     func(*world) {},
 		"all end":     func(w *world) { w.at(8*sec, func() { w.bounce(4*sec, sortedKeys(w.nodes)...) }) },
@@ -116,6 +117,7 @@
 // normal work; once there is little they stand on that job's own rung, and give way to nothing
 // less, also the tasks that run by then.
 func TestPredecessorsInheritAcrossTeams(t *testing.T) {
+	t.Parallel()
 	w := staffed(t, 901, 1)
 	w.runS = 400 * sec
 	ids := w.chain()
@@ -175,6 +177,7 @@
 // after it anything else, at whatever moment, nothing of those ever starts, and what does not
 // need it goes on.
 func TestACancellationTakesThoseAfterIt(t *testing.T) {
+	t.Parallel()
 	troubles := map[string]func(w *world, told time.Duration){
 		"nothing": func(*world, time.Duration) {},
 		"watches late": func(w *world, told time.Duration) { // set before the cancellation, below
@@ -277,6 +280,7 @@
 
 // What a submission that names others is answered, each in one line.
 func TestSubmissionsThatNameOthers(t *testing.T) {
+	t.Parallel()
 	w := staffed(t, 920, 1)
 	done := spec("job-000020", "red", wire.ShapeBatch, 1)
 	w.submit(done)
--- a/internal/core/meeting_copies_test.go
+++ b/internal/core/meeting_copies_test.go
@@ -24,6 +24,7 @@
 // a copy of an old report reaches the successor before any other: it names the task. That the
 // next report does not says nothing of where it is: it waits for the machine that hangs.
 func TestCopyOfAnOldReportNamesATaskOnAnIdleMachine(t *testing.T) {
+	t.Parallel()
 	for _, tasks := range []int{1, 6} { // where each is is written; that of a larger job is not
 		t.Run(fmt.Sprint(tasks, " tasks"), func(t *testing.T) {
 			t.Parallel()
@@ -96,6 +97,7 @@
 // and a slow watch tells of both later. It takes the shard up anew: what the other has started
 // meanwhile is not known here.
 func TestShardGoneAndBackBetweenTwoReads(t *testing.T) {
+	t.Parallel()
 	w, _ := runningServices(t, 740)
 	rec := w.shardRec("red")
 	holder := w.nodes[rec.Holder].core
@@ -147,6 +149,7 @@
 // the record of an earlier life stands in its place, and to whoever takes the shard over then a
 // record of another life says that this one is dead, and answers no worker any more.
 func TestPresentBeforeItsShardsAreTakenBack(t *testing.T) {
+	t.Parallel()
 	w := staffed(t, 745, 2)
 	taken := 0
 	w.noAnswer = func(node string, v StateCall) (time.Duration, bool) {
--- a/internal/core/meeting_ends_test.go
+++ b/internal/core/meeting_ends_test.go
@@ -16,6 +16,7 @@
 // It fails without the conditions of the abort's write on the job's two records (one of them is
 // enough), and without that of the end's (addJob).
 func TestCancelledAtTheLastEnd(t *testing.T) {
+	t.Parallel()
 	for _, tasks := range []int{1, 2} {
 		t.Run(fmt.Sprint(tasks, " tasks"), func(t *testing.T) {
 			t.Parallel()
@@ -87,6 +88,7 @@
 // meanwhile, nothing starts twice, and who asked for it is told by the same request. It fails without
 // the read back of an acceptance or an abort (`case 409, 0` in onSubmit and abort).
 func TestOnlyTheAnswerIsLost(t *testing.T) {
+	t.Parallel()
 	for _, kinds := range [][]string{{"acceptance"}, {"abort"}, {"end"}, {"starts slot"}, {"progress"}, {"block formed", "block marked", "machines out of blocks, or a block moved"},
 		{"shard given", "shard retaken or settled"}, {"leader", "presence"}, nil} {
 		t.Run(fmt.Sprint(kinds), func(t *testing.T) {
--- a/internal/core/meeting_gap_test.go
+++ b/internal/core/meeting_gap_test.go
@@ -161,6 +161,7 @@
 // Tasks of cancelled jobs are gone within cancel_s of the confirmation, which the checker
 // judges, whoever confirmed it and whatever the old leader knows.
 func TestCancelledBesideALoneLeaderThenAnOutage(t *testing.T) {
+	t.Parallel()
 	ms := time.Millisecond
 	bounce := func(w *world, _, by, _ string) { w.at(ms, func() { w.bounce(200*ms, by) }) }
 	for _, g := range []gap{
@@ -248,6 +249,7 @@
 // What a controller says of itself names the grants that it knows, of shards and of blocks, and
 // no mark, which gives nothing to anybody.
 func TestStatementsNameGrants(t *testing.T) {
+	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Lease: 10 * sec, Cancel: 40 * sec})
 	c.boot, c.loaded, c.rev = 1, true, 10
 	said := func() (at uint64) {
@@ -339,6 +341,7 @@
 // News of a peer stands against us only if it gives away what we hold; an end of a job is taken
 // like any news of it.
 func TestNewsAgainstUs(t *testing.T) {
+	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
 	c.boot, c.loaded, c.rev = 7, true, 70
 	put := func(key string, v any, ver uint64) {
--- a/internal/core/meeting_hands_test.go
+++ b/internal/core/meeting_hands_test.go
@@ -28,6 +28,7 @@
 // comes home by its new holder's own write is taken up only once the mirror has reached that: it fails
 // without `c.rev < c.shards[i].ver` in enterShards (ran_twice, in "home by its own write").
 func TestHandsThereAndBack(t *testing.T) {
+	t.Parallel()
 	t.Run("home by its own write", comesHome)
 	changes := []trouble{
 		{"the holder ends", func(w *world, d time.Duration) { w.bounce(d, w.shardRec("red").Holder) }},
--- a/internal/core/meeting_late_test.go
+++ b/internal/core/meeting_late_test.go
@@ -137,6 +137,7 @@
 // no rule breaks, each machine is in one block, each controller is present as the life it
 // is, and what is told of reach and wants is what was told last.
 func TestWritesExecutedLate(t *testing.T) {
+	t.Parallel()
 	kinds := []string{"acceptance", "abort", "end", "progress", "starts slot", "block formed", "machines out of blocks, or a block moved",
 		"block marked", "shard given", "shard retaken or settled", "leader", "presence", "version", "reach", "wants", "types", "images", "trail", "cordon", ""}
 	for _, kind := range kinds {
@@ -217,6 +218,7 @@
 
 // A cordon whose write got no answer, and is executed after it was lifted, does not come back.
 func TestACordonExecutedLateIsNoNews(t *testing.T) {
+	t.Parallel()
 	w := staffed(t, 420, 4)
 	at, first := w.order[0], true
 	w.noAnswer = func(_ string, v StateCall) (time.Duration, bool) {
@@ -281,6 +283,7 @@
 
 // A word on what is reached that is executed after a newer one does not replace it.
 func TestAWordExecutedLateIsNoNews(t *testing.T) {
+	t.Parallel()
 	w := staffed(t, 422, 4)
 	holds := 0
 	w.noAnswer = func(node string, v StateCall) (time.Duration, bool) {
--- a/internal/core/meeting_leaders_test.go
+++ b/internal/core/meeting_leaders_test.go
@@ -73,6 +73,7 @@
 // part of their lease or for longer, and old reports come; in some days within an outage, in
 // which no leader can be chosen and those that were there end all the same.
 func TestTenLeadersInTwoMinutes(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name   string
 		outage time.Duration
@@ -114,6 +115,7 @@
 // They come back together, one by one, or one alone for long; each task that was not done is
 // started once more and no more often, whatever old reports say.
 func TestAllControllersAwayForLongerThanALease(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		back []time.Duration
@@ -145,6 +147,7 @@
 // New machines are up within two seconds and get work at once, while writes lag or are carried
 // out late, and the leader ends, the holder, or both, at any moment of it.
 func TestNewMachinesWorkAtOnceWhileWritesLag(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		lag  func(w *world)
--- a/internal/core/meeting_limits_test.go
+++ b/internal/core/meeting_limits_test.go
@@ -15,6 +15,7 @@
 // trouble is over, what waited is done. It fails without `n++` in refreshMachine (anything may run on
 // a machine that is not accounted for), and with jobGone dropping all attempts.
 func TestAtTheirLimitsWhileCancelled(t *testing.T) {
+	t.Parallel()
 	hows := []string{"hang", "deaf", "apart", "cut off"}
 	whos := []string{"the leader", "a holder", "all"}
 	for i, how := range hows {
--- a/internal/core/meeting_pairs_test.go
+++ b/internal/core/meeting_pairs_test.go
@@ -115,6 +115,7 @@
 // Two troubles of all kinds that overlap, the second up to a lease after the first, again and
 // again, while work comes and is cancelled and users ask everybody. Quiet time at the end.
 func TestPairsOfTroubles(t *testing.T) {
+	t.Parallel()
 	for _, x := range chosenPairs {
 		t.Run(x.a+", "+x.b, func(t *testing.T) { playChosenPair(t, x.a, x.b, x.gap) })
 	}
--- a/internal/core/meeting_reports_test.go
+++ b/internal/core/meeting_reports_test.go
@@ -136,6 +136,7 @@
 // can't be asked within their leases. Tasks have moved between machines before, and empty
 // blocks between shards. No task runs twice, and all is as before in the end.
 func TestOldReportsReachEverybodyAsALeaderBegins(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{0, 30, 300, 1500, 4000} { // ms after a shard has been taken over
 		t.Run(fmt.Sprint(int64(after), " ms after"), func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/meeting_slow_test.go
+++ b/internal/core/meeting_slow_test.go
@@ -13,6 +13,7 @@
 // nineteen of twenty within the 2 s that users wait. It fails without `2*l.took` in reach.Link (503 to half of
 // the polls and more), and without AskAgain (up to 49 of 184 later than 2 s).
 func TestSlowStateAnswersPolls(t *testing.T) {
+	t.Parallel()
 	for _, slow := range [][2]time.Duration{{300, 500}, {700, 1400}, {500, 1200}} { // ms, the least and the most
 		t.Run(fmt.Sprintf("%d to %d ms", int64(slow[0]), int64(slow[1])), func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/meeting_stream_test.go
+++ b/internal/core/meeting_stream_test.go
@@ -15,6 +15,7 @@
 // machine, in a record or in a book. It fails without `!live` in front of the clear in commandsFor
 // (ended attempts of jobs that are over stay), and without delete(c.counts, id) in remove.
 func TestOneTaskJobsFourASecond(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		name string
 		do   func(w *world)
--- a/internal/core/meeting_takeovers_test.go
+++ b/internal/core/meeting_takeovers_test.go
@@ -65,6 +65,7 @@
 // once: a read tells of the later grant, and the watch's word of the earlier one is older news
 // then. What the other started is not known, so its machines have to be accounted for anew.
 func TestAShardThatWasAwayInBetween(t *testing.T) {
+	t.Parallel()
 	b, a7 := wire.Life{Node: "b", Boot: 5}, wire.Life{Node: "a", Boot: 7}
 	for _, x := range []struct {
 		name      string
--- a/internal/core/meeting_users_test.go
+++ b/internal/core/meeting_users_test.go
@@ -14,6 +14,7 @@
 // The answer to a call that was made under an earlier grant comes when the machine has gone to
 // another holder and back. It accounts for nothing: what was started since is not in it.
 func TestALateAnswerAccountsForNothing(t *testing.T) {
+	t.Parallel()
 	w := staffed(t, 730, 4)
 	name := w.order[0]
 	m := w.machines[name]
--- a/internal/core/meeting_zones_test.go
+++ b/internal/core/meeting_zones_test.go
@@ -13,6 +13,7 @@
 // alone or from the state service too. Users cancel and submit meanwhile, machines hang, and
 // the leader ends. All is as before in the end.
 func TestAZoneCutOffForLongerThanALease(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		cut   time.Duration
@@ -49,6 +50,7 @@
 // machines: one after the other, half a zone at once, or a block that hangs, while the leader
 // or their holder ends. No task goes to another zone, and all are done.
 func TestJobsOfOneZoneLoseMachines(t *testing.T) {
+	t.Parallel()
 	for _, ends := range []string{"nobody", "the leader", "the holder"} {
 		t.Run(ends, func(t *testing.T) {
 			t.Parallel()
@@ -103,6 +105,7 @@
 // There is more work than room, urgent and not, over slow links. No
 // team goes beyond its limit, urgent work begins within bounds, and all is done in the end.
 func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	t.Parallel()
 	for _, slow := range []time.Duration{40, 120, 240} {
 		t.Run(fmt.Sprint(int64(slow), " ms"), func(t *testing.T) {
 			t.Parallel()
@@ -150,6 +153,7 @@
 // or the holder. What is cancelled is stopped by call before the lease would end it, and what
 // they ran goes on elsewhere or again.
 func TestWorkersWithoutAVoice(t *testing.T) {
+	t.Parallel()
 	for _, who := range []string{"three", "a zone", "all"} {
 		for _, d := range []time.Duration{6 * sec, 14 * sec, 50 * sec} {
 			t.Run(fmt.Sprint(who, " for ", d), func(t *testing.T) {
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -299,6 +299,7 @@
 // Every order of ordersDepth of the things that may happen is played from each start, and longer ones that
 // fell once. No rule breaks, nothing that was done runs again unless its machine was lost, and all gets done.
 func TestOrdersOfTroubles(t *testing.T) {
+	t.Parallel()
 	names := sortedKeys(smallEvents)
 	states, orders, began := map[uint64]bool{}, 0, time.Now()
 	for _, start := range []string{"few tasks", "many tasks", "moved", "moved, idle"} {
--- a/internal/core/progressing_test.go
+++ b/internal/core/progressing_test.go
@@ -50,6 +50,7 @@
 // out of the record again and again until it fitted: tasks that had been cleared from their
 // workers were started again by whoever took the job over.
 func TestDoneTasksStayDoneHoweverScattered(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct{ bytes, tasks int }{{2048, 800}, {8192, 2400}} {
 		for _, understood := range []bool{false, true} {
 			t.Run(fmt.Sprint(x.bytes, understood), func(t *testing.T) {
@@ -90,6 +91,7 @@
 // will take has them written at once, and so has one that has just gone or whose lease is over.
 // The holder ends a second later; nothing that was done runs again.
 func TestEndsOutliveTheirMachineAndItsHolder(t *testing.T) {
+	t.Parallel()
 	drained := func(w *world, m *host) {
 		w.ask("c1", func(q uint64) any {
 			return AdminCordon{Req: q, Machine: m.info.Name, Cordon: &wire.Cordon{Drain: true}}
--- a/internal/core/prompting_test.go
+++ b/internal/core/prompting_test.go
@@ -11,6 +11,7 @@
 // called, and asks for it. Its token is higher than before and lower than any that
 // another holder can be granted.
 func TestStartDoesNotWaitForTheNextReport(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 5, 3, func(w *world) { w.reportS = 8 * sec })
 	for i := range 6 {
 		w.addMachine([]string{"n", "s"}[i%2], false, sec)
@@ -42,6 +43,7 @@
 // A machine is called as urgently as the most urgent of the starts that its report could not be
 // answered with. Which of them counted hung on the order of a map, and a seed did not repeat.
 func TestTheMostUrgentUnsentStartCounts(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 7, 1, func(w *world) { w.reportS = 8 * sec })
 	a, b := w.addMachine("n", false, sec), w.addMachine("n", false, sec)
 	w.run(30 * sec)
@@ -65,6 +67,7 @@
 
 // The workers of a block that moves are sent to its next holder at once.
 func TestMovedBlockReportsToItsNextHolder(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 6, 3, func(w *world) { w.reportS = 8 * sec })
 	for i := range 12 {
 		w.addMachine([]string{"n", "s"}[i%2], false, sec)
--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -40,6 +40,7 @@
 // to the old version after all were new. With presence alone it would be on whenever the old
 // one is down.
 func TestFeatureWaitsForOneThatIsDown(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 391, 3)
 	fresh := w.params
 	w.older("c0", "c1", "c2")
@@ -92,6 +93,7 @@
 // the others being older again already, so that nobody puts it right: it is not written down,
 // for the life that it is about is over.
 func TestVersionOfAnEarlierLifeExecutedLate(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 392, 3)
 	w.run(15 * time.Second)
 	w.wantOn("all new", true)
@@ -125,6 +127,7 @@
 
 // What the version in production has written, in the records kept as test data, is taken up.
 func TestRecordsOfProductionAreTakenUp(t *testing.T) {
+	t.Parallel()
 	b, err := os.ReadFile("../../wire/testdata/production/records.json")
 	if err != nil {
 		t.Fatal(err)
@@ -164,6 +167,7 @@
 // A kind of message that a later version sends, and this one does not know, is no ping: it was
 // answered as one, and what had been kept for its sender's mirror was taken for unseen.
 func TestAnUnknownKindOfMessageIsNoPing(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 393, 3)
 	w.run(10 * time.Second)
 	c := w.nodes["c0"].core
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -26,6 +26,7 @@
 // with a state service that takes 20 changes a second. The world checks the
 // rules; here stand progress by the fake clock, and what it may cost.
 func TestLargeFleet(t *testing.T) {
+	t.Parallel()
 	const machines, replicas = 500, 150
 	w := newWorld(t, 31, 3, func(w *world) {
 		w.limits.WriteRPS, w.capacity, w.runS = 20, machines/4, 200*sec
--- a/internal/core/schedules_test.go
+++ b/internal/core/schedules_test.go
@@ -26,6 +26,7 @@
 // that are lost, writes that come late, and aborts, at seeded moments. The
 // world checks the rules; at the end everything accepted is done.
 func TestRandomSchedules(t *testing.T) {
+	t.Parallel()
 	seeds := []uint64{182, 243, 507, 578} // a block moved between two shards of one holder
 	for s := uint64(100); s < 100+schedules; s++ {
 		seeds = append(seeds, s, s+10000)
--- a/internal/core/starting_test.go
+++ b/internal/core/starting_test.go
@@ -30,6 +30,7 @@
 // Services that come together are started with few changes, and a successor knows on
 // which machine each of them may be: it waits for that machine alone, and starts none twice.
 func TestStartsOfManyJobsInOneChange(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 21, 2, func(w *world) {
 		w.teams = map[string]Team{"red": {CPUs: 80, CPUsMax: 80}, "blue": {CPUs: 8, CPUsMax: 8}}
 		w.capacity = 40
@@ -101,6 +102,7 @@
 // A machine that has been used is waited for after a takeover, though its block's record
 // still calls it fresh: that it is not fresh stands among the starts.
 func TestAUsedMachineIsNotFresh(t *testing.T) {
+	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 8}}, Lease: 10 * sec, Cancel: 40 * sec, TxnOps: 8, ValueBytes: 8192})
 	c.Step(0, time.UnixMilli(1e12), Tick{})
 	c.boot, c.loaded = 7, true
@@ -124,6 +126,7 @@
 // A controller that starts judges the machines that boot then, and takes none of those that
 // are up for a boot that it has seen.
 func TestBootsAreJudgedAfterAStart(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 22, 2, func(w *world) { w.capacity = 40 })
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeBatch, 20))
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -10,6 +10,7 @@
 
 // Only the holder of a machine's block says 200; others name it.
 func TestOnlyTheHolderAnswers(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 3)
 	name := w.addMachine("n", false, sec)
 	w.run(10 * sec)
@@ -53,6 +54,7 @@
 // A machine that hangs keeps its tasks until its lease is surely over; then
 // they run elsewhere, and when it wakes nothing runs twice.
 func TestHungMachine(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4, 3)
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeService, 3))
@@ -86,6 +88,7 @@
 // packets back ended, reports of sessions long over named dozens of tasks that
 // ran elsewhere by then.
 func TestReportOfASessionThatIsOver(t *testing.T) {
+	t.Parallel()
 	w, _ := runningServices(t, 21)
 	var hung *host
 	for _, n := range w.order {
@@ -114,6 +117,7 @@
 // machines a few never come up, and after a takeover every started task waited
 // half a minute for them, though nothing had ever been started there.
 func TestTakeoverDoesNotWaitForUnusedMachines(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 22, 3)
 	w.run(4 * sec)
 	w.cloud.Trouble.Unborn = 1
@@ -130,6 +134,7 @@
 // the next leader found it in a late list, and tried for 40 s to form a block
 // under a name that was taken. Nothing was rented meanwhile.
 func TestDeletedMachineInALateList(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 25, 3)
 	first := w.addMachine("n", false, sec)
 	w.addMachine("n", false, sec)
@@ -163,6 +168,7 @@
 // The same day had two crashes of one controller in a row: that the lives before
 // the last one were dead could not be proven any more.
 func TestTwoCrashesInARow(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 23, 1)
 	w.addMachine("n", false, sec)
 	w.run(4 * sec)
@@ -190,6 +196,7 @@
 // down for longer than a lease, and every replica waited for the one machine
 // that was cut off. A replica waits for its own machine only, and goes back there.
 func TestReplicasGoBackWithoutWaitingForOthers(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 24, 3)
 	w.run(4 * sec)
 	for i := range 8 {
@@ -237,6 +244,7 @@
 // Found in an incident at Dakar: a controller that no worker reached any more,
 // alive otherwise, lost all its tasks. Others pass its workers' reports on.
 func TestWorkersCutFromTheirHolder(t *testing.T) {
+	t.Parallel()
 	w, kept := runningServices(t, 9)
 	for n := range w.machines {
 		w.lost[w.holderOf(n)] = true
@@ -249,6 +257,7 @@
 // reported to another controller, which passed the report on to the dead one and let
 // the worker wait for 3.5 s. With the pauses around it that was a whole lease.
 func TestAReportToADeadHolderIsAnsweredSoon(t *testing.T) {
+	t.Parallel()
 	w, _ := runningServices(t, 19)
 	var m *host
 	for _, n := range w.order {
@@ -281,6 +290,7 @@
 // made before another controller wrote the job's abort and answered after the watch had
 // told of it, brought the job back to life here. Its replica was never stopped.
 func TestALateReadDoesNotBringAJobBack(t *testing.T) {
+	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
 	c.boot, c.loaded, c.rev = 7, true, 50
 	s := spec("job-000001", "red", wire.ShapeService, 1)
@@ -335,6 +345,7 @@
 // Found in the same incident: a controller cut off from the state service kept
 // its workers for 25 s from the one that had been granted its shard.
 func TestYieldsToLaterToken(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 10, 3)
 	w.noWays = true
 	name := w.addMachine("n", false, sec)
@@ -384,6 +395,7 @@
 // A peer that has restarted cannot speak for its earlier life, and one that
 // knows of newer revisions vouches for nobody.
 func TestPeersVouchOnlyForWhatTheyKnow(t *testing.T) {
+	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Lease: 10 * sec, Cancel: 40 * sec})
 	c.boot, c.loaded, c.rev = 1, true, 100
 	c.renewOK, c.watchOK = 50*sec, 50*sec
@@ -412,6 +424,7 @@
 // A holder that alone loses the state service must stop answering early
 // enough that a cancelled job's tasks are gone within cancel_s.
 func TestLoneOutageAndAbort(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 6, 3)
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeService, 3))
@@ -447,6 +460,7 @@
 // its mirror ahead of the earlier holder's last writes, and tasks those had
 // started were started again. The grant counts only once the watch is there.
 func TestShardTakenUpOnlyWhenMirrorHasCaughtUp(t *testing.T) {
+	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
 	c.boot, c.loaded, c.rev = 7, true, 90
 	put := func(key string, v any, ver uint64) {
@@ -472,6 +486,7 @@
 
 // A task's start is written before it is sent, its end before it is cleared.
 func TestWriteBeforeStartAndClear(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 7, 1)
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeBatch, 1))
@@ -499,6 +514,7 @@
 
 // A machine that fails all it starts is returned; the job completes elsewhere.
 func TestSickMachine(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 8, 1)
 	sick := w.addMachine("n", false, sec)
 	w.machines[sick].sick = true
@@ -519,6 +535,7 @@
 // One rented machine that died with the holder does not hold up the started tasks of its
 // shard for a lease: it is given back, and its deletion is the proof.
 func TestMissingRentedMachineIsGivenBackAfterATakeover(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 21, 3, func(w *world) {
 		w.runS, w.teams = 300*sec, map[string]Team{"red": {CPUs: 40, CPUsMax: 60}}
 	})
--- a/internal/core/trailing_test.go
+++ b/internal/core/trailing_test.go
@@ -45,6 +45,7 @@
 // What is believed after a machine hangs, and after its holder dies, can be
 // followed from effect to cause, and outlives the holder.
 func TestTrailOfARecovery(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 41, 3)
 	w.run(4 * sec)
 	w.submit(spec("job-000001", "red", wire.ShapeService, 3))
--- a/internal/core/users_test.go
+++ b/internal/core/users_test.go
@@ -11,6 +11,7 @@
 // A user who has been told of an abort by one controller is told the same by another,
 // whose own watch lags behind: a poll is never answered from an old mirror.
 func TestPollIsAsFreshAsWhatAnotherControllerHasTold(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 9, 3)
 	for i := range 4 {
 		w.addMachine([]string{"n", "s"}[i%2], false, sec)
@@ -41,6 +42,7 @@
 
 // However many jobs are asked for, the state service is asked once.
 func TestPollsShareOneLookAtTheState(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 10, 3)
 	w.addMachine("n", false, sec)
 	w.run(20 * sec)
--- a/internal/core/ways_test.go
+++ b/internal/core/ways_test.go
@@ -12,6 +12,7 @@
 // A holder that alone is cut off from the state service goes on through a peer: it keeps
 // its grant and its shard, starts and ends work, and answers users.
 func TestCutFromTheStateServiceGoesAround(t *testing.T) {
+	t.Parallel()
 	for _, refused := range []bool{true, false} {
 		w := newWorld(t, 31, 3)
 		for i := range 4 {
@@ -46,6 +47,7 @@
 
 // Between a controller and the state service may stand two others.
 func TestWayOverTwoPeers(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 32, 3)
 	name := w.addMachine("n", false, sec)
 	w.run(10 * sec)
@@ -77,6 +79,7 @@
 // A user never waits at a controller that can't serve while others can; in an outage that
 // all share every controller stays ready.
 func TestReadyFollowsReach(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 33, 3)
 	w.run(10 * sec)
 	ready := func(n string) int {
@@ -119,6 +122,7 @@
 // answer was late, the job was aborted meanwhile, and the list of all keys, read without
 // it, was there first. The job was live again in that controller for ever.
 func TestAReadOlderThanTheListDoesNotBringAJobBack(t *testing.T) {
+	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
 	job := spec("job-000001", "red", wire.ShapeService, 1)
 	rec, err := job.Validate()
@@ -157,6 +161,7 @@
 // A leader that the cloud does not answer makes way for one that it answers, once; when the
 // cloud answers nobody, nobody does.
 func TestLeaderWithoutCloudMakesWay(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 34, 3)
 	w.run(10 * sec)
 	old := w.holders()[0]
@@ -186,6 +191,7 @@
 // machines deleted half a minute before. The leader formed blocks of them, and after the
 // next change of hands every started task waited 52 s for machines that were no more.
 func TestLateReportOfADeletedMachine(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 35, 3)
 	name := w.addMachine("n", false, sec)
 	w.addMachine("n", false, sec)
@@ -212,6 +218,7 @@
 // answer accounts for the machine, whatever session it is in, and the former holder, who
 // still answers it, starts nothing more there.
 func TestCallAccountsForAMachine(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 36, 3, func(w *world) { w.reportS = 8 * sec; w.lease = 26 * sec; w.cancelS = 60 * sec })
 	for i := range 6 {
 		w.addMachine([]string{"n", "s"}[i%2], false, sec)
@@ -294,6 +301,7 @@
 // A leader that stood still believes that it leads until it hears otherwise. What it then
 // does with shards compares the leader's record, so it takes nothing back on waking.
 func TestAStaleLeaderMovesNoShard(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 52, 3)
 	w.run(25 * sec)
 	leader := w.nodes["c0"].core.chief.Node
@@ -333,6 +341,7 @@
 // All controllers are cut off from the workers for longer than a lease: the machines are
 // rented, and none is given back for it.
 func TestMachinesOutliveACutOfAll(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 51, 2, func(w *world) {
 		w.capacity, w.runS = 20, 60*sec
 		w.teams = map[string]Team{"red": {CPUs: 40, CPUsMax: 40}, "blue": {CPUs: 40, CPUsMax: 40}}
@@ -370,6 +379,7 @@
 // from their holder at once; the cloud's list would tell them seconds later. Without it a
 // holder cut off from such machines kept them, for nobody else could call them.
 func TestAddressesOfMachinesThatHaveJustComeUp(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 53, 3, func(w *world) { w.capacity = 20 })
 	w.run(4 * sec)
 	s := spec("job-000001", "red", wire.ShapeService, 8)
