--- a/internal/aims/aims.go
+++ b/internal/aims/aims.go
@@ -9,12 +9,13 @@
 type Aims struct {
 	// Finished: a job of the class should be done so many seconds after it was accepted.
 	Finished map[string]float64
-	// Begun: the tasks of a job of the class should have begun so many seconds after it could run.
+	// Begun: the tasks of a job of the class should have begun within so many seconds of when it could run.
 	Begun map[string]float64
 }
 
 // Ahead tells whether machines for work of a class have to be asked for before it could run: its tasks
-// would be late if one of them were asked for then, took as long as it may to be up, and fetched an image.
+// would be late if one of them were asked for then, took as long as it may to be up, and fetched an image. boot
+// is the usual time of a boot and fetch what comes after it, in seconds; a slow boot takes so many times the usual.
 func (a Aims) Ahead(class string, boot, fetch, slow float64) bool {
 	s := a.Begun[class]
 	return s > 0 && boot*slow+fetch > s
--- a/internal/aims/aims_test.go
+++ b/internal/aims/aims_test.go
@@ -54,3 +54,18 @@
 		}
 	})
 }
+
+// Machines are asked for ahead where a slow boot and a fetch take longer than users wait; nothing is, of a
+// class of which nobody has said how long they do.
+func TestAhead(t *testing.T) {
+	a := Aims{Begun: map[string]float64{"plan": 40}}
+	for _, x := range []struct {
+		class       string
+		boot, fetch float64
+		want        bool
+	}{{"plan", 25, 10, true}, {"plan", 15, 10, false}, {"other", 100, 10, false}} {
+		if got := a.Ahead(x.class, x.boot, x.fetch, 1.5); got != x.want {
+			t.Errorf("%+v: %v", x, got)
+		}
+	}
+}
--- a/internal/core/meeting_ahead_test.go
+++ b/internal/core/meeting_ahead_test.go
@@ -76,3 +76,32 @@
 		})
 	}
 }
+
+// An array beyond its team's guarantee has as many machines asked for as it needs to be done in time, not one
+// place for each task; within the guarantee each task has one. Fails without the pace in deserves.
+func TestArraysRentByTheirDeadline(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		guarantee   float64
+		least, most int // machines
+	}{{4, 2, 8}, {200, 18, 24}} {
+		w := newWorld(t, 985, 3, func(w *world) {
+			w.capacity = 40
+			w.taskRuns = func(int) time.Duration { return 10 * sec }
+			w.teams = map[string]Team{"red": {CPUs: c.guarantee, CPUsMax: 200}}
+		})
+		w.run(5 * sec)
+		s := spec("job-000001", "red", wire.ShapeBatch, 80)
+		s.EstimateS, s.DueS = ptr(10.0), ptr(200.0)
+		w.submit(s)
+		w.run(15 * sec)
+		if n := len(w.order); n < c.least || n > c.most {
+			t.Errorf("guarantee %v: %d machines rented for 80 tasks of 10 s in 200 s, want %d to %d", c.guarantee, n, c.least, c.most)
+		}
+		w.run(180 * sec)
+		w.askAll()
+		if w.check.Final("job-000001") != wire.JobDone {
+			t.Errorf("guarantee %v: not done in time, %d of 80 tasks are", c.guarantee, w.check.DoneTasks("job-000001"))
+		}
+	}
+}
--- a/internal/supply/supply.go
+++ b/internal/supply/supply.go
@@ -35,11 +35,12 @@
 	Idle   bool // gives way to all other work
 }
 
-// JobSize is what each task of a job takes, NeedSize each of a need.
+// JobSize is what each task of a job takes.
 func JobSize(j *wire.Job) placement.Size {
 	return placement.Size{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemoryGB}
 }
 
+// NeedSize is what each task of a need takes.
 func NeedSize(n wire.Need) placement.Size {
 	return placement.Size{CPUs: n.CPUs, GPUs: n.GPUs, MemGB: n.MemGB}
 }
