A holder that hears few of its machines gives its shard away, and not back within the cut

reach: a shard under half of whose machines report is sought by others; reach is the smaller of reports and sample. duty: the 15 s until a shard goes home count from its being given away. recovery: what a taker does within 50 ms before the write is known counts, what the giver does does not. Who calls through whom moved to duty.Book.

--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -232,7 +232,7 @@
 			c.tellers[i] = wants.NewTeller(wantPace)
 		}
 		c.wantSent[i] = w
-		n, tell, write := c.tellers[i].Next(c.now, w, c.wants[i], c.hears(c.chief.Node))
+		n, tell, write := c.tellers[i].Next(c.now, w, c.wants[i], c.words.Hears(c.now, c.chief.Node))
 		if tell {
 			told = append(told, wants.Told{Shard: i, Token: c.shards[i].ver, N: n, Want: w})
 		}
@@ -250,9 +250,6 @@
 	}
 }
 
-// hears tells whether messages between us and a controller get through.
-func (c *Core) hears(node string) bool { return node == c.p.Node || c.near(node) }
-
 // wantOf is what a shard lacks, as far as we know.
 func (c *Core) wantOf(i int) wire.Want {
 	s := c.shards[i]
--- a/internal/core/prompting.go
+++ b/internal/core/prompting.go
@@ -9,14 +9,10 @@
 // callWorker calls a worker, through a peer if we reach none of them and it does. A peer on the
 // way is like a slow network: the worker compares token and session of what we sent.
 func (c *Core) callWorker(v Order) {
-	if c.workers.Lacks(c.now) {
-		for _, n := range sortedKeys(c.nodes) {
-			if n != c.p.Node && c.near(n) && !c.wordOf(n).Lacks {
-				v.For = c.p.Node
-				c.tell(n, PeerMessage{Order: &v})
-				return
-			}
-		}
+	if n := c.words.ToWorkers(c.now); n != "" {
+		v.For = c.p.Node
+		c.tell(n, PeerMessage{Order: &v})
+		return
 	}
 	c.out = append(c.out, v)
 }
--- a/internal/core/ways_test.go
+++ b/internal/core/ways_test.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -418,3 +420,63 @@
 	w.abort("job-000001")
 	w.run(5 * sec)
 }
+
+// Found in a rehearsal, by machines that had come up within the cut: a holder that its peers do not reach
+// hears one machine of many, whether the others' workers answer its calls or not. Their leases ended, for
+// they were sent back to it.
+func TestHolderThatReachesFewMachines(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(41); seed < 47; seed++ {
+		w := newWorld(t, seed, 3, func(w *world) {
+			w.lease, w.cancelS, w.reportS = 12*sec, 40*sec, sec
+			w.teams = map[string]Team{"red": {CPUs: 32, CPUsMax: 40}, "blue": {CPUs: 8, CPUsMax: 12}}
+		})
+		for i := range 8 {
+			w.addMachine([]string{"n", "s"}[i%2], false, sec)
+		}
+		w.run(8 * sec)
+		s := spec("job-000001", "red", wire.ShapeService, 5)
+		s.DueS, s.Priority, s.CPUs = nil, ptr("urgent"), ptr(4.0)
+		w.submit(s)
+		w.run(20 * sec)
+		holder, list := w.shardRec("red").Holder, []string{}
+		for _, n := range w.order {
+			if !w.machines[n].gone && w.holderOf(n) == holder {
+				list = append(list, n)
+			}
+		}
+		before := w.where("job-000001")
+		if len(list) < 4 || len(before) < 3 {
+			t.Fatalf("seed %d: not the meeting: %d machines, tasks on %v", seed, len(list), before)
+		}
+		w.lost[holder], w.kept, w.called = true, map[string]bool{list[0]: true}, seed%2 == 0
+		w.silence(holder, true)
+		for range 40 {
+			w.run(sec)
+			for n := range before {
+				if len(w.machines[n].tasks()) == 0 {
+					t.Fatalf("seed %d: %v: the replica on %s is lost; %s hears one of %d machines, and the shard is with %s", seed, w.now, n, holder, len(list), w.shardRec("red").Holder)
+				}
+			}
+		}
+		clear(w.lost)
+		w.silence(holder, false)
+		w.run(40 * sec)
+		if after := w.where("job-000001"); !maps.Equal(before, after) {
+			t.Errorf("seed %d: replicas were on %v, and are on %v", seed, before, after)
+		}
+	}
+}
+
+// where counts the running tasks of a job by machine.
+func (w *world) where(job string) map[string]int {
+	on := map[string]int{}
+	for _, n := range w.order {
+		for _, a := range w.machines[n].tasks() {
+			if strings.HasPrefix(a.Task, job+"/") && a.Status == wire.TaskRunning {
+				on[n]++
+			}
+		}
+	}
+	return on
+}
--- a/internal/core/world_orders_test.go
+++ b/internal/core/world_orders_test.go
@@ -55,7 +55,7 @@
 			w.step(n, OrderDone{Machine: v.Machine, Token: v.Orders.Token, Session: v.Orders.Session, Look: v.Look, For: v.For, Status: status, Report: r})
 		}
 	}
-	if w.outOfReach(n.name, v.Machine) || w.oneWay[n.name] == "calls" || w.deaf[v.Machine] {
+	if w.outOfReach(n.name, v.Machine) && !w.called || w.oneWay[n.name] == "calls" || w.deaf[v.Machine] {
 		w.at(tuning.OrderTimeout, func() { told(0, wire.Report{}) })
 		return
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -57,6 +57,8 @@
 	slow    time.Duration      // when machines and cancelled tasks are looked at next
 	apart   map[[2]string]bool // zone pairs that cannot reach each other
 	lost    map[string]bool    // controllers that no worker reaches
+	kept    map[string]bool    // but for the workers of these machines
+	called  bool               // and whose calls the others answer all the same
 	oneWay  map[string]string  // controllers that no report reaches ("reports"), or that reach no worker ("calls")
 	noCloud map[string]bool    // controllers whose calls of the cloud arrive nowhere
 	hung    map[string]bool    // controllers whose calls of the state service arrive nowhere
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -230,7 +230,7 @@
 // outOfReach tells whether a controller and a machine cannot speak to each other.
 func (w *world) outOfReach(node, machine string) bool {
 	a, b := w.params(node).Zone, w.machines[machine].info.Zone
-	return w.lost[node] || w.apart[[2]string{a, b}] || w.apart[[2]string{b, a}]
+	return w.lost[node] && !w.kept[machine] || w.apart[[2]string{a, b}] || w.apart[[2]string{b, a}]
 }
 
 func (w *world) hang(m *host) { m.Fault.Hung = true }
--- a/internal/duty/book.go
+++ b/internal/duty/book.go
@@ -79,6 +79,23 @@
 	return ok && now-at <= b.limits.Near
 }
 
+// Hears tells whether messages between us and a controller, or ourselves, get through.
+func (b *Book) Hears(now time.Duration, node string) bool { return node == b.self || b.Near(now, node) }
+
+// ToWorkers is a controller that reaches workers and that we reach, if we reach none ourselves; "":
+// there is none, or we do.
+func (b *Book) ToWorkers(now time.Duration) string {
+	if !b.workers.Lacks(now) {
+		return ""
+	}
+	for _, n := range b.others() {
+		if b.Near(now, n) && !b.Of(now, n).Lacks {
+			return n
+		}
+	}
+	return ""
+}
+
 // Of is a controller's newest word that we have.
 func (b *Book) Of(now time.Duration, node string) wire.Reach {
 	if s, ok := b.spoken[node]; ok && now-s.at < b.limits.Keep {
@@ -169,10 +186,19 @@
 }
 
 // GiveTo is the controller to whom a held shard is given, of which so many machines are expected
-// and none has been heard for silent; "": it stays.
+// and none or few have been heard for silent; "": it stays.
 func (b *Book) GiveTo(now time.Duration, s Self, shard, of int, silent time.Duration, home string, held map[string]int) string {
 	others := slices.DeleteFunc(b.Members(now, s, shard, held), func(m Member) bool { return m.Node == b.self })
-	return b.rules.GiveTo(Reach{Of: of}, silent, home, b.zones, others)
+	of, heard := b.workers.Reached(shard, of)
+	return b.rules.GiveTo(Reach{Of: of, Heard: heard}, silent, home, b.zones, others)
+}
+
+// Moved takes a new version of a shard's record. A controller that is present and no longer holds its
+// own has given it away, as one that lacks workers; its word of that may end sooner than the cut.
+func (b *Book) Moved(now time.Duration, old, rec *wire.Shard) {
+	if n, here := b.present[rec.Home]; here && old.Holder == rec.Home && rec.Holder != rec.Home && n.Boot == old.Boot {
+		b.lacked[rec.Home] = now
+	}
 }
 
 // GoesHome tells whether a shard may go back to the controller it is homed at, which has been
--- a/internal/duty/book_test.go
+++ b/internal/duty/book_test.go
@@ -54,6 +54,31 @@
 	}
 }
 
+// Calls to workers go through a peer once none is reached from here: one that is near and reaches some.
+func TestToWorkers(t *testing.T) {
+	b, _ := bookOf()
+	b.workers = reach.NewWorkers(reach.WorkerLimits{Deaf: time.Minute, Crowd: reach.CrowdLimits{Least: 1500 * time.Millisecond}})
+	b.Answered(3*time.Second, "b")
+	b.Answered(3*time.Second, "c")
+	b.Spoke(3*time.Second, "b", wire.Reach{Boot: 2, Lacks: true})
+	if to := b.ToWorkers(3 * time.Second); to != "" {
+		t.Errorf("workers may be reached, and calls go through %s", to)
+	}
+	for at := range 3 {
+		b.workers.Watch(time.Duration(at)*time.Second, map[int]reach.Crowd{0: {Of: 6}})
+	}
+	b.workers.Watch(3*time.Second, nil) // all silent, given away
+	if to := b.ToWorkers(3 * time.Second); to != "c" {
+		t.Errorf("through %q", to)
+	}
+	if to := b.ToWorkers(9 * time.Second); to != "" {
+		t.Errorf("through %s, which has not answered for 6 s", to)
+	}
+	if !b.Hears(9*time.Second, "a") || b.Hears(9*time.Second, "c") || !b.Hears(3500*time.Millisecond, "c") {
+		t.Error("heard is who is near, or oneself")
+	}
+}
+
 // A shard goes home once that has been there for long, has workers, and few machines are missed.
 func TestGoesHome(t *testing.T) {
 	b, _ := bookOf()
@@ -67,12 +92,20 @@
 	if at(19*time.Second) || at(30*time.Second) || !at(34*time.Second) {
 		t.Error("so long after it last lacked workers")
 	}
+	b.Moved(34*time.Second, &wire.Shard{Holder: "b", Boot: 1, Home: "b"}, rec) // taken from an earlier life
+	if !at(34 * time.Second) {
+		t.Error("it was dead, and is there for long")
+	}
+	b.Moved(34*time.Second, &wire.Shard{Holder: "b", Boot: 2, Home: "b"}, rec)
+	if at(48*time.Second) || !at(50*time.Second) {
+		t.Error("so long after it gave its shard away, whatever its word")
+	}
 	b.Watch(34*time.Second, map[int]int{0: 3}, func(int) int { return 100 })
-	if at(34 * time.Second) {
+	if at(50 * time.Second) {
 		t.Error("many of its machines are missed")
 	}
-	b.Watch(35*time.Second, map[int]int{0: 3}, func(int) int { return 1000 })
-	if rec.Settled = false; at(35 * time.Second) {
+	b.Watch(50*time.Second, map[int]int{0: 3}, func(int) int { return 1000 })
+	if rec.Settled = false; at(50 * time.Second) {
 		t.Error("not settled")
 	}
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -311,3 +311,78 @@
 		t.Error("450 machines are silent for two seconds, and it does not see it")
 	}
 }
+
+// A holder that hears few of its machines calls some, and seeks others who reach them: at once if few
+// answer, else once reports stay away all the same. Reports of the few go on, and do not say that it is
+// cut off no more.
+func TestHolderOfFewMachines(t *testing.T) {
+	pick := func(shard, n int) []string { return []string{"a", "b", "c", "d"}[:n] }
+	for _, answering := range []int{0, 1, 2, 4} {
+		w := NewWorkers(WorkerLimits{Crowd: CrowdLimits{Every: time.Second, Least: time.Second, Gaps: 15, Most: 2.5, Ask: 5, Asked: 1.3},
+			Probe: 1200 * ms, Wait: 500 * ms, Sample: 4, Again: 3 * time.Second, Deaf: 30 * time.Second, DeafMax: time.Minute})
+		now, silentAt := time.Duration(0), time.Duration(0)
+		for ; now < 20*time.Second; now += 100 * ms {
+			c := Crowd{Of: 8, Heard: 8}
+			if now >= 5*time.Second {
+				c.Heard = 1
+			}
+			if now%(1100*ms) == 0 || now < 5*time.Second { // the one that is in reach, not always in time
+				w.Heard(now, 7, "h")
+			}
+			w.Watch(now, map[int]Crowd{7: c})
+			for _, m := range w.Probe(now, nil, pick) {
+				if m < []string{"a", "b", "c", "d", "e"}[answering] {
+					w.Answered(now, 7, m)
+				}
+			}
+			if silentAt == 0 && w.Silent(now, 7) > 0 {
+				silentAt = now
+			}
+			if w.Lacks(now) {
+				t.Fatalf("%d answer, one reports: it lacks workers at %v", answering, now)
+			}
+		}
+		if soon := 6 * time.Second; silentAt == 0 || answering < 2 != (silentAt < soon) || silentAt > 6500*ms {
+			t.Errorf("one of 8 reports since 5 s, %d of 4 answer calls: silent at %v", answering, silentAt)
+		}
+		of, heard := w.Reached(7, 8) // none of those called is less than one of 8 that report
+		if wantOf, want := 8, 1; answering > 0 && (of != wantOf || heard != want) || answering == 0 && (of != 4 || heard != 0) {
+			t.Errorf("%d of 4 answer: reached %d of %d", answering, heard, of)
+		}
+		if r := w.Word(now); len(r.Seeks) != 1 {
+			t.Errorf("%d of 4 answer: the word is %+v", answering, r)
+		}
+		w.Watch(now, nil) // given away
+		w.Heard(now+time.Second, Anywhere, "h")
+		if !w.Lacks(now+29*time.Second) || w.Lacks(now+30*time.Second) {
+			t.Errorf("%d of 4 answer: given away; cut off: %v", answering, w.Lacks(now+29*time.Second))
+		}
+	}
+}
+
+// Who has just taken a shard up, or has stood still, has not been heard by all its machines yet: that few
+// report says nothing until they all should have.
+func TestFewAtFirst(t *testing.T) {
+	w := NewWorkers(WorkerLimits{Crowd: CrowdLimits{Every: time.Second, Least: time.Second, Gaps: 15, Most: 2.5, Ask: 5, Asked: 1.3},
+		Probe: 1200 * ms, Wait: 500 * ms, Sample: 4, Again: 3 * time.Second})
+	for _, c := range []struct {
+		what string
+		at   time.Duration
+	}{{"taken up", 0}, {"stood still", 20 * time.Second}} {
+		for now := c.at; now < c.at+3700*ms; now += 100 * ms {
+			w.Heard(now, 7, "h")
+			w.Watch(now, map[int]Crowd{7: {Of: 8, Heard: 1}})
+			if w.Silent(now, 7) > 0 {
+				t.Errorf("%s, one of 8 reports: silent after %v", c.what, now-c.at)
+				break
+			}
+		}
+		for now := c.at + 3700*ms; now < c.at+6*time.Second; now += 100 * ms {
+			w.Heard(now, 7, "h")
+			w.Watch(now, map[int]Crowd{7: {Of: 8, Heard: 1}})
+		}
+		if w.Silent(c.at+6*time.Second, 7) == 0 {
+			t.Errorf("%s: one of 8 reports for 6 s, and it is not silent", c.what)
+		}
+	}
+}
--- a/internal/reach/workers.go
+++ b/internal/reach/workers.go
@@ -28,11 +28,15 @@
 	limits         WorkerLimits
 	last           map[int]time.Duration // held shard -> when one of its machines last reported
 	answered       map[int]time.Duration // and when one last answered a call
-	silent         map[int]bool          // held shards whose machines have all fallen silent
+	silent         map[int]bool          // held shards whose machines have fallen silent, all or most of them
+	few            map[int]time.Duration // held shards under half of whose machines, or none, report: since when
+	crowd          map[int]judged        // held shards as last judged
+	heeded         map[int]time.Duration // held shards: since when they are judged without a break
 	watched        time.Duration         // when the held shards were last judged
 	any            time.Duration         // when any worker was last heard
 	lacks          bool
 	deaf, deafTill time.Duration // after a shard was given away: for how long, and until when
+	partly         bool          // it was given away though some of its machines reported here
 	misses         int           // samples in a row that nobody answered
 	hits           int
 	samples        map[int]*Sample
@@ -42,15 +46,25 @@
 	own            map[int]called
 }
 
+// judged is a crowd with what was thought of it.
+type judged struct {
+	Crowd
+	level Level
+}
+
 // called is what the last sample of a held shard has shown, and when it began.
 type called struct {
-	at    time.Duration
-	heard int
+	at        time.Duration
+	of, heard int
 }
 
+// sure tells whether a sample says something of the time since: not if it began before, nor of one
+// machine alone.
+func (c called) sure(since time.Duration) bool { return c.of > 1 && c.at >= since }
+
 // NewWorkers returns a judgement that knows nothing yet.
 func NewWorkers(l WorkerLimits) *Workers {
-	return &Workers{limits: l, last: map[int]time.Duration{}, answered: map[int]time.Duration{}, silent: map[int]bool{}, samples: map[int]*Sample{},
+	return &Workers{limits: l, last: map[int]time.Duration{}, answered: map[int]time.Duration{}, silent: map[int]bool{}, few: map[int]time.Duration{}, crowd: map[int]judged{}, heeded: map[int]time.Duration{}, samples: map[int]*Sample{},
 		began: map[int]time.Duration{}, hears: map[int]wire.ShardReach{}, asking: map[int]bool{}, own: map[int]called{}}
 }
 
@@ -65,7 +79,9 @@
 // Heard notes that a worker has reported here. shard is that of its machine if it is held
 // here, else Anywhere.
 func (w *Workers) Heard(now time.Duration, shard int, machine string) {
-	w.deafTill, w.deaf = 0, 0
+	if !w.partly || now >= w.deafTill { // of one of a few it shows nothing new
+		w.deafTill, w.deaf, w.partly = 0, 0, false
+	}
 	w.HeardThrough(now, shard)
 	w.Answered(now, shard, machine)
 }
@@ -82,13 +98,33 @@
 	}
 }
 
-// Silent is for how long no machine of a held shard has been heard; 0 if that says
-// nothing yet.
+// Silent is for how long no machine of a held shard has been heard, or under half of them; 0 if
+// that says nothing yet.
 func (w *Workers) Silent(now time.Duration, shard int) time.Duration {
 	if !w.silent[shard] {
 		return 0
 	}
-	return now - w.last[shard]
+	return now - w.few[shard]
+}
+
+// some tells whether machines of a held shard report, and under half of them.
+func (w *Workers) some(shard int) bool {
+	_, few := w.few[shard]
+	return few && w.crowd[shard].level != Down && w.crowd[shard].Heard > 0
+}
+
+// Reached is how many of so many machines of a held shard are reached from here. If few report it is
+// these, or those of a sample that answer calls, whichever is the smaller part: the others call the
+// same machines. Else it is none, as far as is known.
+func (w *Workers) Reached(shard, machines int) (of, heard int) {
+	if !w.some(shard) {
+		return machines, 0
+	}
+	c, s := w.crowd[shard], w.own[shard]
+	if s.sure(w.few[shard]) && s.heard*c.Of < c.Heard*s.of {
+		return s.of, s.heard
+	}
+	return c.Of, c.Heard
 }
 
 // Lacks tells whether no workers are reached, or their reports do not come here. The
@@ -103,17 +139,22 @@
 			if w.silent[i] {
 				w.deaf = max(w.limits.Deaf, min(2*w.deaf, w.limits.DeafMax))
 				w.deafTill = now + w.deaf
+				w.partly = w.partly || w.some(i)
 			}
 			delete(w.last, i)
 			delete(w.silent, i)
+			delete(w.few, i)
+			delete(w.crowd, i)
+			delete(w.heeded, i)
 			delete(w.answered, i)
 		}
 	}
 	// Who has stood still has heard nobody meanwhile, and it says nothing of them.
 	if now-w.watched >= w.limits.Crowd.Least {
 		for i := range w.last {
-			w.last[i] = now
+			w.last[i], w.heeded[i] = now, now
 		}
+		clear(w.few)
 	}
 	w.watched = now
 	speaking := false
@@ -121,14 +162,28 @@
 	for _, i := range slices.Sorted(maps.Keys(held)) { // what one shard shows bears on the next
 		c := held[i]
 		if _, known := w.last[i]; !known {
-			w.last[i] = now
+			w.last[i], w.heeded[i] = now, now
 		}
 		c.Last = w.last[i]
 		level := w.limits.Crowd.Judge(now, c)
+		w.crowd[i] = judged{c, level}
 		// Calls that nobody answers make a silence that may be chance a certainty.
 		asked, called := w.own[i]
 		unanswered := called && asked.at > c.Last && asked.heard == 0
-		if level == Asking || level == Down {
+		since, few := w.few[i]
+		switch {
+		case level == Up || level == Unknown:
+			few = false
+			delete(w.few, i)
+		case level == Doubt && !few: // who has just begun has not been heard by all yet
+			since, few = now, now-w.heeded[i] > time.Duration(w.limits.Crowd.Most*float64(w.limits.Crowd.Every))
+		case level == Down && !few:
+			since, few = c.Last, true
+		}
+		if few {
+			w.few[i] = since
+		}
+		if level == Asking || level == Down || level == Doubt {
 			w.asking[i] = true
 		} else {
 			delete(w.own, i)
@@ -141,6 +196,11 @@
 			w.silent[i] = true
 			w.lacks = w.lacks || unanswered
 		}
+		// Most do not report. Few of those called since answer, or reports stay away though they do: the
+		// machines may be dead, or cut off from here alone. The others know.
+		if w.some(i) && (asked.sure(since) && 4*asked.heard <= asked.of || now-since > time.Duration(w.limits.Crowd.Asked*float64(w.limits.Crowd.Every))) {
+			w.silent[i] = true
+		}
 		speaking = speaking || level == Up || level == Doubt
 	}
 	if speaking && now-w.any <= w.limits.Probe {
@@ -192,7 +252,10 @@
 		}
 		delete(w.samples, i)
 		if _, held := w.last[i]; held {
-			w.own[i] = called{s.began, heard}
+			w.own[i] = called{s.began, of, heard}
+			if w.some(i) {
+				continue // some report: it says nothing of whether workers are reached at all
+			}
 		} else if i != Anywhere {
 			w.hears[i] = wire.ShardReach{Shard: i, Of: of, Heard: heard}
 		}
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -222,26 +222,31 @@
 	}
 }
 
+// atOnce is by how much what follows a write may be seen before it: each controller's trail has the time
+// of its own step, and who takes a shard may read the write before its writer has the answer.
+const atOnce = 50 * time.Millisecond
+
 // shards follows what became of the shards of the controllers that were hit.
 func (x *analysis) shards() {
 	taken, held, settled := map[int]Time{}, map[int]Time{}, map[int]Time{}
 	for _, o := range x.obs {
-		if o.From != FromTrail || o.Shard < 0 {
+		if _, known := taken[o.Shard]; o.From == FromTrail && o.Shard >= 0 && o.Kind == "shard_taken" && !known && slices.Contains(x.inc.Controllers, o.Node) {
+			taken[o.Shard] = o.At
+		}
+	}
+	for _, o := range x.obs {
+		at, mine := taken[o.Shard]
+		if o.From != FromTrail || !mine || o.At < at-atOnce || o.At < at && slices.Contains(x.inc.Controllers, o.By) {
 			continue
 		}
-		_, mine := taken[o.Shard]
 		switch o.Kind {
-		case "shard_taken":
-			if !mine && slices.Contains(x.inc.Controllers, o.Node) {
-				taken[o.Shard] = o.At
-			}
 		case "shard_held":
-			if _, known := held[o.Shard]; mine && !known {
-				held[o.Shard] = o.At
+			if _, known := held[o.Shard]; !known {
+				held[o.Shard] = max(at, o.At)
 			}
 		case "settled":
-			if _, known := settled[o.Shard]; mine && !known {
-				settled[o.Shard] = o.At
+			if _, known := settled[o.Shard]; !known {
+				settled[o.Shard] = max(at, o.At)
 			}
 		}
 	}
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// Who takes a shard reads of it, and may have settled it, before its writer has the answer; what the one
+// that gave it away does long after, or did just before, is another matter.
+func TestShardTakenAtOnce(t *testing.T) {
+	inc := Incident{Kind: "link", At: 10 * sec, Controllers: []string{"c1"}}
+	at := func(t Time, kind, node, by string) Observation {
+		return Observation{At: t, From: FromTrail, Kind: kind, Node: node, Shard: 1, By: by}
+	}
+	ms := Time(time.Millisecond)
+	seen := []Observation{at(13*sec-20*ms, "settled", "", "c1"), at(13*sec-2*ms, "shard_held", "", "c0"), at(13*sec-ms, "settled", "", "c0"),
+		at(13*sec, "shard_taken", "c1", "c1"), at(29*sec, "shard_held", "", "c1"), at(30*sec, "settled", "", "c1")}
+	want := []Step{{Noticed, 3000, 0, 1}, {TakenOver, 3000, 0, 1}, {TokenRaised, 3000, 0, 1}, {AccountedFor, 3000, 0, 1}}
+	if diff := cmp.Diff(want, Analyze(params, inc, seen)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Whatever is seen, in whatever order it comes: steps come in order, none lies before
 // the fault, and shuffling the observations changes nothing.
 func TestAnyOrder(t *testing.T) {
