--- a/cmd/barrowbridge/client.go
+++ b/cmd/barrowbridge/client.go
@@ -305,7 +305,7 @@
 				return c.print(map[string]string{"machine": args[0], "did": use}, use+" "+args[0])
 			}}
 	}
-	cmd.AddCommand(overview, why, c.chainCommand(), settings, c.trailCommand(), c.machineCommand(), c.reachCommand(), c.versionCommand(), c.ladderCommand(), c.crewCommand(),
+	cmd.AddCommand(overview, why, c.chainCommand(), settings, c.trailCommand(), c.machineCommand(), c.reachCommand(), c.weightsCommand(), c.versionCommand(), c.ladderCommand(), c.crewCommand(),
 		cordon("cordon", "Start nothing more on a machine", &wire.Cordon{}),
 		cordon("drain", "Stop what runs on a machine and give it back", &wire.Cordon{Drain: true}),
 		cordon("uncordon", "Let a cordoned machine be used again", nil))
--- a/cmd/barrowbridge/dev.go
+++ b/cmd/barrowbridge/dev.go
@@ -27,6 +27,8 @@
 	f.StringVar(&o.Addresses, "addresses", "", "write the addresses to this file, as JSON, once all is ready")
 	f.BoolVar(&o.Demo, "demo", false, "lose a machine and the leading controller under work, tell what happens, and end")
 	f.StringVar(&o.Dir, "dir", "", "folder for settings and logs, which is kept (default: a temporary one)")
+	f.Float64Var(&o.StoreGBps, "store-gb-per-s", 0, "what all fetches of images share (0: each machine gets its own rate)")
+	f.StringVar(&o.Switches, "switches", "", "file that turns on what is off by default, see deploy/weights.toml")
 	f.StringVar(&o.LogLevel, "log", "info", "the controllers' log level: error, info or debug")
 	return cmd
 }
--- a/cmd/barrowbridge/main.go
+++ b/cmd/barrowbridge/main.go
@@ -21,7 +21,7 @@
 }
 
 func root() *cobra.Command {
-	var path string
+	var path, switches string
 	cmd := &cobra.Command{
 		Use:           "barrowbridge --config FILE",
 		Short:         "A cluster scheduler that keeps going while nobody watches",
@@ -40,10 +40,16 @@
 			if err != nil {
 				return err
 			}
+			if switches != "" {
+				if cfg.Switches, err = config.LoadSwitches(switches); err != nil {
+					return err
+				}
+			}
 			return node.Run(context.Background(), cfg, log)
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "", "settings file; serve as a controller")
+	cmd.Flags().StringVar(&switches, "switches", "", "file that turns on what is off by default, see deploy/weights.toml")
 	cmd.AddCommand(devCommand(), rehearseCommand(), loadCommand(), jobCommand(), adminCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "barrowbridge", node.Version()) },
--- /dev/null
+++ b/cmd/barrowbridge/weights.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+func (c *client) weightsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "weights [IMAGE]", Short: "Print which machines have an image, or fetch it, and from whom", Args: cobra.MaximumNArgs(1),
+		Long: "Print which machines have an image, or fetch it, and from whom.\n\n" +
+			"All controllers named with --server are asked: each knows the machines of the shards it holds.\n" +
+			"Without IMAGE all images that machines have are listed, a line each.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			image := ""
+			if len(args) > 0 {
+				image = args[0]
+			}
+			var views []wire.WeightsView
+			var silent []string
+			for _, s := range c.servers {
+				one := &client{servers: []string{s}, timeout: min(askWait, c.timeout)}
+				var v wire.WeightsView
+				if err := one.call(http.MethodGet, "/admin/v1/weights?image="+url.QueryEscape(image), nil, &v); err != nil {
+					silent = append(silent, fmt.Sprintf("%s: %v", s, err))
+					continue
+				}
+				views = append(views, v)
+			}
+			if len(views) == 0 {
+				return &exitError{exitUnavailable, "no controller answered: " + strings.Join(silent, "; ")}
+			}
+			known := false
+			for _, v := range views {
+				known = known || len(v.Images) > 0
+			}
+			if image != "" && !known {
+				return &exitError{exitFailed, fmt.Sprintf("image %q is on no machine, and none fetches it", image)}
+			}
+			if c.json {
+				b, err := json.MarshalIndent(views, "", "  ")
+				if err != nil {
+					return err
+				}
+				_, err = fmt.Fprintln(c.out, string(b))
+				return err
+			}
+			_, err := fmt.Fprint(c.out, showWeights(views, silent, image != ""))
+			return err
+		},
+	}
+}
+
+// showWeights prints a line an image and controller; of one image a line a machine too.
+func showWeights(views []wire.WeightsView, silent []string, each bool) string {
+	var b strings.Builder
+	for _, v := range views {
+		if v.StoreGBps > 0 {
+			fmt.Fprintf(&b, "%-10s measures that the store gives %.1f GB/s in all; %d machines use it up\n", v.Node, v.StoreGBps, v.Most)
+		}
+		for _, x := range v.Images {
+			fmt.Fprintf(&b, "%-10s %-20s on %d machines, fetched by %d", v.Node, x.Image, len(x.Holders), len(x.Fetches))
+			last := 0.0
+			for _, f := range x.Fetches {
+				last = max(last, f.LeftS)
+			}
+			if last > 0 {
+				fmt.Fprintf(&b, ", the last expected in %.0f s", last)
+			}
+			b.WriteString("\n")
+			if !each {
+				continue
+			}
+			for _, h := range x.Holders {
+				fmt.Fprintf(&b, "  %-12s zone %-6s has it\n", h.Machine, h.Zone)
+			}
+			for _, f := range x.Fetches {
+				from := "the store"
+				if len(f.Sources) > 0 {
+					from = strings.Join(f.Sources, " and ")
+				}
+				fmt.Fprintf(&b, "  %-12s zone %-6s fetches it from %s since %.0f s, expected in %.0f s\n", f.Machine, f.Zone, from, f.ForS, f.LeftS)
+			}
+		}
+	}
+	for _, s := range silent {
+		fmt.Fprintf(&b, "not reached from here: %s\n", s)
+	}
+	return b.String()
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,8 @@
 	Peers      []Peer   `toml:"siblings"`
 	Services   Services `toml:"outside"`
 	Params     Params   `toml:"params"`
+	// Switches are read from a file of their own.
+	Switches Switches `toml:"-"`
 }
 
 // Peer is another controller.
--- a/internal/core/chains.go
+++ b/internal/core/chains.go
@@ -5,6 +5,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/dependency"
 	"github.com/barrowbridge/barrowbridge/internal/rollout"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -54,12 +55,7 @@
 
 // stageOf is what a job's expected length hangs on, and how long the machines that it may use boot.
 func (c *Core) stageOf(j *wire.Job) (s dependency.Stage, boot float64) {
-	rate := 0.0
-	for name, t := range c.types {
-		if allowsType(j.Types, name) {
-			rate, boot = max(rate, t.FetchGBps), max(boot, t.BootS)
-		}
-	}
+	rate, boot := supply.Speeds(c.types, j.Types)
 	s = dependency.Stage{Tasks: j.Tasks, Run: c.runs.Typical(j.Class, j.EstimateS).Seconds(), Spread: tuning.ChainSpread, Begin: tuning.ChainBegin.Seconds()}
 	if rate > 0 {
 		s.Fetch = j.ImageGB / rate
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/internal/weights"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -46,6 +47,7 @@
 	ValueBytes            int
 	Version               string   // of the program, for operators
 	Features              []string // that this version understands
+	Weights               weights.Switches
 }
 
 // Team is a team's guarantee and limit; +Inf: no limit.
@@ -98,6 +100,7 @@
 	kept     map[string]hold.Hold         // by team: of its limit, for a job that does not fit into the rest
 	runs     *forecast.Book
 	calendar *calendar.Book // the crews, and what is planned for their departures
+	weights  *weights.Book  // images that many machines want
 	chaining
 	addrs   *takeover.Book // where workers listen
 	listing bool           // the cloud's list is being read for that
@@ -127,7 +130,7 @@
 	c.books = newBooks(p.Teams)
 	c.aims = p.Aims
 	c.desk = newDesk(p)
-	c.calendar, c.chaining = newCalendar(), newChaining()
+	c.calendar, c.chaining, c.weights = newCalendar(), newChaining(), newWeights(p.Weights, c.caches)
 	c.kept = map[string]hold.Hold{}
 	c.places = map[int]*hold.Book[*machine]{}
 	c.runs = forecast.New(forecast.Params{Prior: tuning.ForecastPrior, Keep: tuning.ForecastKeep, Spread: tuning.ForecastSpread})
@@ -189,6 +192,8 @@
 		c.onAdminChain(v)
 	case AdminReach:
 		c.onAdminReach(v)
+	case AdminWeights:
+		c.onAdminWeights(v)
 	case AdminMachine:
 		c.onAdminMachine(v)
 	case StateDone:
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -1,11 +1,9 @@
 package core
 
 import (
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -21,7 +19,7 @@
 	c.flushStarts()
 	c.flushJobs()
 	c.flushLater()
-	c.tellCaches()
+	c.tellImages()
 }
 
 // batch is one write of the holder: every part of it compares its shard.
@@ -193,56 +191,6 @@
 	return rec, change
 }
 
-// tellCaches writes which images the machines of a shard have, now and then:
-// with the holder's memory that was lost, and for minutes after a takeover
-// services waited for images that other machines had.
-func (c *Core) tellCaches() {
-	if c.telling || !c.confirmed() || !c.every("caches", tuning.CachesEvery/10) {
-		return
-	}
-	for _, i := range sortedInts(c.learned) {
-		if !c.mine(i) {
-			delete(c.learned, i)
-			continue
-		}
-		if !c.every("caches"+strconv.Itoa(i), tuning.CachesEvery) {
-			continue
-		}
-		var has []ledger.MachineImages
-		for _, m := range c.heldMachines() {
-			if m.shard == i && !m.drop && len(m.images) > 0 {
-				has = append(has, ledger.MachineImages{Machine: m.name, Images: sortedKeys(m.images)})
-			}
-		}
-		parts := ledger.PackImages(has, c.p.ValueBytes-256)
-		if len(parts) == 0 {
-			delete(c.learned, i)
-			continue
-		}
-		// One record at a time, in turn; the duty is done when the last is written.
-		k := c.cachePart[i] % len(parts)
-		key := wire.PrefixCache + strconv.Itoa(i)
-		if k > 0 {
-			key += "." + strconv.Itoa(k)
-		}
-		c.cachePart[i] = k + 1
-		if k+1 < len(parts) {
-			c.retryAt["caches"+strconv.Itoa(i)] = c.now + tuning.CachesEvery/time.Duration(len(parts))
-		} else {
-			c.cachePart[i] = 0
-			delete(c.learned, i)
-		}
-		c.telling = true
-		c.commit(LaneLater, []wire.Condition{c.shardCond(i)}, []wire.Change{{Put: key, Value: parts[k]}}, func(r StateReply) {
-			c.telling = false
-			if r.Status != 200 {
-				c.learned[i], c.cachePart[i] = true, k
-			}
-		})
-		return
-	}
-}
-
 // movedOn tells whether a tracked job has a task on another machine than written.
 func (c *Core) movedOn(e *jobEntry) bool {
 	if tracked(&e.rec) {
--- a/internal/core/forms_test.go
+++ b/internal/core/forms_test.go
@@ -11,7 +11,6 @@
 	"github.com/barrowbridge/barrowbridge/internal/duty"
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/ladder"
-	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/standin/state"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
@@ -19,6 +18,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/internal/wants"
+	"github.com/barrowbridge/barrowbridge/internal/weights"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -89,10 +89,10 @@
 			}
 
 			var infos []wire.MachineInfo
-			var images []ledger.MachineImages
+			var images []weights.MachineImages
 			for k := range machines {
 				infos = append(infos, wire.MachineInfo{Name: long(k), Type: "type-of-a-long-name-" + fmt.Sprint(k%3), Zone: "zone-of-a-long-name"})
-				has := ledger.MachineImages{Machine: long(k)}
+				has := weights.MachineImages{Machine: long(k)}
 				for i := range 12 {
 					has.Images = append(has.Images, fmt.Sprintf("registry/image-of-a-long-name-%02d", (k+i)%40))
 				}
@@ -105,10 +105,21 @@
 				}
 				w.put(blockKey(b.Machines[0].Name), b)
 			}
-			for k, x := range ledger.PackImages(images[:each], bytes-256) {
+			for k, x := range weights.PackImages(images[:each], bytes-256) {
 				w.put(fmt.Sprintf("%s0.%d", wire.PrefixCache, k), x)
 			}
 
+			plans := newWeights(weights.Switches{HandOn: true}, weights.NewCaches(0))
+			for k := range each {
+				m := weights.Machine{Name: long(k), Addr: long(k), Zone: fmt.Sprint("zone-of-a-long-name-", k)}
+				plans.Fetch(0, m, fmt.Sprintf("registry/image-of-a-long-name-%02d", k%5), 6, machines)
+			}
+			if rec, due := plans.Due(0, bytes-256); !due || len(rec.Images) == 0 {
+				t.Errorf("%d bytes: no plan, %v", bytes, due)
+			} else {
+				w.put(wire.PrefixWeights+"0", rec)
+			}
+
 			want := wire.Want{Seen: 1 << 40}
 			for k := range tuning.NeedsMax {
 				want.Needs = append(want.Needs, wire.Need{Types: []string{"type-of-a-long-name-0", "type-of-a-long-name-1"}, Zone: "zone-of-a-long-name", Spot: true, CPUs: 1.5, MemGB: 3.25, Tasks: machines + k, Dire: true, Rung: 7})
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -37,8 +37,6 @@
 	startsNext                       map[int]Time // when those that are not urgent may be
 	health                           *health.Book
 	warm                             map[string]bool // machines that are up, and fresh in the state
-	learned                          map[int]bool    // shards whose machines have fetched images since that was written
-	cachePart                        map[int]int     // which record of that is to be written next
 	used                             map[string]bool // blocks with fresh machines that are up
 	taking                           map[int]taking
 	entered                          map[int]Time      // when a held shard was taken up
@@ -143,7 +141,7 @@
 
 func newHolder() holder {
 	return holder{health: newHealth(), startsBusy: map[int]bool{}, startsAt: map[int]Time{}, startsNext: map[int]Time{}, warm: map[string]bool{}, taking: map[int]taking{}, machines: map[string]*machine{}, onTask: map[string][]*attempt{}, held: map[int]bool{}, pending: map[int]bool{}, unsettle: map[int]bool{}, wantSent: map[int]wire.Want{}, tellers: map[int]*wants.Teller{}, lacks: wants.NewBoard(wantPace),
-		learned: map[int]bool{}, cachePart: map[int]int{}, used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, offered: map[string]uint64{}, dire: map[int]Time{},
+		used: map[string]bool{}, entered: map[int]Time{}, prevDead: map[int]Time{}, vacating: map[string]bool{}, offered: map[string]uint64{}, dire: map[int]Time{},
 		reserve: supply.NewReserve(supply.ReserveLimits{Memory: tuning.UrgentMemory, Window: tuning.ArrivalWindow})}
 }
 
@@ -228,6 +226,7 @@
 		b.Drop(m)
 	}
 	c.health.ForgetMachine(m.name)
+	c.weights.Gone(m.name)
 	c.room.Drop(m)
 	c.desk.Forget(m)
 	c.roll.Drop(m)
@@ -335,6 +334,7 @@
 	delete(c.unsettle, i)
 	delete(c.tellers, i)
 	delete(c.places, i)
+	c.weights.Left(i)
 	for _, m := range c.heldMachines() {
 		if m.shard == i {
 			c.dropMachine(m)
@@ -400,7 +400,7 @@
 				shard: b.rec.Shard, since: c.now, takenToken: c.token(b), inherited: inherited && !bm.Empty && (!bm.Fresh || c.everUsed(bm.Name)),
 				attempts: map[attemptKey]*attempt{}, images: map[string]bool{},
 				idleSince: c.now, lastReport: c.now}
-			for _, image := range c.cached[bm.Name] {
+			for _, image := range c.caches.Of(bm.Name) {
 				m.images[image] = true
 			}
 			c.machines[bm.Name] = m
--- a/internal/core/holding.go
+++ b/internal/core/holding.go
@@ -7,6 +7,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/hold"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -32,12 +33,7 @@
 	if b == nil || b.Len() == 0 {
 		return 0
 	}
-	boot := 0.0
-	for name, t := range c.types {
-		if allowsType(j.Types, name) {
-			boot = max(boot, t.BootS)
-		}
-	}
+	_, boot := supply.Speeds(c.types, j.Types)
 	return b.Within(j.ID, c.now+seconds(boot*tuning.BootHorizon))
 }
 
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -6,6 +6,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/disruption"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -55,10 +56,7 @@
 
 // spareTarget is for how many urgent tasks a shard keeps room.
 func (c *Core) spareTarget(shard int) int {
-	boot := 0.0
-	for _, t := range c.types {
-		boot = max(boot, t.BootS)
-	}
+	_, boot := supply.Speeds(c.types, nil)
 	return c.reserve.Target(c.now, shard, boot)
 }
 
@@ -165,7 +163,7 @@
 			why = "taken"
 		case m.moving && len(m.attempts) == 0:
 			why = "moved off"
-		case !m.base && !busy && !c.awaitsCrew(shard) && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > seconds(c.settings.IdleReturnS) &&
+		case !m.base && !busy && !c.awaitsCrew(shard) && m.reported && m.accounted && len(m.attempts) == 0 && c.now-m.idleSince > c.weights.Keep(m.images, seconds(c.settings.IdleReturnS)) &&
 			(m.spot || c.spareBeyond(shard, m)):
 			why = "idle"
 		}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -12,11 +12,14 @@
 	"github.com/barrowbridge/barrowbridge/internal/progress"
 	"github.com/barrowbridge/barrowbridge/internal/starts"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
+	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/internal/weights"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
 // mirror is this controller's copy of the live keys, in revision order.
 type mirror struct {
+	caches   *weights.Caches // which images machines have, as holders last wrote
 	ver      *records.Versions
 	jobs     map[string]*jobEntry
 	blocks   map[string]*blockEntry
@@ -42,7 +45,6 @@
 	shardList []int                  // in order; nil: to be made again
 	blockList []string               // in order; nil: to be made again
 	jobList   []*jobEntry            // by acceptance; nil: to be made again
-	cached    map[string][]string    // machine -> images, as its holder last wrote
 	sizes     int                    // counts changes of machine types
 	shardHas  map[int]map[string]int // shard -> machines of each type in its blocks
 	newest    map[int]uint64         // shard -> latest revision of its blocks; absent: to be looked for
@@ -75,7 +77,7 @@
 		blocks: map[string]*blockEntry{}, shards: map[int]*shardEntry{}, nodes: map[string]wire.Node{},
 		wants: map[int]wire.Want{}, types: map[string]wire.MachineType{},
 		settings: defaultSettings(), ladder: ladder.Of(wire.Ladder{}), cordons: map[string]wire.Cordon{}, biases: map[string]wire.Bias{},
-		blockIn: map[string]string{}, dropping: map[string]bool{}, shardHas: map[int]map[string]int{}, newest: map[int]uint64{}, teamHome: map[string]int{}, cached: map[string][]string{}}
+		blockIn: map[string]string{}, dropping: map[string]bool{}, shardHas: map[int]map[string]int{}, newest: map[int]uint64{}, teamHome: map[string]int{}, caches: weights.NewCaches(tuning.CachesEvery)}
 }
 
 func shardKey(i int) string { return wire.PrefixShard + strconv.Itoa(i) }
@@ -149,7 +151,7 @@
 	if old != nil {
 		for _, bm := range old.rec.Machines {
 			if m.blockIn[bm.Name] == "" {
-				delete(m.cached, bm.Name)
+				m.caches.Gone(bm.Name)
 			}
 		}
 	}
@@ -323,10 +325,17 @@
 		if read(&r) {
 			for _, name := range r.Names() {
 				if images, _ := r.Of(name); c.blockIn[name] != "" {
-					c.cached[name] = images
+					c.caches.Read(name, images)
 				}
 			}
 		}
+	case strings.HasPrefix(key, wire.PrefixWeights):
+		var r wire.Weights
+		if i, err := strconv.Atoi(key[len(wire.PrefixWeights):]); err != nil {
+			fail(err)
+		} else if read(&r) {
+			c.weights.Read(c.now, i, r, c.held[i])
+		}
 	case strings.HasPrefix(key, wire.PrefixBlock):
 		var r wire.Block
 		if read(&r) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -9,6 +10,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -51,7 +53,7 @@
 
 // allows tells whether a job's tasks may run on machines of this type, zone and kind.
 func allows(j *wire.Job, m *machine) bool {
-	return allowsType(j.Types, m.typ) && (j.Zone == "" || m.zone == j.Zone) && (!m.spot || j.Spot)
+	return supply.Allows(j, ledger.Kind{Type: m.typ, Zone: m.zone, Spot: m.spot})
 }
 
 // exceeds tells whether a use is over the team's limit.
@@ -128,20 +130,7 @@
 
 // kinds tells which kinds of machines a job's next task may be placed on.
 func (c *Core) kinds(e *jobEntry, zones map[string]int) func(ledger.Kind) bool {
-	j, run := &e.rec, e.run
-	return func(k ledger.Kind) bool {
-		switch {
-		case !allowsType(j.Types, k.Type), j.Zone != "" && k.Zone != j.Zone, k.Spot && !j.Spot:
-			return false
-		case j.OneZone && len(zones) > 0 && zones[k.Zone] == 0:
-			return false
-		case j.Shape == wire.ShapeGang && j.OneZone && k.Zone != run.zone:
-			return false
-		case j.Spread && zones[k.Zone]+1 > (j.Tasks+1)/2:
-			return false
-		}
-		return true
-	}
+	return supply.Kinds(&e.rec, e.run.zone, zones)
 }
 
 // unseen counts a job's tasks that may run on machines of an earlier holder: they count
@@ -300,6 +289,8 @@
 		}
 		if f.Handle.images[j.Image] {
 			cand.Better = 1
+		} else if e.prio >= urgentRank && c.weights.Busy(f.Handle.name, j.Image) {
+			cand.Better = -1 // they would share its rate
 		}
 		c.cands = append(c.cands, cand)
 	}
@@ -323,24 +314,10 @@
 		return false
 	}
 	room := map[string]int{}
-	c.room.Each(shard, size, func(k ledger.Kind) bool {
-		return allowsType(j.Types, k.Type) && (j.Zone == "" || k.Zone == j.Zone) && (!k.Spot || j.Spot)
-	}, func(_ *machine, k ledger.Kind, free placement.Size) { room[k.Zone] += placement.Beta(free, size) + 1 })
-	total := 0
-	for _, z := range sortedKeys(room) {
-		switch {
-		case j.OneZone:
-			if room[z] >= waiting {
-				run.zone = z
-				return true
-			}
-		case j.Spread:
-			total += min(room[z], (j.Tasks+1)/2)
-		default:
-			total += room[z]
-		}
-	}
-	return total >= waiting
+	c.room.Each(shard, size, func(k ledger.Kind) bool { return supply.Allows(j, k) }, func(_ *machine, k ledger.Kind, free placement.Size) { room[k.Zone] += placement.Beta(free, size) + 1 })
+	zone, fits := supply.GangFits(j, waiting, room)
+	run.zone = cmp.Or(zone, run.zone)
+	return fits
 }
 
 func sortedInts[V any](m map[int]V) []int {
@@ -350,7 +327,7 @@
 // serves tells whether a block's machines could hold a task of a need.
 func (c *Core) serves(b *blockEntry, n wire.Need) bool {
 	full, ok := c.sizeOf(b.rec.Type)
-	return ok && allowsType(n.Types, b.rec.Type) && (n.Zone == "" || n.Zone == b.rec.Zone) && (!b.rec.Spot || n.Spot) &&
+	return ok && supply.AllowsType(n.Types, b.rec.Type) && (n.Zone == "" || n.Zone == b.rec.Zone) && (!b.rec.Spot || n.Spot) &&
 		placement.Fits(full, needSize(n))
 }
 
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -295,13 +295,14 @@
 	if len(m.attempts) > 0 {
 		m.idleSince = c.now
 	}
+	c.weigh(m)
 }
 
 // hasImage notes that a machine has the image of a job whose task ran there.
 func (c *Core) hasImage(m *machine, job string) {
 	if e := c.jobs[job]; e != nil && !m.images[e.rec.Image] {
 		m.images[e.rec.Image] = true
-		c.learned[m.shard] = true
+		c.caches.Learned(m.shard)
 	}
 }
 
@@ -382,9 +383,11 @@
 				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: k.task, Attempt: k.try, GraceS: &g})
 			}
 		case a.status == "" && c.startable(a) && !look:
-			a.sent = true
-			c.noteBack(trail.TaskAgain, a)
-			cmds = append(cmds, wire.Command{Verb: wire.VerbRun, Task: k.task, Attempt: k.try})
+			if run, now := c.run(a); now {
+				a.sent = true
+				c.noteBack(trail.TaskAgain, a)
+				cmds = append(cmds, run)
+			}
 		}
 	}
 	return cmds
--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -152,9 +152,9 @@
 			t.Errorf("%s %v", l.Msg, l.KV)
 		}
 	}
-	if len(c.jobs) == 0 || len(c.blocks) == 0 || len(c.shards) == 0 || len(c.wants) == 0 || len(c.nodes) == 0 || len(c.types) == 0 || len(c.calendar.Names()) == 0 || len(c.cached) == 0 {
+	if len(c.jobs) == 0 || len(c.blocks) == 0 || len(c.shards) == 0 || len(c.wants) == 0 || len(c.nodes) == 0 || len(c.types) == 0 || len(c.calendar.Names()) == 0 || c.caches.Len() == 0 {
 		t.Errorf("of %d records: %d jobs, %d blocks, %d shards, %d wants, %d controllers, %d types, %d crews, images of %d machines", len(records),
-			len(c.jobs), len(c.blocks), len(c.shards), len(c.wants), len(c.nodes), len(c.types), len(c.calendar.Names()), len(c.cached))
+			len(c.jobs), len(c.blocks), len(c.shards), len(c.wants), len(c.nodes), len(c.types), len(c.calendar.Names()), c.caches.Len())
 	}
 	if got := c.ver.Keys(); len(got) != len(keys) {
 		t.Errorf("%d keys are known, of %d", len(got), len(keys))
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -14,6 +14,7 @@
 	AdminOrder    = step.AdminOrder
 	AdminOverview = step.AdminOverview
 	AdminReach    = step.AdminReach
+	AdminWeights  = step.AdminWeights
 	AdminSettings = step.AdminSettings
 	AdminTrail    = step.AdminTrail
 	AdminVersion  = step.AdminVersion
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -7,6 +7,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/ranges"
 	"github.com/barrowbridge/barrowbridge/internal/rollout"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -318,7 +319,7 @@
 	for _, name := range sortedKeys(c.types) {
 		mt := c.types[name]
 		full, _ := c.sizeOf(name)
-		if allowsType(j.Types, name) && placement.Fits(full, jobSize(j)) && (j.Zone == "" || slices.Contains(mt.Zones, j.Zone)) {
+		if supply.AllowsType(j.Types, name) && placement.Fits(full, jobSize(j)) && (j.Zone == "" || slices.Contains(mt.Zones, j.Zone)) {
 			return ""
 		}
 	}
@@ -374,5 +375,3 @@
 			done(r.Status)
 		})
 }
-
-func allowsType(types []string, t string) bool { return len(types) == 0 || slices.Contains(types, t) }
--- /dev/null
+++ b/internal/core/weighing_test.go
@@ -0,0 +1,260 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
+	"github.com/barrowbridge/barrowbridge/internal/weights"
+	"github.com/barrowbridge/barrowbridge/wire"
+)
+
+// weighty is a world of whole-machine replicas that all want one image of 6 GB, from a store that gives two
+// machines their full rate: so many at once, with what is switched on.
+func weighty(t testing.TB, seed uint64, replicas int, s weights.Switches, opts ...func(*world)) *world {
+	w := newWorld(t, seed, 3, append([]func(*world){func(w *world) {
+		w.lease, w.reportS, w.capacity = 12*sec, sec, 60
+		w.teams = map[string]Team{"red": {CPUs: 200, CPUsMax: 260}, "blue": {CPUs: 40, CPUsMax: 60}}
+		w.work.Depot = &worker.Depot{StoreGBps: 2, Reach: func(from, to string) bool {
+			a, b := w.machines[from].info.Zone, w.machines[to].info.Zone
+			return !w.apart[[2]string{a, b}] && !w.apart[[2]string{b, a}]
+		}}
+	}}, opts...)...)
+	params := w.params
+	w.params = func(node string) Params {
+		p := params(node)
+		p.Weights = s
+		return p
+	}
+	for i := range 3 { // the first lives began without it
+		w.kill(fmt.Sprintf("c%d", i))
+		w.start(fmt.Sprintf("c%d", i))
+	}
+	for i := range replicas + 4 {
+		w.addMachine([]string{"n", "s"}[i%2], false, sec)
+	}
+	w.run(8 * sec)
+	w.model("job-000001", "red", "w-1", replicas)
+	return w
+}
+
+// model submits a service of whole-machine replicas.
+func (w *world) model(id, team, image string, replicas int) {
+	s := spec(id, team, wire.ShapeService, replicas)
+	s.DueS, s.CPUs, s.Image, s.ImageGB, s.Spot = nil, ptr(4.0), ptr(image), ptr(6.0), ptr(false)
+	w.submit(s)
+}
+
+// replicas counts the running tasks of a job.
+func (w *world) replicas(job string) (n int) {
+	for _, k := range w.where(job) {
+		n += k
+	}
+	return n
+}
+
+// allUp is how long it takes until so many replicas run, or so long.
+func (w *world) allUp(job string, n int, most time.Duration) time.Duration {
+	began := w.now
+	for w.now < began+most && w.replicas(job) < n {
+		w.run(100 * time.Millisecond)
+	}
+	return w.now - began
+}
+
+var bothOn = weights.Switches{HandOn: true, Pace: true}
+
+// Twenty machines that all fetch 6 GB from a store of two machines' rate need a minute. Handed on, all have it
+// in little more than one of them alone would, which is 6 s.
+func TestWeightsAreHandedOn(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(2100); seed < 2103; seed++ {
+		alone := weighty(t, seed, 20, weights.Switches{}).allUp("job-000001", 20, 2*time.Minute)
+		w := weighty(t, seed, 20, bothOn)
+		handed := w.allUp("job-000001", 20, 2*time.Minute)
+		t.Logf("seed %d: all up %v after the submission from the store, %v handed on", seed, alone, handed)
+		if alone < 55*sec || handed > 16*sec {
+			t.Errorf("seed %d: all up after %v from the store, %v handed on", seed, alone, handed)
+		}
+		w.run(3 * sec) // until all have reported it
+		view := w.weightsOf("w-1")
+		if len(view.Holders) != 20 {
+			t.Errorf("seed %d: %d holders are told of", seed, len(view.Holders))
+		}
+	}
+}
+
+// weightsOf is what all controllers together tell of an image.
+func (w *world) weightsOf(image string) (all wire.WeightsImageView) {
+	for _, n := range sortedKeys(w.nodes) {
+		w.ask(n, func(q uint64) any { return AdminWeights{Req: q, Image: image} }, func(a Answer) {
+			for _, x := range a.Body.(wire.WeightsView).Images {
+				all.Holders, all.Fetches = append(all.Holders, x.Holders...), append(all.Fetches, x.Fetches...)
+			}
+		})
+	}
+	w.run(100 * time.Millisecond)
+	return all
+}
+
+// A store that binds nobody, a machine's own rate that does: nothing is held back, and nothing is learned that
+// would be. One that binds is found out, and is then asked by as many as use it up: half of them are up in
+// little over half of the time, not all at the end.
+func TestFetchesAreHeldBackWhereTheStoreBinds(t *testing.T) {
+	t.Parallel()
+	pace := weights.Switches{Pace: true}
+	free := weighty(t, 2110, 20, pace, func(w *world) { w.work.Depot.StoreGBps = 0 })
+	if took := free.allUp("job-000001", 20, time.Minute); took > 12*sec {
+		t.Errorf("own rates bind, and all are up after %v", took)
+	}
+	free.model("job-000002", "red", "w-2", 20)
+	if took := free.allUp("job-000002", 20, time.Minute); took > 25*sec { // machines are rented for them
+		t.Errorf("the second model is up after %v", took)
+	}
+	bound := weighty(t, 2111, 20, pace)
+	bound.allUp("job-000001", 20, 2*time.Minute)
+	bound.model("job-000002", "red", "w-2", 20)
+	began := bound.now
+	half := bound.allUp("job-000002", 10, 3*time.Minute)
+	bound.allUp("job-000002", 20, 3*time.Minute)
+	if all := bound.now - began; half > all*7/10 || all > 100*sec {
+		t.Errorf("the second model: half up after %v, all after %v", half, all)
+	}
+}
+
+// Whatever ends, is cut, deaf, slow or late while weights are on their way: no rule breaks, no replica begins with
+// a part of them, and all are up within what the trouble and one fetch from the store cost.
+func TestWeightsWithTroubles(t *testing.T) {
+	t.Parallel()
+	holder := func(w *world) string { return w.shardRec("red").Holder }
+	source := func(w *world) *host { // the one that hands on the most, of those that have all of it or most
+		var best *host
+		for _, n := range w.order {
+			if m := w.machines[n]; !m.gone && m.up && (best == nil || m.Fetched("w-1") > best.Fetched("w-1")) {
+				best = m
+			}
+		}
+		return best
+	}
+	for _, c := range []struct {
+		what    string
+		within  time.Duration
+		trouble func(w *world)
+	}{
+		{"the planner dies with half of a tree under way", 45 * sec, func(w *world) { w.bounce(8*sec, holder(w)) }},
+		{"all controllers end", 60 * sec, func(w *world) { w.bounce(3*sec, sortedKeys(w.nodes)...) }},
+		{"the leader ends", 40 * sec, func(w *world) { w.bounce(8*sec, w.leaderNode()) }},
+		{"two models", 40 * sec, func(w *world) { w.model("job-000003", "blue", "w-3", 8) }},
+		{"the only finished copy dies", 50 * sec, func(w *world) { w.vanish(source(w).info.Name) }},
+		{"a source hangs", 50 * sec, func(w *world) {
+			m := source(w)
+			w.hang(m)
+			w.at(30*sec, func() { w.resume(m) })
+		}},
+		{"a zone is cut off", 60 * sec, func(w *world) {
+			w.apart[[2]string{"n", "s"}] = true
+			w.at(15*sec, func() { clear(w.apart) })
+		}},
+		{"the state is down", 60 * sec, func(w *world) {
+			w.store.Trouble.Down = true
+			w.at(10*sec, func() { w.store.Trouble.Down = false })
+		}},
+		{"writes are late", 50 * sec, func(w *world) {
+			w.unsure = 20
+			w.at(15*sec, func() { w.unsure = 0 })
+		}},
+		{"alarms burst", 60 * sec, func(w *world) {
+			for j := range 30 {
+				w.at(time.Duration(j)*200*time.Millisecond, func() {
+					s := spec(fmt.Sprintf("job-%06d", 500+j), "blue", wire.ShapeBatch, 1)
+					s.Priority, s.Image = ptr("urgent"), ptr("alarm")
+					w.submit(s)
+				})
+			}
+		}},
+		{"copies of old reports reach all controllers", 40 * sec, func(w *world) {
+			w.keep = map[string][]wire.Report{}
+			w.at(4*sec, func() {
+				for _, n := range sortedKeys(w.keep) {
+					for _, r := range w.keep[n] {
+						for _, c := range sortedKeys(w.nodes) {
+							w.ask(c, func(q uint64) any { return WorkerReport{Req: q, Report: r} }, func(Answer) {})
+						}
+					}
+				}
+			})
+		}},
+	} {
+		t.Run(strings.ReplaceAll(c.what, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(2120); seed < 2123; seed++ {
+				w := weighty(t, seed, 20, bothOn)
+				w.run(6 * sec) // first copies are there or nearly, the others on their way
+				if n := w.replicas("job-000001"); n == 20 {
+					t.Fatalf("seed %d: not the meeting: %d replicas are up", seed, n)
+				}
+				c.trouble(w)
+				if took := w.allUp("job-000001", 20, 3*time.Minute); took > c.within {
+					t.Errorf("seed %d: all up %v after the trouble", seed, took)
+				}
+				w.run(30 * sec)
+			}
+		})
+	}
+}
+
+// A new version follows on an old one that is cancelled. What a late report tells of an image long given up names
+// no source.
+func TestNewVersionOverAnOldOne(t *testing.T) {
+	t.Parallel()
+	w := weighty(t, 2130, 12, bothOn)
+	w.run(9 * sec)
+	old := w.order[0]
+	late, _ := w.machines[old].Inspect(w.now)
+	w.cancelSoon("job-000001", func() {})
+	w.run(20 * sec)
+	w.model("job-000002", "red", "w-2", 12) // a new version over the old
+	w.run(3 * sec)
+	for _, n := range sortedKeys(w.nodes) {
+		w.ask(n, func(q uint64) any { return WorkerReport{Req: q, Report: late} }, func(Answer) {})
+	}
+	if took := w.allUp("job-000002", 12, 2*time.Minute); took > 30*sec {
+		t.Errorf("the new version is up after %v", took)
+	}
+	if v := w.weightsOf("w-1"); len(v.Fetches) > 0 {
+		t.Errorf("the old version is being fetched: %+v", v.Fetches)
+	}
+}
+
+// The plan is one change an image and stage, whoever holds the shard; it names who fetches from the store, and goes
+// when all is done. Switched off, nothing is written or told.
+func TestPlansAreFewChanges(t *testing.T) {
+	t.Parallel()
+	for _, on := range []bool{true, false} {
+		s := weights.Switches{HandOn: on}
+		writes, named := 0, false
+		w := weighty(t, 2140, 40, s, func(w *world) {
+			w.noAnswer = func(_ string, v StateCall) (time.Duration, bool) {
+				for _, ch := range v.Txn.Then {
+					if strings.HasPrefix(ch.Put, wire.PrefixWeights) {
+						writes++
+						rec := ch.Value.(wire.Weights)
+						named = named || slices.ContainsFunc(rec.Images, func(x wire.WeightsImage) bool { return x.Image == "w-1" && len(x.Roots) > 0 })
+					}
+				}
+				return 0, false
+			}
+		})
+		w.allUp("job-000001", 40, 3*time.Minute)
+		w.run(10 * sec)
+		if v := w.weightsOf("w-1"); len(v.Holders) != 40 {
+			t.Errorf("on %v: %d holders", on, len(v.Holders))
+		}
+		if on && (!named || writes < 2 || writes > 6) || !on && writes > 0 {
+			t.Errorf("on %v: %d plans written, roots named %v", on, writes, named)
+		}
+	}
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/config"
 	"github.com/barrowbridge/barrowbridge/internal/standin/site"
 )
 
@@ -26,6 +27,8 @@
 	Demo        bool
 	Dir         string // for logs and settings; "": a temporary one
 	LogLevel    string
+	StoreGBps   float64 // that all fetches of images share; 0: no bound
+	Switches    string  // file of what is off by default; "": none
 }
 
 // Check tells in one line which flag is out of its range.
@@ -39,6 +42,8 @@
 		return fmt.Errorf("--zones: must be from 1 to 9, got %d", o.Zones)
 	case o.For < 0:
 		return errors.New("--for: must not be negative")
+	case !(o.StoreGBps >= 0 && o.StoreGBps <= 1e6):
+		return fmt.Errorf("--store-gb-per-s: must be from 0 to 1e6, got %g", o.StoreGBps)
 	case o.Demo && o.Controllers < 2:
 		return errors.New("--demo: takes the leading controller away and needs another, --controllers must be at least 2")
 	}
@@ -71,6 +76,12 @@
 	}
 	spec := site.Default()
 	spec.Controllers, spec.Machines, spec.Dir, spec.LogLevel = o.Controllers, o.Machines, dir, o.LogLevel
+	spec.StoreGBps = o.StoreGBps
+	if o.Switches != "" {
+		if spec.Switches, err = config.LoadSwitches(o.Switches); err != nil {
+			return err
+		}
+	}
 	spec.Zones = nil
 	for i := range o.Zones {
 		spec.Zones = append(spec.Zones, string(rune('a'+i)))
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -80,6 +80,7 @@
 	a.GET("/jobs/:id/why", s.why)
 	a.GET("/trail", s.trail)
 	a.GET("/reach", s.reach)
+	a.GET("/weights", s.weights)
 	a.GET("/version", s.version)
 	a.GET("/machines/:name", s.machine)
 	a.PUT("/machines/:name/cordon", s.cordon)
@@ -288,6 +289,11 @@
 	return s.put(c, func(id uint64) any { return core.AdminReach{Req: id} })
 }
 
+func (s *Server) weights(c echo.Context) error {
+	image := c.QueryParam("image")
+	return s.put(c, func(id uint64) any { return core.AdminWeights{Req: id, Image: image} })
+}
+
 func (s *Server) version(c echo.Context) error {
 	return s.put(c, func(id uint64) any { return core.AdminVersion{Req: id} })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/rollout"
 	"github.com/barrowbridge/barrowbridge/internal/statestore"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
+	"github.com/barrowbridge/barrowbridge/internal/weights"
 	"github.com/barrowbridge/barrowbridge/internal/workers"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -35,7 +36,7 @@
 		Lease: seconds(cfg.Params.Workers.LeaseS), Cancel: seconds(cfg.Params.Workers.CancelS),
 		Report: seconds(cfg.Params.Workers.ReportS), ListLag: seconds(cfg.Params.Cloud.ListLagS),
 		TxnOps: state.TxnOps, ValueBytes: int(state.ValueKB * 1024),
-		Version: Version(), Features: rollout.Features(),
+		Version: Version(), Features: rollout.Features(), Weights: weights.Switches{HandOn: cfg.Switches.Weights.HandOn, Pace: cfg.Switches.Weights.Pace},
 	}
 	for _, n := range cfg.Peers {
 		p.Nodes[n.Node] = n.Zone
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -28,6 +28,7 @@
 	Objectives []Objective     `json:"objectives"`
 	Waits      []Wait          `json:"waits"`
 	Served     []checker.Group `json:"served,omitempty"` // classes, teams and largest jobs
+	Waves      []Wave          `json:"waves,omitempty"`  // services of many replicas
 	Cost       Cost            `json:"cost"`
 	Timeline   *Timeline       `json:"timeline,omitempty"`
 }
@@ -84,6 +85,17 @@
 	DoneS     float64 `json:"done_s"`
 }
 
+// Wave is how the replicas of a service came up, in seconds since its submission; -1: not seen. LeastS is what a
+// machine alone takes to fetch its image.
+type Wave struct {
+	Job    string  `json:"job"`
+	Tasks  int     `json:"tasks"`
+	FirstS float64 `json:"first_s"`
+	HalfS  float64 `json:"half_s"`
+	AllS   float64 `json:"all_s"`
+	LeastS float64 `json:"least_s"`
+}
+
 // Timeline is what the report draws. Times are seconds since the start.
 type Timeline struct {
 	EndS     float64           `json:"end_s"`
@@ -145,6 +157,9 @@
 	}
 	b.WriteString("\n")
 	fmt.Fprintf(&b, "  rules: %d broken in %d task starts\n", len(r.Rules.Broken), r.Rules.Starts)
+	for _, w := range r.Waves {
+		fmt.Fprintf(&b, "  replicas of %s: first up after %.1f s, half after %.1f s, all %d after %.1f s; a machine alone fetches for %.1f s\n", w.Job, w.FirstS, w.HalfS, w.Tasks, w.AllS, w.LeastS)
+	}
 	for _, g := range r.Served {
 		fmt.Fprintf(&b, "  served: %s: %d of %d begun in time, the last after %.1f s\n", g.Name, g.Served, g.Jobs, g.WorstS)
 	}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -16,6 +16,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/calendar"
 	"github.com/barrowbridge/barrowbridge/internal/cborhttp"
 	"github.com/barrowbridge/barrowbridge/internal/checker"
+	"github.com/barrowbridge/barrowbridge/internal/config"
 	"github.com/barrowbridge/barrowbridge/internal/load"
 	"github.com/barrowbridge/barrowbridge/internal/recovery"
 	"github.com/barrowbridge/barrowbridge/internal/standin/site"
@@ -144,6 +145,7 @@
 		s.Zones = append(s.Zones, string(rune('a'+i)))
 	}
 	s.Type.CPUs, s.Type.MemoryGB, s.Type.BootS, s.Type.FetchGBps = f.CPUs, f.MemoryGB, f.BootS, f.FetchGBps
+	s.StoreGBps, s.Switches.Weights = f.StoreGBps, config.WeightsSwitches{HandOn: f.HandOn, Pace: f.Pace}
 	s.Report, s.Lease, s.Cancel = seconds(f.ReportS), seconds(f.LeaseS), seconds(f.CancelS)
 	s.State.RPS, s.State.WriteRPS = f.StateRPS, f.WriteRPS
 	s.Cloud.ListLag, s.Cloud.Notice = seconds(f.ListLagS), seconds(f.NoticeS)
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -56,6 +56,9 @@
 	MemoryGB    float64 `toml:"memory_gb"`
 	BootS       float64 `toml:"boot_s"`
 	FetchGBps   float64 `toml:"fetch_gb_per_s"`
+	StoreGBps   float64 `toml:"store_gb_per_s"` // that all fetches share; 0: no bound, and nothing is handed on
+	HandOn      bool    `toml:"hand_on"`        // switched on in the controllers, as is Pace
+	Pace        bool    `toml:"pace"`
 	ReportS     float64 `toml:"report_s"`
 	LeaseS      float64 `toml:"lease_s"`
 	CancelS     float64 `toml:"cancel_s"`
@@ -275,7 +278,7 @@
 		within("fleet.controllers", float64(f.Controllers), 1, 9), within("fleet.machines", float64(f.Machines), 0, 1000),
 		within("fleet.zones", float64(f.Zones), 1, 9), within("fleet.rentable", float64(f.Rentable), 0, 1000),
 		within("fleet.cpus", f.CPUs, 0.1, 1024), within("fleet.memory_gb", f.MemoryGB, 0.1, 1e6), within("fleet.boot_s", f.BootS, 0.01, 600),
-		within("fleet.fetch_gb_per_s", f.FetchGBps, 0.001, 1e4), within("fleet.report_s", f.ReportS, 0.5, 60),
+		within("fleet.fetch_gb_per_s", f.FetchGBps, 0.001, 1e4), within("fleet.store_gb_per_s", f.StoreGBps, 0, 1e6), within("fleet.report_s", f.ReportS, 0.5, 60),
 		within("fleet.lease_s", f.LeaseS, 3*f.ReportS, 600), within("fleet.cancel_s", f.CancelS, 1.5*f.LeaseS+5, 3600),
 		within("fleet.list_lag_s", f.ListLagS, 0, 120), within("fleet.state_rps", f.StateRPS, 10, 1e5), within("fleet.write_rps", f.WriteRPS, 5, 1e5),
 		within("fleet.notice_s", f.NoticeS, 0, 600)); err != nil {
--- a/internal/rehearse/watch.go
+++ b/internal/rehearse/watch.go
@@ -331,6 +331,29 @@
 	return o
 }
 
+// waveLeast is how many replicas make a wave.
+const waveLeast = 20
+
+// waves tells how services of many replicas came up; the lock is held.
+func (r *rehearsal) waves() (list []Wave) {
+	for _, id := range sortedJobs(r.jobs) {
+		j := r.jobs[id]
+		if j.plan.Shape != wire.ShapeService || j.plan.Tasks < waveLeast {
+			continue
+		}
+		since := func(n int) float64 {
+			for _, s := range r.line.Up[id] {
+				if s.N >= n {
+					return s.AtS - j.begun.Seconds()
+				}
+			}
+			return -1
+		}
+		list = append(list, Wave{Job: id, Tasks: j.plan.Tasks, FirstS: since(1), HalfS: since((j.plan.Tasks + 1) / 2), AllS: since(j.plan.Tasks), LeastS: j.plan.ImageGB / r.sc.Fleet.FetchGBps})
+	}
+	return list
+}
+
 // fill writes down all that was seen.
 func (r *rehearsal) fill(res *Result) {
 	broken, starts := r.rules()
@@ -352,6 +375,7 @@
 		j := r.jobs[id]
 		res.Waits = append(res.Waits, Wait{Job: id, Class: j.plan.Class, AcceptedS: r.measure("accepted", j), RunningS: r.measure("running", j), DoneS: r.measure("done", j)})
 	}
+	res.Waves = r.waves()
 	r.line.EndS = r.now().Seconds()
 	for _, spans := range []*[]Span{&r.line.Lives, &r.line.Tasks, &r.line.Machines, &r.line.Shards, &r.line.Leaders} {
 		for i := range *spans {
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -106,6 +106,12 @@
 	return held, broken, delay, n.moved
 }
 
+// Reach tells whether packets go from one party to another now.
+func (n *Net) Reach(from, to string) bool {
+	held, broken, _, _ := n.state(from, to)
+	return !held && !broken
+}
+
 // pass waits until a packet may go from one party to another.
 func (n *Net) pass(from, to string, done <-chan struct{}) error {
 	slept := false
--- a/internal/standin/site/controllers.go
+++ b/internal/standin/site/controllers.go
@@ -263,7 +263,19 @@
 	if c.Earlier() {
 		program = c.site.Spec.Earlier
 	}
-	cmd := exec.Command(program, "--config", path)
+	args := []string{"--config", path}
+	if s := c.site.Spec; s.Switches != (config.Switches{}) && !c.Earlier() {
+		raw, err := toml.Marshal(s.Switches)
+		if err != nil {
+			return err
+		}
+		on := filepath.Join(s.Dir, "switches")
+		if err := os.WriteFile(on, raw, 0o644); err != nil {
+			return err
+		}
+		args = append(args, "--switches", on)
+	}
+	cmd := exec.Command(program, args...)
 	cmd.Stderr, cmd.Stdout = log, log
 	cmd.Env = append(os.Environ(), "LOG_LEVEL="+c.site.Spec.LogLevel)
 	if err := c.site.starter.start(cmd); err != nil {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -49,9 +49,11 @@
 	State       state.Limits
 	Cloud       cloud.Params
 	Seed        uint64
-	Program     string // of the controllers
-	Earlier     string // of an earlier version, which they begin with; "": none
-	Dir         string // for settings files
+	Program     string          // of the controllers
+	Earlier     string          // of an earlier version, which they begin with; "": none
+	Dir         string          // for settings files
+	StoreGBps   float64         // that all fetches of images share, and workers hand on what they are told to; 0: neither
+	Switches    config.Switches // of the controllers
 	LogLevel    string
 
 	// Spawned and Ended, if not nil, are told of each controller's process.
@@ -149,6 +151,9 @@
 	s.store.Trouble.Refused = map[string]bool{}
 	s.cloud.Trouble.Hidden, s.cloud.Trouble.Ghosts = map[string]bool{}, map[string]bool{}
 	s.work.Find = s.findJob
+	if spec.StoreGBps > 0 {
+		s.work.Depot = &worker.Depot{StoreGBps: spec.StoreGBps, Reach: s.Net.Reach}
+	}
 	limits := map[string]checker.Limit{}
 	for n, t := range spec.Teams {
 		cpus, gpus := config.Team{CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}.Most() // as the controllers read it
--- a/internal/standin/worker/commands.go
+++ b/internal/standin/worker/commands.go
@@ -30,7 +30,7 @@
 		switch c.Verb {
 		case wire.VerbRun:
 			if a == nil {
-				w.start(now, k)
+				w.start(now, k, c)
 			}
 		case wire.VerbStop:
 			if a != nil && a.status != wire.TaskEnded {
@@ -46,7 +46,7 @@
 	w.settle(now)
 }
 
-func (w *Worker) start(now Time, k key) {
+func (w *Worker) start(now Time, k key, c wire.Command) {
 	a := &attempt{key: k, status: wire.TaskPulling}
 	w.attempts[k], w.changed = a, true
 	refuse := func(cause string) { a.status, a.cause = wire.TaskEnded, cause }
@@ -74,9 +74,7 @@
 	}
 	a.job, a.index = job, index
 	w.out = append(w.out, Ordered{k.task, k.try})
-	if w.images[job.Image] == nil {
-		w.images[job.Image] = &image{gb: job.ImageGB, left: job.ImageGB, used: now}
-	}
+	w.begin(now, &job, c)
 }
 
 // stop lets a task with checkpoints save if there is time; every other task,
--- a/internal/standin/worker/work.go
+++ b/internal/standin/worker/work.go
@@ -41,6 +41,8 @@
 type Work struct {
 	// Find looks up a job that nobody uploaded; nil: there is none.
 	Find func(id string) (Job, bool)
+	// Depot is where images come from; nil: a store that binds nobody, and sources are not known.
+	Depot *Depot
 
 	jobs  map[string]Job
 	saved map[string]time.Duration
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -87,6 +87,9 @@
 type image struct {
 	gb, left float64
 	used     Time
+	sources  []string // addresses of workers that hand it on; none: the store
+	heard    Time     // when one of them last answered
+	moved    Time     // when anything last came
 }
 
 type heldOutcome struct {
@@ -125,6 +128,7 @@
 	images   map[string]*image
 	held     []heldOutcome // came while the machine hung
 	at       Time          // tasks and fetches have been played up to here
+	gone     bool          // with its machine
 	out      []any
 }
 
@@ -133,8 +137,12 @@
 	if p.Speed == 0 {
 		p.Speed = 1
 	}
-	return &Worker{Info: info, p: p, work: work, rng: rng, session: 1, node: p.First, leased: now, at: now, toldAt: -p.Lease,
+	w := &Worker{Info: info, p: p, work: work, rng: rng, session: 1, node: p.First, leased: now, at: now, toldAt: -p.Lease,
 		nextSend: now, lastSend: now - leastGap, attempts: map[key]*attempt{}, images: map[string]*image{}}
+	if work.Depot != nil {
+		work.Depot.join(w)
+	}
+	return w
 }
 
 // Notice tells the worker when its machine will be taken.
@@ -213,7 +221,7 @@
 	rate := w.fetchRate()
 	for name, im := range w.images {
 		if im.left > 0 && w.awaited(name) {
-			least(w.at + time.Duration(im.left/rate*float64(time.Second)) + time.Microsecond)
+			least(w.fetched(im, rate))
 		}
 	}
 	for _, a := range w.attempts {
@@ -268,10 +276,7 @@
 	rate := w.fetchRate()
 	for name, im := range w.images {
 		if im.left > 0 && w.awaited(name) {
-			im.left = max(0, im.left-rate*d.Seconds())
-			if im.left < 1e-6 {
-				im.left = 0
-			}
+			w.fetch(name, im, rate, d)
 		}
 	}
 	for _, a := range w.attempts {
@@ -562,6 +567,6 @@
 	for _, a := range w.sorted() {
 		w.leave(a, "")
 	}
-	w.attempts = map[key]*attempt{}
+	w.attempts, w.gone = map[key]*attempt{}, true
 	return w.out
 }
--- a/internal/step/admin.go
+++ b/internal/step/admin.go
@@ -60,6 +60,12 @@
 // AdminReach asks what this controller reaches.
 type AdminReach struct{ Req uint64 }
 
+// AdminWeights asks what this controller knows of images in use, or of one.
+type AdminWeights struct {
+	Req   uint64
+	Image string
+}
+
 // AdminVersion asks who runs which version, and what is held back for whom.
 type AdminVersion struct{ Req uint64 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -553,4 +553,29 @@
 	BiasEvery = 60 * time.Second
 	BiasLeast = 20
 	BiasMoved = 0.15
+	// WeightsMany (machines): that want an image at a time before it counts as wanted by many: fewer are
+	// served by the store as soon. WeightsEvery (duration): between looks at what is planned for them; a plan
+	// is one change an image and stage. WeightsKeep (times): so many times as long an idle machine is
+	// kept that has such an image.
+	// WeightsStale (duration): what other holders have written of fetches counts for so long.
+	WeightsMany  = 4
+	WeightsEvery = 1500 * time.Millisecond
+	WeightsStale = 2 * time.Minute
+	WeightsKeep  = 3
+	// HandDegree (machines): that one hands an image on to at a time; HandSources (machines): that one is
+	// named. Two and two: each gets half of its rate from either of two, and gives half of it to either of two,
+	// so that all fetch at their own rate. HandRoots (machines): of a zone that fetch from the store while its
+	// rate is not known; two, for one may die.
+	HandDegree  = 2
+	HandSources = 2
+	HandRoots   = 2
+	// StoreFetches (fetches): that a measure of the store rests on. StoreBound (share): of its own rate that a
+	// machine gets at the most where the store binds; rates of one type differ by a third. StoreSpare (times): the
+	// fetches that would use up the store, for the same reason. StoreLeast (duration): a shorter fetch is not measured,
+	// for reports tell of its end up to half a second late. StoreMemory (duration): for so long a measure counts.
+	StoreFetches = 8
+	StoreBound   = 0.5
+	StoreSpare   = 1.25
+	StoreLeast   = 3 * time.Second
+	StoreMemory  = 10 * time.Minute
 )
--- a/internal/weights/cache.go
+++ b/internal/weights/cache.go
@@ -1,6 +1,13 @@
-package ledger
+package weights
 
-import "github.com/barrowbridge/barrowbridge/wire"
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/barrowbridge/barrowbridge/wire"
+)
 
 // MachineImages names the images that a machine has.
 type MachineImages struct {
@@ -59,3 +66,68 @@
 	}
 	return n + 11*(images/32+1)
 }
+
+// Caches is which images machines have, by what holders write of it now and then: with a holder's memory it
+// was lost, and for minutes after a takeover services waited for images that other machines had.
+type Caches struct {
+	every time.Duration
+	read  map[string][]string   // machine -> images, as its holder last wrote
+	due   map[int]bool          // held shards of which there is more to write
+	part  map[int]int           // which record of a shard is to be written next
+	named map[int]int           // and which Next named last
+	next  map[int]time.Duration // and when
+}
+
+// NewCaches returns what is known before anything is; a shard's records are written anew after every at the
+// soonest.
+func NewCaches(every time.Duration) *Caches {
+	return &Caches{every: every, read: map[string][]string{}, due: map[int]bool{}, part: map[int]int{}, named: map[int]int{}, next: map[int]time.Duration{}}
+}
+
+// Read takes what a record says of a machine, Of is that, Gone forgets it.
+func (c *Caches) Read(machine string, images []string) { c.read[machine] = images }
+func (c *Caches) Of(machine string) []string           { return c.read[machine] }
+func (c *Caches) Gone(machine string)                  { delete(c.read, machine) }
+
+// Len counts the machines of which something has been read.
+func (c *Caches) Len() int { return len(c.read) }
+
+// Learned notes that a machine of a shard has an image that no record tells of.
+func (c *Caches) Learned(shard int) { c.due[shard] = true }
+
+// Next is the record to write now, and its key: one at a time, in turn; the duty is done when the last is
+// written. mine tells whether a shard is held, of what its machines have.
+func (c *Caches) Next(now time.Duration, mine func(shard int) bool, of func(shard int) []MachineImages, bytes int) (shard int, key string, rec *wire.Cache) {
+	for _, i := range slices.Sorted(maps.Keys(c.due)) {
+		if !mine(i) {
+			delete(c.due, i)
+			continue
+		}
+		if now < c.next[i] {
+			continue
+		}
+		c.next[i] = now + c.every
+		parts := PackImages(of(i), bytes)
+		if len(parts) == 0 {
+			delete(c.due, i)
+			continue
+		}
+		k := c.part[i] % len(parts)
+		key = wire.PrefixCache + strconv.Itoa(i)
+		if k > 0 {
+			key += "." + strconv.Itoa(k)
+		}
+		c.part[i], c.named[i] = k+1, k
+		if k+1 < len(parts) {
+			c.next[i] = now + c.every/time.Duration(len(parts))
+		} else {
+			c.part[i] = 0
+			delete(c.due, i)
+		}
+		return i, key, &parts[k]
+	}
+	return 0, "", nil
+}
+
+// Failed notes that the record that Next named last for a shard was not written.
+func (c *Caches) Failed(shard int) { c.due[shard], c.part[shard] = true, c.named[shard] }
--- a/internal/weights/cache_test.go
+++ b/internal/weights/cache_test.go
@@ -1,4 +1,4 @@
-package ledger
+package weights
 
 import (
 	"encoding/json"
--- a/wire/records.go
+++ b/wire/records.go
@@ -14,8 +14,10 @@
 	PrefixJob   = "live/job/"
 	PrefixCache = "live/cache/"
 	PrefixStart = "live/start/"
-	PrefixDone  = "live/done/"
-	PrefixFinal = "final/"
+	// PrefixWeights holds, by shard, what is planned for images that many machines fetch.
+	PrefixWeights = "live/weights/"
+	PrefixDone    = "live/done/"
+	PrefixFinal   = "final/"
 	// PrefixWaiting holds jobs that wait for others. They move to PrefixJob once all of those
 	// are done, or to PrefixFinal.
 	PrefixWaiting = "live/wait/"
@@ -222,3 +224,17 @@
 	// shard they are of.
 	Rung int `cbor:"rung,omitempty"`
 }
+
+// Weights is what a shard's holder has planned for images that many of its machines fetch: one change an
+// image and stage. Roots fetch it from the store.
+type Weights struct {
+	Images []WeightsImage `cbor:"images,omitempty" json:"images,omitempty"`
+}
+
+// WeightsImage is one of them.
+type WeightsImage struct {
+	Image string   `cbor:"image" json:"image"`
+	GB    float64  `cbor:"gb" json:"gb"`
+	Stage int      `cbor:"stage" json:"stage"`
+	Roots []string `cbor:"roots,omitempty" json:"roots,omitempty"`
+}
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -57,6 +57,9 @@
 	Task    string   `cbor:"piece"`
 	Attempt uint64   `cbor:"try"`
 	GraceS  *float64 `cbor:"wind_down_s,omitempty"`
+	// Sources are addresses of workers that have the task's image, or fetch it, and hand it on; none: it comes from
+	// the store. A worker that does not know the field fetches it from there all the same.
+	Sources []string `cbor:"sources,omitempty" msgpack:",omitempty"`
 }
 
 // ReportReply answers a report.
