A dependent asked where the watch is late: a test for the look at the mirror's freshness

A repeated submission alone, at a controller whose watch is 1.5 s late and whose peers do not reach it, is answered queued without the look, after another controller has told that a job before it is cancelled.

--- a/internal/core/chains_told_test.go
+++ b/internal/core/chains_told_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -59,3 +60,42 @@
 		t.Errorf("told %+v", told)
 	}
 }
+
+// A controller whose watch is late is asked of nothing but a dependent, or gets its submission again, in the moment in which another has told
+// that a job before it is cancelled: it looks for itself how far the state is before it answers.
+func TestDependentAskedWhereTheWatchIsLate(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(960); seed < 964; seed++ {
+		w := staffed(t, seed, 1)
+		w.runS = 30 * sec
+		ids := w.chain()
+		w.watchLag = 1500 * time.Millisecond
+		for _, n := range sortedKeys(w.nodes) {
+			w.silence(n, true) // nor does it hear of it from a peer
+		}
+		w.run(3 * sec) // the answers that were under way came in time
+		by, answers := sortedKeys(w.nodes)[seed%3], 0
+		w.cancelAt(by, ids[0], func() {
+			for _, n := range sortedKeys(w.nodes) {
+				if n == by {
+					continue
+				}
+				w.ask(n, func(q uint64) any {
+					if seed%2 == 0 {
+						return Poll{Req: q, ID: ids[4]}
+					}
+					return Submit{Req: q, Spec: w.jobs[ids[4]].spec}
+				}, func(a Answer) {
+					answers++
+					if st, _ := a.Body.(wire.JobStatus); a.Status != 503 && (a.Status != 200 || st.Status != wire.JobAborted) {
+						t.Errorf("seed %d: %s says %d %s of %s, which awaits what %s has told to be cancelled", seed, n, a.Status, st.Status, ids[4], by)
+					}
+				})
+			}
+		})
+		w.run(6 * sec)
+		if answers != 2 {
+			t.Errorf("seed %d: %d answers", seed, answers)
+		}
+	}
+}
