--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -57,7 +57,7 @@
 		}
 		step := func(in any) {
 			now += time.Millisecond
-			c.renewOK, c.watchOK = now, now // as if the state service had just answered
+			c.sure(now) // as if the state service had just answered
 			c.Step(now, wall, in)
 		}
 		req := uint64(1 << 40)
@@ -77,7 +77,7 @@
 		})
 		b.Run(fmt.Sprintf("place-%d", n), func(b *testing.B) {
 			for range b.N {
-				c.renewOK, c.watchOK = c.now, c.now
+				c.sure(c.now)
 				c.place()
 			}
 		})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/hold"
 	"github.com/barrowbridge/barrowbridge/internal/limits"
+	"github.com/barrowbridge/barrowbridge/internal/membership"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/progress"
 	"github.com/barrowbridge/barrowbridge/internal/prompt"
@@ -67,17 +68,9 @@
 	cloudWait map[uint64]func(CloudReply)
 
 	// Own presence.
-	boot         uint64 // first grant of this process: names this life of the node
-	grant        uint64
-	granting     bool
-	refused      bool // the last try for a grant failed
-	present      bool
-	extendAt     Time
-	extendIn     bool
-	renewOK      Time // when the last successful renewal was sent
+	member       *membership.Life
 	wasConfirmed bool
 	sureSince    Time // since when confirmed, or not, without a break
-	watchOK      Time // when the last answered watch or list was sent
 	loaded       bool
 	loading      bool
 	watching     bool
@@ -139,6 +132,8 @@
 	c.peers = newPeers(p)
 	c.ways = newWays()
 	c.reaching = newReaching(p, c.nodes)
+	// What may go unconfirmed spans several renewals.
+	c.member = membership.NewLife(membership.LifeTimes{Retry: tuning.RetryAfter, Extend: min(tuning.ExtendEvery, c.unconfirmedMax()/4)})
 	c.leader.reset(p.ListLag)
 	c.form = limits.NewForm(formParams, limits.Bounds{ValueBytes: p.ValueBytes, Changes: p.TxnOps})
 	c.keepTo(c.form.Bounds())
@@ -265,7 +260,7 @@
 			kind = trail.Confirmed
 		}
 		c.note(wire.TrailEvent{Kind: kind})
-		c.log(1, "entitlement confirmed", "now", ok, "renewed_ago", (c.now - c.renewOK).String(), "watched_ago", (c.now - c.watchOK).String())
+		c.log(1, "entitlement confirmed", "now", ok, "renewed_ago", (c.now - c.member.LastRenewed()).String(), "watched_ago", (c.now - c.member.LastWatched()).String())
 	}
 	c.lead()
 	c.followAddrs()
@@ -276,83 +271,52 @@
 
 // keepPresence holds a grant, and this node's key on it.
 func (c *Core) keepPresence() {
-	switch {
-	case c.grant == 0:
-		if c.granting || !c.every("grant", tuning.RetryAfter) {
-			return
-		}
-		c.granting = true
-		sent := c.now
+	sent := c.now
+	if c.member.WantsGrant(c.now) {
 		c.state(StateCall{Op: OpGrant}, func(r StateReply) {
-			c.granting = false
 			if r.Status != 200 {
-				if !c.refused { // once: an outage is not news by the attempt
-					c.refused = true
-					c.log(0, "no grant from the state service", "status", r.Status, "err", r.Err)
-				}
-				return
+				r.Lease = 0
 			}
-			if c.refused {
-				c.refused = false
+			news := c.member.Granted(c.now, sent, r.Lease)
+			switch {
+			case r.Lease == 0 && news:
+				c.log(0, "no grant from the state service", "status", r.Status, "err", r.Err)
+			case news:
 				c.log(1, "grants again from the state service")
 			}
-			c.grant, c.present = r.Lease, false
-			if c.boot == 0 {
-				c.boot = r.Lease
+			if r.Lease != 0 {
+				c.keepPresence()
 			}
-			c.renewOK, c.extendAt = sent, c.now+c.extendEvery()
-			c.keepPresence()
 		})
-	case !c.present:
-		if c.every("presence", tuning.RetryAfter) {
-			c.writePresence()
-		}
+	} else if c.member.WantsWrite(c.now) {
+		c.writePresence()
 	}
-	if c.grant != 0 && !c.extendIn && c.now >= c.extendAt {
-		c.extendIn = true
-		sent, g := c.now, c.grant
+	if g, due := c.member.WantsExtend(c.now); due {
 		c.state(StateCall{Op: OpExtend, Lease: g}, func(r StateReply) {
-			c.extendIn = false
-			c.extendAt = sent + c.extendEvery()
-			switch {
-			case g != c.grant:
-			case r.Status == 200:
-				c.renewOK = sent
-			case r.Status == 404:
+			switch c.member.Extended(c.now, sent, g, r.Status) {
+			case membership.Ended:
 				c.log(0, "grant ended, taking another", "grant", g)
-				c.grant, c.present = 0, false
-			default:
-				c.extendAt = c.now + tuning.RetryAfter
+			case membership.Unanswered:
 				c.log(2, "grant not renewed", "status", r.Status, "err", r.Err)
 			}
 		})
 	}
 }
 
-// extendEvery is the time between renewals: what may go unconfirmed spans several.
-func (c *Core) extendEvery() time.Duration { return min(tuning.ExtendEvery, c.unconfirmedMax()/4) }
-
 // writePresence puts this life into this node's key, which it reads first: compared with what
 // stands there, the write of an earlier life that is executed late fails. It once replaced the
 // key and took it along when its own grant ended, and a controller that ran was taken for gone.
 func (c *Core) writePresence() {
-	g, key := c.grant, wire.PrefixNode+c.p.Node
+	g, key := c.member.Grant(), wire.PrefixNode+c.p.Node
 	c.state(StateCall{Op: OpGet, Key: key}, func(r StateReply) {
-		if r.Status != 200 && r.Status != 404 || c.grant != g {
+		if r.Status != 200 && r.Status != 404 || c.member.Grant() != g {
 			return
 		}
 		c.learn(key, r)
-		c.commit(LaneFirst, []wire.Condition{{Key: key, Version: r.Item.Version}}, []wire.Change{{Put: key, Value: wire.Node{Boot: c.boot, Zone: c.p.Zone, Features: c.p.Features}, Lease: g}}, func(r StateReply) {
-			switch {
-			case c.grant != g:
-			case r.Status == 200:
-				c.present = true
+		c.commit(LaneFirst, []wire.Condition{{Key: key, Version: r.Item.Version}}, []wire.Change{{Put: key, Value: wire.Node{Boot: c.member.Boot(), Zone: c.p.Zone, Features: c.p.Features}, Lease: g}}, func(r StateReply) {
+			if c.member.Wrote(c.now, g, r.Status) {
 				c.retake()
-				c.log(1, "present", "node", c.p.Node, "boot", c.boot, "grant", g)
-			case r.Status == 400:
-				c.grant = 0
-			case r.Status == 409:
-				c.retryAt["presence"] = c.now // an earlier life's, or its end
+				c.log(1, "present", "node", c.p.Node, "boot", c.member.Boot(), "grant", g)
 			}
 		})
 	})
@@ -360,7 +324,7 @@
 
 // keepMirror reads all live keys once and then follows their changes.
 func (c *Core) keepMirror() {
-	if c.boot == 0 {
+	if c.member.Boot() == 0 {
 		return
 	}
 	if !c.loaded && !c.loading && c.every("load", tuning.RetryAfter) {
@@ -374,7 +338,7 @@
 			c.watching = false
 			switch r.Status {
 			case 200:
-				c.watchOK = sent
+				c.member.Watched(sent)
 				c.follow(&r.Events)
 				c.keepMirror()
 				c.changed()
@@ -436,7 +400,8 @@
 		}
 		// Changes made while the pages were read come again with the watch.
 		c.ver.Read(c.listRev)
-		c.rev, c.loading, c.watching, c.watchOK, c.listSeen = c.listRev, false, false, began, nil
+		c.rev, c.loading, c.watching, c.listSeen = c.listRev, false, false, nil
+		c.member.Watched(began)
 		c.enterShards()
 		if !c.loaded {
 			c.loaded = true
@@ -456,12 +421,12 @@
 // one else can act for it, and its workers' leases are running out. It is present first: a
 // record of an earlier life in its place would prove to others that this one is dead.
 func (c *Core) retake() {
-	if !c.loaded || !c.present {
+	if !c.loaded || !c.member.Here() {
 		return
 	}
 	for _, i := range c.shardIDs() {
-		if e := c.shards[i]; e.rec.Holder == c.p.Node && e.rec.Boot != c.boot {
-			c.takeShard(i, c.p.Node, c.boot)
+		if e := c.shards[i]; e.rec.Holder == c.p.Node && e.rec.Boot != c.member.Boot() {
+			c.takeShard(i, c.p.Node, c.member.Boot())
 		}
 	}
 	c.lead()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -281,3 +281,19 @@
 		t.Errorf("not done: %v", u)
 	}
 }
+
+// born gives a core that no world drives its first grant.
+func (c *Core) born(boot uint64) {
+	c.member.WantsGrant(0)
+	c.member.Granted(0, 0, boot)
+}
+
+// sure has the state service confirm a core at a time.
+func (c *Core) sure(at Time) {
+	if g := c.member.Grant(); g != 0 {
+		c.member.Hurry(at)
+		c.member.WantsExtend(at)
+		c.member.Extended(at, at, g, 200)
+	}
+	c.member.Watched(at)
+}
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -274,7 +274,7 @@
 	if old != nil {
 		c.words.Moved(c.now, &old.rec, &c.shards[i].rec)
 	}
-	named := c.boot != 0 && c.shards[i].rec.Holder == c.p.Node && c.shards[i].rec.Boot == c.boot
+	named := c.member.Boot() != 0 && c.shards[i].rec.Holder == c.p.Node && c.shards[i].rec.Boot == c.member.Boot()
 	if now := c.shards[i]; old == nil || old.rec.Holder != now.rec.Holder || old.rec.Boot != now.rec.Boot || !slices.Equal(old.rec.Teams, now.rec.Teams) {
 		c.vouch.Granted(shardKey(i), now.ver, named)
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -47,7 +47,7 @@
 
 // leading tells whether this life of this controller is the leader.
 func (c *Core) leading() bool {
-	return c.chief.Node == c.p.Node && c.chief.Boot == c.boot && c.boot != 0
+	return c.chief.Node == c.p.Node && c.chief.Boot == c.member.Boot() && c.member.Boot() != 0
 }
 
 // lead claims leadership where it is free, and does the leader's duties.
@@ -60,10 +60,10 @@
 			l.reset(c.p.ListLag)
 		}
 		// Free, or held by this node's earlier life, which is dead.
-		if (c.chief.Node == "" || c.chief.Node == c.p.Node) && c.present && !l.claiming && c.now >= c.reaching.stands && c.every("claim", tuning.RetryAfter) {
+		if (c.chief.Node == "" || c.chief.Node == c.p.Node) && c.member.Here() && !l.claiming && c.now >= c.reaching.stands && c.every("claim", tuning.RetryAfter) {
 			l.claiming = true
 			c.commit(LaneFirst, []wire.Condition{{Key: wire.KeyLeader, Version: c.ver.Of(wire.KeyLeader)}},
-				[]wire.Change{{Put: wire.KeyLeader, Value: wire.Leader{Node: c.p.Node, Boot: c.boot}, Lease: c.grant}}, func(r StateReply) {
+				[]wire.Change{{Put: wire.KeyLeader, Value: wire.Leader{Node: c.p.Node, Boot: c.member.Boot()}, Lease: c.member.Grant()}}, func(r StateReply) {
 					l.claiming = false
 					c.changed()
 				})
@@ -107,12 +107,12 @@
 	if !l.unsure {
 		return c.rev >= l.fence
 	}
-	if l.claiming || !c.present || !c.every("fence", tuning.RetryAfter) {
+	if l.claiming || !c.member.Here() || !c.every("fence", tuning.RetryAfter) {
 		return false
 	}
 	c.log(1, "a write that forms blocks got no answer, the leader record is written anew")
 	l.claiming = true
-	c.commit(LaneFirst, []wire.Condition{c.leaderCond()}, []wire.Change{{Put: wire.KeyLeader, Value: c.chief, Lease: c.grant}}, func(r StateReply) {
+	c.commit(LaneFirst, []wire.Condition{c.leaderCond()}, []wire.Change{{Put: wire.KeyLeader, Value: c.chief, Lease: c.member.Grant()}}, func(r StateReply) {
 		l.claiming = false
 		if r.Status == 200 {
 			l.unsure, l.fence = false, r.Txn.Revision
--- a/internal/core/meeting_copies_test.go
+++ b/internal/core/meeting_copies_test.go
@@ -155,7 +155,7 @@
 	w.noAnswer = func(node string, v StateCall) (time.Duration, bool) {
 		for _, ch := range v.Txn.Then {
 			rec, ok := ch.Value.(wire.Shard)
-			if !ok || rec.Holder != node || w.nodes[node].core.boot != rec.Boot {
+			if !ok || rec.Holder != node || w.nodes[node].core.member.Boot() != rec.Boot {
 				continue
 			}
 			var there wire.Node
--- a/internal/core/meeting_gap_test.go
+++ b/internal/core/meeting_gap_test.go
@@ -251,7 +251,8 @@
 func TestStatementsNameGrants(t *testing.T) {
 	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Lease: 10 * sec, Cancel: 40 * sec})
-	c.boot, c.loaded, c.rev = 1, true, 10
+	c.born(1)
+	c.loaded, c.rev = true, 10
 	said := func() (at uint64) {
 		c.out = nil
 		c.onPeer(PeerMessage{From: "b", Nonce: 1})
@@ -343,7 +344,8 @@
 func TestNewsAgainstUs(t *testing.T) {
 	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
-	c.boot, c.loaded, c.rev = 7, true, 70
+	c.born(7)
+	c.loaded, c.rev = true, 70
 	put := func(key string, v any, ver uint64) {
 		raw, err := wire.Marshal(v)
 		if err != nil {
@@ -392,7 +394,8 @@
 	// What was vouched for before we gained a block says nothing of that.
 	c.nonce++
 	c.vouch.Pinged(90*sec, c.nonce)
-	c.renewOK, c.watchOK, c.now = 80*sec, 80*sec, 91*sec
+	c.sure(80 * sec)
+	c.now = 91 * sec
 	c.onPeer(PeerMessage{From: "b", Nonce: c.nonce, Reply: true, UpMS: 91000, Revision: 500, Statement: &membership.Statement{}})
 	before := c.vouch.Until()
 	put(blockKey("y"), block(0, "n-2"), 71)
--- a/internal/core/meeting_takeovers_test.go
+++ b/internal/core/meeting_takeovers_test.go
@@ -79,7 +79,8 @@
 		{"a team more", wire.Shard{Settled: true, Past: []wire.Life{b}, Known: true}, wire.Shard{Settled: true, Past: []wire.Life{b}, Known: true, Teams: []string{"red", "blue"}}, false},
 	} {
 		c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
-		c.boot, c.loaded, c.rev = 7, true, 70
+		c.born(7)
+		c.loaded, c.rev = true, 70
 		put := func(key string, v any, ver uint64) {
 			raw, err := wire.Marshal(v)
 			if err != nil {
--- a/internal/core/needs_test.go
+++ b/internal/core/needs_test.go
@@ -13,7 +13,8 @@
 	t.Parallel()
 	for upper := range 3 {
 		c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
-		c.boot, c.loaded, c.rev, c.now, c.wall = 7, true, 90, 60*sec, time.UnixMilli(1e12)
+		c.born(7)
+		c.loaded, c.rev, c.now, c.wall = true, 90, 60*sec, time.UnixMilli(1e12)
 		put := func(key string, v any, ver uint64) {
 			raw, err := wire.Marshal(v)
 			if err != nil {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -37,14 +37,14 @@
 
 // tell sends a message, with what every message says of its sender.
 func (c *Core) tell(to string, m PeerMessage) {
-	m.From, m.Boot, m.Revision, m.UpMS = c.p.Node, c.boot, c.topRev, c.now.Milliseconds()
+	m.From, m.Boot, m.Revision, m.UpMS = c.p.Node, c.member.Boot(), c.topRev, c.now.Milliseconds()
 	m.Way = c.ways.Offer(c.now, to)
 	c.out = append(c.out, PeerSend{To: to, Msg: m})
 }
 
 // tellPeers pings every other controller; holders add their jobs' progress.
 func (c *Core) tellPeers() {
-	if c.boot == 0 || len(c.p.Nodes) < 2 || !c.every("peers", tuning.PeerEvery) {
+	if c.member.Boot() == 0 || len(c.p.Nodes) < 2 || !c.every("peers", tuning.PeerEvery) {
 		return
 	}
 	c.nonce++
@@ -217,7 +217,7 @@
 }
 
 // lastConfirmed is when the state service last confirmed our entitlement.
-func (c *Core) lastConfirmed() Time { return min(c.renewOK, c.watchOK) }
+func (c *Core) lastConfirmed() Time { return c.member.LastConfirmed() }
 
 // confirmedAt is until when we are sure that nobody has acted against us: the
 // state service said so, or every peer has vouched for it. An outage that all
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -207,7 +207,7 @@
 	if own {
 		c.tryNo++
 	}
-	a := &attempt{key: attemptKey{wire.TaskName(j.ID, idx), c.boot<<24 | c.tryNo}, job: j.ID, idx: idx, team: j.Team,
+	a := &attempt{key: attemptKey{wire.TaskName(j.ID, idx), c.member.Boot()<<24 | c.tryNo}, job: j.ID, idx: idx, team: j.Team,
 		size: jobSize(j), known: true, lesser: e.prio < urgentRank, idle: e.prio <= idleRank, m: m, created: c.now, running: c.now}
 	c.addAttempt(a)
 	c.touchJob(e)
--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -34,7 +34,7 @@
 }
 
 func (c *Core) self() duty.Self {
-	return duty.Self{Boot: c.boot, Leading: c.leading(), Leader: c.chief.Node}
+	return duty.Self{Boot: c.member.Boot(), Leading: c.leading(), Leader: c.chief.Node}
 }
 
 func (c *Core) wordOf(node string) wire.Reach { return c.words.Of(c.now, node) }
@@ -165,17 +165,17 @@
 func (c *Core) tellReach() {
 	r := &c.reaching
 	key, w, stands := wire.PrefixReach+c.p.Node, c.ownWord(), c.words.Written(c.p.Node)
-	if stands.Boot != c.boot {
-		stands = wire.Reach{Boot: c.boot} // an earlier life's, or none: it goes with its grant
+	if stands.Boot != c.member.Boot() {
+		stands = wire.Reach{Boot: c.member.Boot()} // an earlier life's, or none: it goes with its grant
 	}
-	if wire.Same(w, stands) || r.writing || !c.present || !c.every("tellReach", tuning.TellReach) {
+	if wire.Same(w, stands) || r.writing || !c.member.Here() || !c.every("tellReach", tuning.TellReach) {
 		return
 	}
 	if w.Lacks != stands.Lacks {
 		c.log(1, "reach of the workers", "lost", w.Lacks)
 	}
 	r.writing = true
-	c.commit(LaneLater, []wire.Condition{{Key: key, Version: c.ver.Of(key)}}, []wire.Change{{Put: key, Value: w, Lease: c.grant}}, func(StateReply) { r.writing = false })
+	c.commit(LaneLater, []wire.Condition{{Key: key, Version: c.ver.Of(key)}}, []wire.Change{{Put: key, Value: w, Lease: c.member.Grant()}}, func(StateReply) { r.writing = false })
 }
 
 func (c *Core) onAdminReach(v AdminReach) {
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -144,7 +144,7 @@
 func (c *Core) rentOf(shard int, o *supply.Offer, count int, n wire.Need) {
 	l := &c.leader
 	l.bookings++
-	req := wire.RentRequest{Request: fmt.Sprintf("%s-%d-%d", c.p.Node, c.boot, l.bookings), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: count}
+	req := wire.RentRequest{Request: fmt.Sprintf("%s-%d-%d", c.p.Node, c.member.Boot(), l.bookings), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: count}
 	l.renting[shard] = true
 	c.noteShard(trail.Rented, shard, wire.TrailEvent{Count: count, Why: fmt.Sprintf("%d tasks of %g cpus find no machine", n.Tasks, n.CPUs)})
 	c.log(1, "renting", "shard", shard, "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", count, "booking", req.Request)
--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -102,7 +102,7 @@
 		if hit := kindOfWrite(v) == "version" && node == "c1" && !held; !hit {
 			return 0, false
 		}
-		held, was = true, w.nodes["c1"].core.boot
+		held, was = true, w.nodes["c1"].core.member.Boot()
 		w.older("c1")
 		w.at(0, func() { w.kill("c1"); w.start("c1") })
 		return 6 * time.Second, true
--- a/internal/core/starting_test.go
+++ b/internal/core/starting_test.go
@@ -105,7 +105,8 @@
 	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 8}}, Lease: 10 * sec, Cancel: 40 * sec, TxnOps: 8, ValueBytes: 8192})
 	c.Step(0, time.UnixMilli(1e12), Tick{})
-	c.boot, c.loaded = 7, true
+	c.born(7)
+	c.loaded = true
 	put := func(key string, v any, ver uint64) {
 		raw, err := wire.Marshal(v)
 		if err != nil {
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -292,7 +292,8 @@
 func TestALateReadDoesNotBringAJobBack(t *testing.T) {
 	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
-	c.boot, c.loaded, c.rev = 7, true, 50
+	c.born(7)
+	c.loaded, c.rev = true, 50
 	s := spec("job-000001", "red", wire.ShapeService, 1)
 	rec, err := s.Validate()
 	if err != nil {
@@ -397,8 +398,9 @@
 func TestPeersVouchOnlyForWhatTheyKnow(t *testing.T) {
 	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n", "b": "n"}, Lease: 10 * sec, Cancel: 40 * sec})
-	c.boot, c.loaded, c.rev = 1, true, 100
-	c.renewOK, c.watchOK = 50*sec, 50*sec
+	c.born(1)
+	c.loaded, c.rev = true, 100
+	c.sure(50 * sec)
 	at := func(now Time, up time.Duration, rev uint64) bool {
 		c.now = now
 		c.retryAt["peers"] = 0
@@ -462,7 +464,8 @@
 func TestShardTakenUpOnlyWhenMirrorHasCaughtUp(t *testing.T) {
 	t.Parallel()
 	c := New(Params{Node: "a", Nodes: map[string]string{"a": "n"}, Teams: map[string]Team{"red": {CPUsMax: 9}}, Lease: 10 * sec, Cancel: 40 * sec, Report: 2 * sec, TxnOps: 8, ValueBytes: 8192})
-	c.boot, c.loaded, c.rev = 7, true, 90
+	c.born(7)
+	c.loaded, c.rev = true, 90
 	put := func(key string, v any, ver uint64) {
 		raw, err := wire.Marshal(v)
 		if err != nil {
--- a/internal/core/trailing.go
+++ b/internal/core/trailing.go
@@ -99,12 +99,12 @@
 			c.trailBusy = false
 			var rec wire.TrailRecord
 			if r.Status == 200 && wire.Unmarshal(r.Item.Value, &rec) == nil {
-				c.trail.Earlier(rec, c.boot)
+				c.trail.Earlier(rec, c.member.Boot())
 			}
 			c.trailRead = r.Status == 200 || r.Status == 404
 		})
 	default:
-		rec, due := c.trail.Record(c.now, c.boot)
+		rec, due := c.trail.Record(c.now, c.member.Boot())
 		if !due {
 			return
 		}
@@ -120,7 +120,7 @@
 func (c *Core) onAdminTrail(v AdminTrail) {
 	v.Query.Most = max(1, min(v.Query.Most, tuning.TrailAnswer))
 	if v.Node == "" || v.Node == c.p.Node {
-		t := wire.Trail{Node: c.p.Node, Boot: c.boot}
+		t := wire.Trail{Node: c.p.Node, Boot: c.member.Boot()}
 		t.Events, t.Next, t.Missed = c.trail.Events(v.Query)
 		c.answer(v.Req, 200, t)
 		return
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -267,7 +267,7 @@
 		known(func() { c.answer(v.Req, 422, wire.Problem{Error: why}) })
 		return
 	}
-	if c.now-c.renewOK > 2*tuning.GrantTTL {
+	if c.now-c.member.LastRenewed() > 2*tuning.GrantTTL {
 		c.answer(v.Req, 503, unavailable("state service not reached"))
 		return
 	}
--- a/internal/core/ways.go
+++ b/internal/core/ways.go
@@ -50,7 +50,7 @@
 			}
 		}
 		if c.ways.Turn(via); via != "" {
-			c.extendAt = min(c.extendAt, c.now) // what a grant hangs on goes first
+			c.member.Hurry(c.now) // what a grant hangs on goes first
 		}
 		c.note(wire.TrailEvent{Kind: trail.WayChanged, Node: via, Why: j.Level.String() + ": " + j.Why})
 		c.log(1, "calls of the state service", "through", via, "link", j.Level.String(), "why", j.Why)
