The election of a leader is decided in membership, out of the core

membership.Term: claims, resignations, and the fence that is written anew after a write without an answer, one at a time.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,6 +69,7 @@
 
 	// Own presence.
 	member       *membership.Life
+	term         *membership.Term
 	wasConfirmed bool
 	sureSince    Time // since when confirmed, or not, without a break
 	loaded       bool
@@ -134,6 +135,7 @@
 	c.reaching = newReaching(p, c.nodes)
 	// What may go unconfirmed spans several renewals.
 	c.member = membership.NewLife(membership.LifeTimes{Retry: tuning.RetryAfter, Extend: min(tuning.ExtendEvery, c.unconfirmedMax()/4)})
+	c.term = membership.NewTerm(tuning.RetryAfter)
 	c.leader.reset(p.ListLag)
 	c.form = limits.NewForm(formParams, limits.Bounds{ValueBytes: p.ValueBytes, Changes: p.TxnOps})
 	c.keepTo(c.form.Bounds())
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -17,9 +17,6 @@
 // leaderState is what only the leading controller keeps; it starts empty with
 // each term, since all of it can be learned again.
 type leaderState struct {
-	claiming bool
-	since    Time // leading since; 0: not leading
-	boot     uint64
 	listing  bool
 	known    *inventory.Book // the cloud's machines
 	deleting bool
@@ -31,8 +28,6 @@
 	cloudAt  Time
 	typing   bool
 	tidying  bool
-	unsure   bool   // a write that forms blocks got no answer, and may be executed yet
-	fence    uint64 // the mirror must have reached this before blocks are formed
 	nodeUp   map[string]Time
 	bookings uint64
 	standing bool // the first machines, found when there was no block at all
@@ -53,26 +48,25 @@
 // lead claims leadership where it is free, and does the leader's duties.
 func (c *Core) lead() {
 	l := &c.leader
+	began, ended := c.term.Led(c.now, c.leading(), c.ver.Of(wire.KeyLeader))
 	if !c.leading() {
-		if l.since != 0 {
+		if ended {
 			c.note(wire.TrailEvent{Kind: trail.NoLongerLeading, Node: c.chief.Node})
 			c.log(1, "no longer leading")
 			l.reset(c.p.ListLag)
 		}
 		// Free, or held by this node's earlier life, which is dead.
-		if (c.chief.Node == "" || c.chief.Node == c.p.Node) && c.member.Here() && !l.claiming && c.now >= c.reaching.stands && c.every("claim", tuning.RetryAfter) {
-			l.claiming = true
+		if c.term.Claims(c.now, (c.chief.Node == "" || c.chief.Node == c.p.Node) && c.member.Here()) {
 			c.commit(LaneFirst, []wire.Condition{{Key: wire.KeyLeader, Version: c.ver.Of(wire.KeyLeader)}},
 				[]wire.Change{{Put: wire.KeyLeader, Value: wire.Leader{Node: c.p.Node, Boot: c.member.Boot()}, Lease: c.member.Grant()}}, func(r StateReply) {
-					l.claiming = false
+					c.term.Answered()
 					c.changed()
 				})
 		}
 		return
 	}
-	if l.since == 0 {
+	if began {
 		l.reset(c.p.ListLag)
-		l.since, l.fence = c.now, c.ver.Of(wire.KeyLeader) // what an earlier leader formed stands before that
 		c.note(wire.TrailEvent{Kind: trail.Leading, Token: c.ver.Of(wire.KeyLeader)})
 		c.log(1, "leading", "revision", c.ver.Of(wire.KeyLeader))
 	}
@@ -103,20 +97,13 @@
 // names, it put them into two blocks, each with a holder. So after one without an answer the
 // leader record is written anew, which fails whatever compares the old one.
 func (c *Core) fenced() bool {
-	l := &c.leader
-	if !l.unsure {
-		return c.rev >= l.fence
-	}
-	if l.claiming || !c.member.Here() || !c.every("fence", tuning.RetryAfter) {
-		return false
+	ok, renew := c.term.Fenced(c.now, c.rev, c.member.Here())
+	if !renew {
+		return ok
 	}
 	c.log(1, "a write that forms blocks got no answer, the leader record is written anew")
-	l.claiming = true
 	c.commit(LaneFirst, []wire.Condition{c.leaderCond()}, []wire.Change{{Put: wire.KeyLeader, Value: c.chief, Lease: c.member.Grant()}}, func(r StateReply) {
-		l.claiming = false
-		if r.Status == 200 {
-			l.unsure, l.fence = false, r.Txn.Revision
-		}
+		c.term.Renewed(r.Status == 200, r.Txn.Revision)
 		c.changed()
 	})
 	return false
@@ -127,7 +114,7 @@
 	l := &c.leader
 	names := sortedKeys(c.p.Nodes)
 	if len(c.shards) < len(names) {
-		if l.writing || (len(c.nodes) < len(names) && c.now-l.since < tuning.ShardGrace) || !c.every("shards", tuning.RetryAfter) {
+		if l.writing || (len(c.nodes) < len(names) && c.now-c.term.Since() < tuning.ShardGrace) || !c.every("shards", tuning.RetryAfter) {
 			return
 		}
 		guarantees := map[string]float64{}
--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -19,7 +19,6 @@
 	words      *duty.Book
 	writing    bool
 	askedCloud bool // the cloud is being asked on behalf of a leader that does not reach it
-	stands     Time // until then we do not claim leadership that we gave away
 }
 
 var dutyLimits = duty.Limits{Keep: tuning.WayKeep, Near: 3 * tuning.PeerEvery, Apart: tuning.ApartAfter, Cloud: 2 * tuning.AskCloud,
@@ -148,14 +147,13 @@
 		return
 	}
 	to := c.words.LeadTo(c.now, c.self())
-	if to == "" || c.leader.claiming {
+	if to == "" || !c.term.Resigns(c.now, tuning.StandDown) {
 		return
 	}
-	r.stands, c.leader.claiming = c.now+tuning.StandDown, true
 	c.note(wire.TrailEvent{Kind: trail.LeadGiven, Node: to, Why: "the cloud is not reached here, and is there"})
 	c.log(1, "giving leadership away", "to", to, "why", "the cloud is not reached here")
 	c.commit(LaneFirst, []wire.Condition{c.leaderCond()}, []wire.Change{{Delete: wire.KeyLeader}}, func(StateReply) {
-		c.leader.claiming = false
+		c.term.Answered()
 		c.changed()
 	})
 }
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -41,7 +41,9 @@
 			for _, b := range rest[:n] {
 				c.log(1, "block formed", "first", b.Machines[0].Name, "shard", b.Shard, "zone", b.Zone, "machines", len(b.Machines), "spot", b.Spot, "status", r.Status)
 			}
-			l.unsure = l.unsure || r.Status == 0
+			if r.Status == 0 {
+				c.term.Unanswered()
+			}
 			write(rest[n:], allOK && r.Status == 200)
 		})
 	}
@@ -155,9 +157,9 @@
 // same machines, so that none is rented twice or lost.
 func (c *Core) book(shard int, key string, req wire.RentRequest, tries int) {
 	l := &c.leader
-	term := l.since
+	term := c.term.Since()
 	c.cloud(CloudCall{Op: OpRent, Rent: req}, func(r CloudReply) {
-		if !c.leading() || l.since != term {
+		if !c.leading() || c.term.Since() != term {
 			return // the next leader finds the machines in the list
 		}
 		switch {
