The checker remembers a cancellation of a job that is submitted while the request is on its way

The check was wrong: a random user of the test world cancels a job by number that a pipeline has not submitted yet, repeats the request, and the checker had forgotten the first for there was no such job. Now requests for unknown jobs count until they are answered; one answered 404 before the submission excuses nothing, as before. A new test holds both sides.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -110,6 +110,7 @@
 	p        Params
 	jobs     map[string]*job
 	after    map[string][]string // jobs that name a job, by that job
+	asks     map[string]int      // jobs that nobody has submitted yet: requests to cancel them that are on their way
 	machines map[string]Machine
 	started  int
 	late     int // starts of tasks whose job had been confirmed as cancelled
@@ -126,7 +127,7 @@
 
 // New returns a checker of a world in which nothing has happened.
 func New(p Params) *Checker {
-	return &Checker{p: p, jobs: map[string]*job{}, after: map[string][]string{}, machines: map[string]Machine{}, calm: never}
+	return &Checker{p: p, jobs: map[string]*job{}, after: map[string][]string{}, asks: map[string]int{}, machines: map[string]Machine{}, calm: never}
 }
 
 // Calm tells that all troubles are over.
@@ -151,7 +152,7 @@
 	if j := c.jobs[*spec.ID]; j != nil {
 		j.refused = false
 	} else {
-		c.jobs[*spec.ID] = &job{spec: spec, accepted: never, begun: never, aborts: never, unheard: never, doneAt: never, waitsFrom: never,
+		c.jobs[*spec.ID] = &job{spec: spec, accepted: never, begun: never, aborts: never, unheard: never, doneAt: never, waitsFrom: never, aborted: c.asks[*spec.ID] > 0,
 			done: map[string]bool{}, on: map[place]bool{}, cancelled: map[place]bool{}}
 		for _, p := range spec.Predecessors {
 			c.after[p] = append(c.after[p], *spec.ID)
@@ -221,16 +222,22 @@
 	return float64(ok) / float64(max(1, len(c.polls)))
 }
 
-// Aborting tells that a job's user is about to cancel it.
+// Aborting tells that a job's user is about to cancel it, each time that he asks. The job may be submitted while
+// the request is on its way.
 func (c *Checker) Aborting(id string) {
 	if j := c.jobs[id]; j != nil {
 		j.aborted = true
+	} else {
+		c.asks[id]++
 	}
 }
 
 // Aborted tells how a request to cancel was answered.
 func (c *Checker) Aborted(now, asked Time, id string, status int, st wire.JobStatus) {
 	j := c.jobs[id]
+	if j == nil && c.asks[id] > 0 {
+		c.asks[id]-- // answered before there was such a job: it is cancelled by no other request than a later one
+	}
 	switch {
 	case j == nil && status == 200:
 		c.fail(now, Invented, "%s, which nobody submitted, is %s", id, st.Status)
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -372,3 +372,39 @@
 		}
 	}
 }
+
+// A user may ask to cancel a job that is submitted only while his request is on its way: then it is cancelled at his
+// wish. A request that was answered before is none.
+func TestCancelledBeforeItWasSubmitted(t *testing.T) {
+	for _, c := range []struct {
+		what     string
+		asked    int // before it is submitted
+		answered int // of them, with 404
+		later    bool
+		want     bool // it may be called cancelled
+	}{
+		{"nobody asks", 0, 0, false, false},
+		{"on its way", 1, 0, false, true},
+		{"answered before", 1, 1, false, false},
+		{"one of two answered before", 2, 1, false, true},
+		{"asked again after it", 1, 1, true, true},
+	} {
+		got := broken(func(x *Checker) {
+			for range c.asked {
+				x.Aborting("job-2")
+			}
+			for range c.answered {
+				x.Aborted(9*sec, 8*sec, "job-2", 404, wire.JobStatus{})
+			}
+			x.Submitting(spec("job-2", 1))
+			x.Submitted(10*sec, 9*sec, "job-2", 201, wire.JobStatus{Status: wire.JobQueued})
+			if c.later {
+				x.Aborting("job-2")
+			}
+			x.Polled(12*sec, 11*sec, "job-2", 200, wire.JobStatus{Status: wire.JobAborted})
+		})
+		if got[WentBack] == c.want {
+			t.Errorf("%s: broken: %v", c.what, got)
+		}
+	}
+}
