Fetches from the store are counted as they change; one way to ask all controllers

Each report had all images of all machines counted, with nothing switched on too. A random test compares the count with one made afresh. admin reach and admin weights ask in the same way (askEach).

--- a/cmd/barrowbridge/reach.go
+++ b/cmd/barrowbridge/reach.go
@@ -19,19 +19,9 @@
 			"be out of reach from here. What a controller has said of itself to the others is\n" +
 			"printed as they have heard it.",
 		RunE: func(*cobra.Command, []string) error {
-			var views []wire.ReachView
-			var silent []string
-			for _, s := range c.servers {
-				one := &client{servers: []string{s}, timeout: min(askWait, c.timeout)}
-				var v wire.ReachView
-				if err := one.call(http.MethodGet, "/admin/v1/reach", nil, &v); err != nil {
-					silent = append(silent, fmt.Sprintf("%s: %v", s, err))
-					continue
-				}
-				views = append(views, v)
-			}
-			if len(views) == 0 {
-				return &exitError{exitUnavailable, "no controller answered: " + strings.Join(silent, "; ")}
+			views, silent, err := askEach[wire.ReachView](c, "/admin/v1/reach")
+			if err != nil {
+				return err
 			}
 			if c.json {
 				b, err := json.MarshalIndent(views, "", "  ")
@@ -41,12 +31,30 @@
 				_, err = fmt.Fprintln(c.out, string(b))
 				return err
 			}
-			_, err := fmt.Fprint(c.out, showReach(views, silent))
+			_, err = fmt.Fprint(c.out, showReach(views, silent))
 			return err
 		},
 	}
 }
 
+// askEach asks all controllers named with --server, and tells what those said that do not answer; an error if
+// none does.
+func askEach[T any](c *client, path string) (views []T, silent []string, err error) {
+	for _, s := range c.servers {
+		one := &client{servers: []string{s}, timeout: min(askWait, c.timeout)}
+		var v T
+		if err := one.call(http.MethodGet, path, nil, &v); err != nil {
+			silent = append(silent, fmt.Sprintf("%s: %v", s, err))
+			continue
+		}
+		views = append(views, v)
+	}
+	if len(views) == 0 {
+		return nil, nil, &exitError{exitUnavailable, "no controller answered: " + strings.Join(silent, "; ")}
+	}
+	return views, silent, nil
+}
+
 // showReach prints a line a link, and one for each word that says something.
 func showReach(views []wire.ReachView, silent []string) string {
 	var b strings.Builder
--- a/cmd/barrowbridge/weights.go
+++ b/cmd/barrowbridge/weights.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/url"
 	"strings"
 
@@ -23,19 +22,9 @@
 			if len(args) > 0 {
 				image = args[0]
 			}
-			var views []wire.WeightsView
-			var silent []string
-			for _, s := range c.servers {
-				one := &client{servers: []string{s}, timeout: min(askWait, c.timeout)}
-				var v wire.WeightsView
-				if err := one.call(http.MethodGet, "/admin/v1/weights?image="+url.QueryEscape(image), nil, &v); err != nil {
-					silent = append(silent, fmt.Sprintf("%s: %v", s, err))
-					continue
-				}
-				views = append(views, v)
-			}
-			if len(views) == 0 {
-				return &exitError{exitUnavailable, "no controller answered: " + strings.Join(silent, "; ")}
+			views, silent, err := askEach[wire.WeightsView](c, "/admin/v1/weights?image="+url.QueryEscape(image))
+			if err != nil {
+				return err
 			}
 			known := false
 			for _, v := range views {
@@ -52,7 +41,7 @@
 				_, err = fmt.Fprintln(c.out, string(b))
 				return err
 			}
-			_, err := fmt.Fprint(c.out, showWeights(views, silent, image != ""))
+			_, err = fmt.Fprint(c.out, showWeights(views, silent, image != ""))
 			return err
 		},
 	}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -70,6 +70,7 @@
 	s      Switches
 	copies map[string]map[string]*copied // image -> machine
 	on     map[string]map[string]bool    // machine -> images in use
+	roots  int                           // fetches from the store that are under way here
 	store  store
 	shards map[int]*shardPlan
 	caches *Caches
@@ -98,6 +99,9 @@
 			if len(c.sources) == 0 && len(uses) == 1 {
 				b.store.fetched(now, c)
 			}
+			if len(c.sources) == 0 {
+				b.roots--
+			}
 			c.there, c.sources, c.depth, c.since = true, nil, 0, now
 		}
 		c.Addr, c.Shard = m.Addr, m.Shard
@@ -127,6 +131,7 @@
 		b.copies[image] = map[string]*copied{}
 	}
 	b.copies[image][m.Name] = c
+	b.roots++
 	if b.on[m.Name] == nil {
 		b.on[m.Name] = map[string]bool{}
 	}
@@ -135,6 +140,9 @@
 }
 
 func (b *Book) drop(machine, image string) {
+	if c := b.copies[image][machine]; c != nil && !c.there && len(c.sources) == 0 {
+		b.roots--
+	}
 	delete(b.copies[image], machine)
 	if len(b.copies[image]) == 0 {
 		delete(b.copies, image)
@@ -143,13 +151,7 @@
 
 // fetching counts the fetches from the store that are under way, of all shards.
 func (b *Book) fetching(now time.Duration) (n int) {
-	for _, machines := range b.copies {
-		for _, c := range machines {
-			if !c.there && len(c.sources) == 0 {
-				n++
-			}
-		}
-	}
+	n = b.roots
 	for _, p := range b.shards {
 		if !p.own && now-p.at < b.l.Stale {
 			n += p.roots()
@@ -188,6 +190,9 @@
 			c.depth = max(c.depth, s.depth+1)
 		}
 	}
+	if len(addrs) > 0 {
+		b.roots--
+	}
 	return addrs
 }
 
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -72,6 +74,38 @@
 	}
 }
 
+// Whatever is seen, told and forgotten, in whatever order: the fetches from the store that are counted are those
+// that are under way.
+func TestFetchesAreCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := bookOf(Switches{HandOn: rapid.Bool().Draw(t, "hand on"), Pace: rapid.Bool().Draw(t, "pace")})
+		for now := range rapid.IntRange(0, 80).Draw(t, "n") {
+			m, image := machineAt(rapid.IntRange(0, 7).Draw(t, "machine"), "n"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "image")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				b.Fetch(sec(float64(now)), m, image, 6, 40)
+			case 1:
+				b.Gone(m.Name)
+			case 2:
+				b.Seen(sec(float64(now)), m, nil)
+			default:
+				b.Seen(sec(float64(now)), m, []Use{{Image: image, GB: 6, There: rapid.Bool().Draw(t, "there")}})
+			}
+			n := 0
+			for _, machines := range b.copies {
+				for _, c := range machines {
+					if !c.there && len(c.sources) == 0 {
+						n++
+					}
+				}
+			}
+			if b.roots != n {
+				t.Fatalf("%d are counted, %d under way", b.roots, n)
+			}
+		}
+	})
+}
+
 // What is gone is no source: a machine that left, an image that no task uses, a fetch given up.
 func TestSourcesThatAreGone(t *testing.T) {
 	b := bookOf(Switches{HandOn: true})
