--- a/internal/core/weighing_test.go
+++ b/internal/core/weighing_test.go
@@ -144,29 +144,29 @@
 		within  time.Duration
 		trouble func(w *world)
 	}{
-		{"the planner dies with half of a tree under way", 45 * sec, func(w *world) { w.bounce(8*sec, holder(w)) }},
-		{"all controllers end", 60 * sec, func(w *world) { w.bounce(3*sec, sortedKeys(w.nodes)...) }},
-		{"the leader ends", 40 * sec, func(w *world) { w.bounce(8*sec, w.leaderNode()) }},
-		{"two models", 40 * sec, func(w *world) { w.model("job-000003", "blue", "w-3", 8) }},
-		{"the only finished copy dies", 50 * sec, func(w *world) { w.vanish(source(w).info.Name) }},
-		{"a source hangs", 50 * sec, func(w *world) {
+		{"the planner dies with half of a tree under way", 15 * sec, func(w *world) { w.bounce(8*sec, holder(w)) }},
+		{"all controllers end", 15 * sec, func(w *world) { w.bounce(3*sec, sortedKeys(w.nodes)...) }},
+		{"the leader ends", 15 * sec, func(w *world) { w.bounce(8*sec, w.leaderNode()) }},
+		{"two models", 15 * sec, func(w *world) { w.model("job-000003", "blue", "w-3", 8) }},
+		{"the only finished copy dies", 30 * sec, func(w *world) { w.vanish(source(w).info.Name) }},
+		{"a source hangs", 30 * sec, func(w *world) {
 			m := source(w)
 			w.hang(m)
 			w.at(30*sec, func() { w.resume(m) })
 		}},
-		{"a zone is cut off", 60 * sec, func(w *world) {
+		{"a zone is cut off", 15 * sec, func(w *world) {
 			w.apart[[2]string{"n", "s"}] = true
 			w.at(15*sec, func() { clear(w.apart) })
 		}},
-		{"the state is down", 60 * sec, func(w *world) {
+		{"the state is down", 15 * sec, func(w *world) {
 			w.store.Trouble.Down = true
 			w.at(10*sec, func() { w.store.Trouble.Down = false })
 		}},
-		{"writes are late", 50 * sec, func(w *world) {
+		{"writes are late", 15 * sec, func(w *world) {
 			w.unsure = 20
 			w.at(15*sec, func() { w.unsure = 0 })
 		}},
-		{"alarms burst", 60 * sec, func(w *world) {
+		{"alarms burst", 15 * sec, func(w *world) {
 			for j := range 30 {
 				w.at(time.Duration(j)*200*time.Millisecond, func() {
 					s := spec(fmt.Sprintf("job-%06d", 500+j), "blue", wire.ShapeBatch, 1)
@@ -175,7 +175,7 @@
 				})
 			}
 		}},
-		{"copies of old reports reach all controllers", 40 * sec, func(w *world) {
+		{"copies of old reports reach all controllers", 15 * sec, func(w *world) {
 			w.keep = map[string][]wire.Report{}
 			w.at(4*sec, func() {
 				for _, n := range sortedKeys(w.keep) {
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -198,13 +198,10 @@
 
 // root tells whether the next copy of an image in a zone is to come from the store.
 func (b *Book) root(now time.Duration, image, zone string) bool {
-	here, roots := 0, 0
+	here := 0
 	for _, c := range b.copies[image] {
-		if c.there || len(c.sources) == 0 {
-			if c.Zone == zone {
-				here++
-			}
-			roots++
+		if c.Zone == zone && (c.there || len(c.sources) == 0) {
+			here++
 		}
 	}
 	if here <= 1 { // itself: the zone has no copy that needs nobody
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -266,3 +266,25 @@
 		t.Error("nothing more to write")
 	}
 }
+
+// A machine is busy with what many want alone, and not for a task of that; one that has it is kept for longer.
+// Nothing of that with nothing switched on.
+func TestBusyAndKept(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		b := bookOf(Switches{Pace: on})
+		for i := range 4 {
+			b.Seen(0, machineAt(i, "n"), []Use{{Image: "w", GB: 6, There: i == 3}})
+		}
+		b.Seen(0, machineAt(9, "n"), []Use{{Image: "rare", GB: 6}})
+		if b.Busy("n-00", "alarm") != on || b.Busy("n-00", "w") || b.Busy("n-03", "alarm") || b.Busy("n-09", "alarm") {
+			t.Errorf("on %v: busy", on)
+		}
+		kept := map[bool]time.Duration{true: 60 * time.Second, false: 20 * time.Second}[on]
+		if got := b.Keep(map[string]bool{"old": true, "w": true}, 20*time.Second); got != kept {
+			t.Errorf("on %v: kept for %v", on, got)
+		}
+		if got := b.Keep(map[string]bool{"rare": true}, 20*time.Second); got != 20*time.Second {
+			t.Errorf("on %v: with what one has, kept for %v", on, got)
+		}
+	}
+}
