--- a/review/1/main.go
+++ b/review/1/main.go
@@ -15,14 +15,16 @@
 	"net/http/httputil"
 	"net/url"
 	"os"
-	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"github.com/barrowbridge/barrowbridge/internal/checker"
+	"github.com/barrowbridge/barrowbridge/internal/config"
 	"github.com/barrowbridge/barrowbridge/internal/load"
 	"github.com/barrowbridge/barrowbridge/internal/standin/cloud"
 	"github.com/barrowbridge/barrowbridge/internal/standin/link"
@@ -52,7 +54,7 @@
 	if err != nil {
 		stand.Fail(err)
 	}
-	g := &gate{shut: map[string]chan struct{}{}, name: map[string]string{}}
+	g := &gate{open: map[int]conn{}}
 	addr, err := control(g, seed)
 	if err != nil {
 		stand.Fail(err)
@@ -103,18 +105,17 @@
 	}
 	rec.Line("three controllers are ready")
 	go work(ctx, s, rec, rand.New(rand.NewPCG(seed, 8)))
-	stand.Sleep(ctx, 20*time.Second)
+	stand.Sleep(ctx, 18*time.Second)
 	for rec.Since() < until-cutFor-4*time.Second {
 		if trouble {
 			cut(ctx, s, g, rec)
 		} else {
-			stand.Sleep(ctx, cutFor+4*time.Second)
+			stand.Sleep(ctx, cutFor)
 		}
+		stand.Sleep(ctx, betweenBy)
 		if len(broken(s)) > 0 {
-			stand.Sleep(ctx, 3*time.Second)
 			break
 		}
-		stand.Sleep(ctx, betweenBy)
 	}
 	found := broken(s)
 	for _, v := range found {
@@ -144,46 +145,87 @@
 	return list
 }
 
-// gate holds the calls of controllers to the state service back while their zone is cut off.
+// gate cuts a controller off from the state service and from the other controllers. Connections that are open when
+// the cut begins are reset. A connection attempt during the cut hangs; its first packet is lost and sent again after a
+// second, as a kernel does, and gets through if the cut has ended by then. Nothing of an attempt that was given up
+// arrives.
 type gate struct {
 	mu   sync.Mutex
-	shut map[string]chan struct{} // by address of the state service for that controller; closed when the cut ends
-	name map[string]string        // controller -> that address
+	off  string // the controller that is cut off, "" if none is
+	next int
+	open map[int]conn // connections and calls that cross a cut of either end
+}
+
+type conn struct {
+	ends  [2]string
+	reset func()
 }
 
-// hold shuts the gate of a controller, and returns a function that opens it.
-func (g *gate) hold(controller string) func() {
+// Times of connection attempts: when the first packet is sent again, and when the controllers give up.
+const (
+	sentAgain   = time.Second
+	stateGiveUp = 1500 * time.Millisecond
+	peerGiveUp  = 2 * time.Second
+)
+
+// begin cuts a controller off; end ends that.
+func (g *gate) begin(controller string) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	up, open := g.name[controller], make(chan struct{})
-	g.shut[up] = open
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.shut, up)
-		close(open)
+	g.off = controller
+	var reset []func()
+	for _, c := range g.open {
+		if c.ends[0] == controller || c.ends[1] == controller {
+			reset = append(reset, c.reset)
+		}
+	}
+	g.mu.Unlock()
+	for _, f := range reset {
+		f()
 	}
 }
 
-// pass waits until packets get through. It returns false if the caller gives up before.
-func (g *gate) pass(ctx context.Context, up string) bool {
+func (g *gate) end() {
 	g.mu.Lock()
-	open := g.shut[up]
-	g.mu.Unlock()
-	if open == nil {
+	defer g.mu.Unlock()
+	g.off = ""
+}
+
+func (g *gate) cut(from, to string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.off != "" && (g.off == from || g.off == to)
+}
+
+// connect waits until a connection attempt succeeds. It returns false if it fails.
+func (g *gate) connect(ctx context.Context, from, to string, giveUp time.Duration) bool {
+	if !g.cut(from, to) {
+		return true
+	}
+	stand.Sleep(ctx, sentAgain)
+	if ctx.Err() == nil && !g.cut(from, to) {
 		return true
 	}
-	select {
-	case <-open:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
+	stand.Sleep(ctx, giveUp-sentAgain)
+	return false
+}
+
+// add registers an open connection or call; the function that it returns removes it.
+func (g *gate) add(from, to string, reset func()) (remove func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.next++
+	n := g.next
+	g.open[n] = conn{[2]string{from, to}, reset}
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.open, n)
 	}
 }
 
-// slowly forwards the calls of one controller to the state service and delays each answer on its own: by 1 to
-// 9 ms, and one in twenty by 200 to 400 ms. A call that gets no answer gets none here either.
-func slowly(g *gate, upstream string, rng *rand.Rand) (string, error) {
+// state forwards the calls of one controller to the state service and delays each answer on its own: by 1 to 9 ms, and
+// one in twenty by 200 to 400 ms. A call that gets no answer gets none here either.
+func (g *gate) state(node, upstream string, rng *rand.Rand) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -199,77 +241,116 @@
 				d = time.Duration(200+rng.IntN(200)) * time.Millisecond
 			}
 			mu.Unlock()
-			time.Sleep(d)
-			if !g.pass(r.Request.Context(), upstream) {
-				return context.Canceled
-			}
-			return nil
+			stand.Sleep(r.Request.Context(), d)
+			return r.Request.Context().Err()
 		},
 		ErrorHandler: func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) },
 		ErrorLog:     log.New(io.Discard, "", 0),
 	}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !g.pass(r.Context(), upstream) {
+		if !g.connect(r.Context(), node, site.PartyState, stateGiveUp) {
 			panic(http.ErrAbortHandler)
 		}
-		proxy.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer g.add(node, site.PartyState, cancel)()
+		proxy.ServeHTTP(w, r.WithContext(ctx))
 	})
 	go func() { _ = (&http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}).Serve(ln) }()
 	return ln.Addr().String(), nil
 }
 
-// control answers a starting controller with the address at which it reaches the state service.
-func control(g *gate, seed uint64) (string, error) {
+// peer forwards the connections of one controller to another.
+func (g *gate) peer(from, to, upstream string) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	var mu sync.Mutex
-	known := map[string]string{}
 	go func() {
-		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			mu.Lock()
-			defer mu.Unlock()
-			up := r.URL.Query().Get("up")
-			if known[up] == "" {
-				addr, err := slowly(g, up, rand.New(rand.NewPCG(seed, uint64(len(known)))))
+		for {
+			in, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer in.Close()
+				if !g.connect(context.Background(), from, to, peerGiveUp) {
+					return
+				}
+				out, err := net.DialTimeout("tcp", upstream, time.Second)
 				if err != nil {
-					w.WriteHeader(http.StatusInternalServerError)
 					return
 				}
-				known[up] = addr
-				g.mu.Lock()
-				g.name[r.URL.Query().Get("node")] = up
-				g.mu.Unlock()
+				defer out.Close()
+				defer g.add(from, to, func() { _ = in.Close(); _ = out.Close() })()
+				_, _ = io.Copy(out, in) // controllers send on connections of their own
+			}()
+		}
+	}()
+	return ln.Addr().String(), nil
+}
+
+// control answers a starting controller with the address at which it reaches the state service or another controller:
+// ?node=NAME&up=ADDRESS, with to=NAME for a controller.
+func control(g *gate, seed uint64) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	var calls uint64
+	go func() {
+		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			node, to, up := r.FormValue("node"), r.FormValue("to"), r.FormValue("up")
+			var addr string
+			var err error
+			if to == "" {
+				addr, err = g.state(node, up, rand.New(rand.NewPCG(seed, atomic.AddUint64(&calls, 1))))
+			} else {
+				addr, err = g.peer(node, to, up)
+			}
+			if err != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
 			}
-			fmt.Fprint(w, known[up])
+			fmt.Fprint(w, addr)
 		}))
 	}()
 	return ln.Addr().String(), nil
 }
 
-// launch puts the address from control into a settings file and becomes the controller, by the command of the
+// launch puts the addresses from control into a settings file and becomes the controller, by the command of the
 // deploy file.
 func launch(controlAddr, program, settings string) error {
-	b, err := os.ReadFile(settings)
+	cfg, err := config.Load(settings)
 	if err != nil {
 		return err
 	}
-	m := regexp.MustCompile(`(?m)^(\s*state = ['"])([0-9.:]+)(['"])`).FindStringSubmatch(string(b))
-	if m == nil {
-		return fmt.Errorf("%s names no state service", settings)
+	ask := func(to, up string) (string, error) {
+		resp, err := http.Get("http://" + controlAddr + "/?" + url.Values{"node": {cfg.Node}, "to": {to}, "up": {up}}.Encode())
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		addr, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return "", fmt.Errorf("no address: %v", err)
+		}
+		return string(addr), nil
 	}
-	resp, err := http.Get("http://" + controlAddr + "/?up=" + m[2] + "&node=" + strings.TrimSuffix(filepath.Base(settings), ".toml"))
-	if err != nil {
+	if cfg.Services.State, err = ask("", cfg.Services.State); err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	addr, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("no address: %v", err)
+	for i := range cfg.Peers {
+		if cfg.Peers[i].Addr, err = ask(cfg.Peers[i].Node, cfg.Peers[i].Addr); err != nil {
+			return err
+		}
+	}
+	raw, err := toml.Marshal(cfg)
+	if err != nil {
+		return err
 	}
 	own := settings + ".own"
-	if err := os.WriteFile(own, []byte(strings.Replace(string(b), m[0], m[1]+string(addr)+m[3], 1)), 0o644); err != nil {
+	if err := os.WriteFile(own, raw, 0o644); err != nil {
 		return err
 	}
 	return syscall.Exec(program, []string{program, "--config", own}, os.Environ())
@@ -317,15 +398,10 @@
 	}
 }
 
-// cut cuts the zone of the holder of the team's shard off from everything: its controller and its machines
-// reach each other and nothing else. Packets to and from the controller and from the machines are held; calls
-// to the machines are refused. From two seconds before to two seconds after, the controllers refuse each
-// other's connections.
+// cut cuts the zone of the holder of the team's shard off from everything: its controller and its machines reach each
+// other and nothing else. Packets between the zone and the users, the cloud and the other machines and controllers are
+// held; calls to the machines are refused.
 func cut(ctx context.Context, s *site.Site, g *gate, rec *stand.Record) {
-	controllers := stand.In(s.Names()...)
-	rec.Line("controllers refuse each other's connections")
-	refused := s.Net.Add(link.Rule{From: controllers, To: controllers, Mode: link.Refuse})
-	stand.Sleep(ctx, 2*time.Second)
 	holder := s.HolderOf(team)
 	zone := s.ZoneOf(holder)
 	names, err := s.Resolve("link", "machines:"+zone)
@@ -338,22 +414,28 @@
 		stand.Fail(err)
 	}
 	isInside := stand.In(append([]string{holder}, names...)...)
-	var outside []string
+	var outside, others []string
 	for _, n := range append(append([]string{site.PartyCloud, site.PartyUsers}, s.Names()...), all...) {
 		if !isInside(n) {
 			outside = append(outside, n)
 		}
 	}
+	for _, n := range outside {
+		if s.Controller(n) == nil {
+			others = append(others, n)
+		}
+	}
 	rec.Line("zone %s is cut off: %s and %s", zone, holder, strings.Join(names, " "))
-	open := g.hold(holder)
-	held := s.Net.Add(link.Rule{From: isInside, To: stand.In(outside...), Mode: link.Hold})
-	calls := s.Net.Add(link.Rule{From: stand.In("controllers"), To: stand.In(names...), Mode: link.Refuse})
+	g.begin(holder)
+	rules := []uint64{
+		s.Net.Add(link.Rule{From: stand.In(holder), To: stand.In(others...), Mode: link.Hold}),
+		s.Net.Add(link.Rule{From: stand.In(names...), To: stand.In(outside...), Mode: link.Hold}),
+		s.Net.Add(link.Rule{From: stand.In("controllers"), To: stand.In(names...), Mode: link.Refuse}),
+	}
 	stand.Sleep(ctx, cutFor)
-	s.Net.Remove(calls)
-	s.Net.Remove(held)
-	open()
+	for _, id := range rules {
+		s.Net.Remove(id)
+	}
+	g.end()
 	rec.Line("zone %s is back", zone)
-	stand.Sleep(ctx, 2*time.Second)
-	s.Net.Remove(refused)
-	rec.Line("controllers accept each other's connections")
 }
--- a/review/stand/huge.go
+++ b/review/stand/huge.go
@@ -37,7 +37,7 @@
 
 // Seen is what was seen of a deployment with a huge array.
 type Seen struct {
-	Silence time.Duration // the longest time for which a controller answered no health check
+	Unready time.Duration // the longest time for which no controller answered a health check with 200
 	Killed  int           // tasks of the services that the end of their worker's lease killed
 }
 
@@ -126,52 +126,70 @@
 		fmt.Fprintf(os.Stderr, "cannot run: %d of 12 services run, %d were killed\n", ran, early)
 		end(2)
 	}
-	silences := make([]time.Duration, len(s.Names()))
+	health := &health{ready: map[string]time.Time{}, longest: map[string]time.Duration{}}
 	var wg sync.WaitGroup
 	watch, stop := context.WithTimeout(ctx, huge.Observe)
 	defer stop()
-	for i, n := range s.Names() {
+	for _, n := range append(s.Names(), anyController) {
+		health.ready[n] = time.Now()
+	}
+	for _, n := range s.Names() {
 		wg.Add(1)
-		go func() { defer wg.Done(); silences[i] = silence(watch, rec, n, s.Direct(n)) }()
+		go func() { defer wg.Done(); health.watch(watch, rec, n, s.Direct(n)) }()
 	}
 	if trouble {
 		submit(ctx, s, client, hugeJob, guest, "sensor-backfill", wire.ShapeBatch, "idle", huge.Tasks, huge.CPUs, huge.MemGB, 4)
 	}
 	wg.Wait()
 	mu.Lock()
-	lost := killed
+	seen := Seen{Killed: killed}
 	mu.Unlock()
-	seen := Seen{Killed: lost}
-	for i, n := range s.Names() {
-		rec.Line("%s answered no health check for %.1f s at most", n, silences[i].Seconds())
-		fmt.Printf("%s answered no health check for %.1f s at most\n", n, silences[i].Seconds())
-		seen.Silence = max(seen.Silence, silences[i])
+	for _, n := range append(s.Names(), anyController) {
+		seen.Unready = health.longest[n] // the last one is that of all together
+		rec.Line("%s: no 200 for GET /ready for %.1f s at most", n, seen.Unready.Seconds())
+		fmt.Printf("%s: no 200 for GET /ready for %.1f s at most\n", n, seen.Unready.Seconds())
 	}
-	rec.Line("%d tasks of the services were killed by the end of their worker's lease", lost)
-	fmt.Printf("%d tasks of the services were killed by the end of their worker's lease\n", lost)
+	rec.Line("%d tasks of the services were killed by the end of their worker's lease", seen.Killed)
+	fmt.Printf("%d tasks of the services were killed by the end of their worker's lease\n", seen.Killed)
 	if broken(seen) {
 		end(1)
 	}
 	end(0)
 }
 
-// silence asks a controller GET /ready each half second, as a load balancer does, and returns the longest time
-// from the last answer, of any status, before a missing one to the next answer or to the end.
-func silence(ctx context.Context, rec *Record, name, addr string) (longest time.Duration) {
+// anyController stands for all controllers together: it is ready when any of them is.
+const anyController = "any controller"
+
+// health is how long controllers were not ready.
+type health struct {
+	mu      sync.Mutex
+	ready   map[string]time.Time // when the last check that was answered with 200 was sent
+	longest map[string]time.Duration
+}
+
+// watch asks a controller GET /ready each half second and waits 1 s for the answer, as the load balancer does.
+func (h *health) watch(ctx context.Context, rec *Record, name, addr string) {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	answered := time.Now()
 	for ctx.Err() == nil {
+		sent := time.Now()
 		resp, err := client.Get("http://" + addr + "/ready")
+		ok := err == nil && resp.StatusCode == http.StatusOK
 		if err == nil {
 			_ = resp.Body.Close()
-			answered = time.Now()
-		} else {
-			rec.Line("%s does not answer GET /ready within 1 s", name)
-			longest = max(longest, time.Since(answered))
+		}
+		h.mu.Lock()
+		for _, n := range []string{name, anyController} {
+			h.longest[n] = max(h.longest[n], sent.Sub(h.ready[n]))
+			if ok && sent.After(h.ready[n]) {
+				h.ready[n] = sent
+			}
+		}
+		h.mu.Unlock()
+		if !ok {
+			rec.Line("%s does not answer GET /ready with 200 within 1 s", name)
 		}
 		Sleep(ctx, 500*time.Millisecond)
 	}
-	return longest
 }
 
 func submit(ctx context.Context, s *site.Site, client *load.Client, id, team, class, shape, priority string, tasks int, cpus, memGB, estimateS float64) {
