Log which stored records a start command rests on

A task that starts twice after a cut can have several causes that the logs could not tell apart: a token that is too high, a start that was never written, or a start that another controller wrote. At debug level a controller now logs with each start command its token, the revision that its mirror has reached, and the versions of the job's record and of the start log record that permit it; and each record that it reads by itself, with the mirror's revision.

--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -470,6 +470,7 @@
 func (c *Core) applyRead(key string, reply StateReply) {
 	switch reply.Status {
 	case 200:
+		c.log(2, "record read by itself", "key", key, "version", reply.Item.Version, "mirror", c.mirrorRevision)
 		c.applyPut(key, reply.Item.Value, reply.Item.Version)
 	case 404:
 		c.applyDelete(key, reply.List.Revision)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -399,9 +399,18 @@
 			if run, now := c.runCommand(a); now {
 				a.startSent = true
 				c.recordTaskRecovery(trail.TaskRestarted, a)
+				c.logStart(a, e)
 				commands = append(commands, run)
 			}
 		}
 	}
 	return commands
 }
+
+// logStart records which token a start command carries and which stored records it rests on.
+func (c *Core) logStart(a *attempt, e *jobEntry) {
+	slot, slotVersion := c.startLog.StoredIn(a.job)
+	c.log(2, "start command sent", "task", a.key.task, "try", a.key.number, "machine", a.machine.name,
+		"token", c.answerToken(a.machine, c.blocks[a.machine.block]), "mirror", c.mirrorRevision,
+		"job_version", e.version, "slot", slot, "slot_version", slotVersion)
+}
--- a/internal/startlog/startlog.go
+++ b/internal/startlog/startlog.go
@@ -106,6 +106,16 @@
 	return newest.start, ok
 }
 
+// StoredIn returns the key and the version of the record that contains the newest entry of a name, or
+// "" and 0 if there is none.
+func (l *Log) StoredIn(name string) (key string, version uint64) {
+	newest, ok := l.latest[name]
+	if !ok {
+		return "", 0
+	}
+	return newest.key, l.slots[newest.key].version
+}
+
 // Entry is a start to be written.
 type Entry struct {
 	Name  string
