Read changes in their order after a failed write, not key by key

Cause: after a write without an answer, or a conflict, a controller read the changed keys one by one into its mirror. One that had been cut off saw the starts that its successor had recorded before it saw that the shard was its successor's, and took them for its own permission. Reads for users put records into the mirror in the same way.

Evidence: a start was sent with token and mirror at revision 116, by a start log record of version 142; the shard was the successor's since 123.

Now reads of single keys answer the request that they were made for and leave the mirror alone.

--- a/internal/core/chains.go
+++ b/internal/core/chains.go
@@ -261,9 +261,6 @@
 		}
 		if r.Status != 200 {
 			c.notBefore["chains"] = c.now + tuning.BackgroundRetryDelay/2
-			for _, k := range keys {
-				c.rereadKey(k)
-			}
 		}
 		c.log(2, "waiting jobs moved", "jobs", len(keys), "cancelled", cancelledBy != nil, "status", r.Status)
 		c.mirrorChanged()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/assignment"
@@ -17,6 +16,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/forecast"
 	"github.com/barrowbridge/barrowbridge/internal/limits"
 	"github.com/barrowbridge/barrowbridge/internal/membership"
+	records "github.com/barrowbridge/barrowbridge/internal/mirror"
 	"github.com/barrowbridge/barrowbridge/internal/objectives"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/progress"
@@ -72,15 +72,16 @@
 	presence               *membership.Presence
 	term                   *membership.Term
 	wasAuthorized          bool
-	authorizationChangedAt Time            // when wasAuthorized last changed
-	loaded                 bool            // the mirror has been read completely at least once
-	loading                bool            // the list of keys is being read
-	watching               bool            // a watch call is in flight
-	listedKeys             map[string]bool // keys seen by the list that is being read
-	listRevision           uint64          // revision of the first page of that list
-	mirrorRevision         uint64          // revision that the mirror has reached
-	notBefore              map[string]Time // earliest time of the next run, by name of the action
-	jitter                 *rand.Rand      // spreads retries; seeded with the node name to be reproducible in tests
+	authorizationChangedAt Time             // when wasAuthorized last changed
+	loaded                 bool             // the mirror has been read completely at least once
+	loading                bool             // the list of keys is being read
+	watching               bool             // a watch call is in flight
+	listedKeys             map[string]bool  // keys seen by the list that is being read
+	listRevision           uint64           // revision of the first page of that list
+	mirrorRevision         uint64           // revision that the mirror has reached
+	notBefore              map[string]Time  // earliest time of the next run, by name of the action
+	catchUps               *records.CatchUp // reads of the changes that the mirror lacks after a write has failed
+	jitter                 *rand.Rand       // spreads retries; seeded with the node name to be reproducible in tests
 
 	trail                         *trail.Trail
 	trailLoaded, trailCallPending bool // whether the stored trail of earlier incarnations has been read, and whether a call for it is in flight
@@ -120,6 +121,7 @@
 	c.jitter = rand.New(rand.NewPCG(hash.Sum64(), 0))
 	c.trail = trail.New(trail.Limits{Events: tuning.MaxTrailEvents, WriteInterval: tuning.TrailWriteInterval})
 	c.mirror = newMirror()
+	c.catchUps = records.NewCatchUp(tuning.PollReadOverlapDelay)
 	c.rollout = rollout.New(rollout.Features(), sortedKeys(params.NodeZones), c.nodes)
 	c.holderState = newHolderState()
 	c.startLog, c.provisioning, c.progress = startlog.New(startlog.Limits{}), newProvisioning(), progress.New(tuning.ProgressRecordTasks)
@@ -263,6 +265,7 @@
 	c.maintainStateRoute()
 	c.maintainPresence()
 	c.maintainMirror()
+	c.sendCatchUp()
 	c.publishVersions()
 	c.pingPeers()
 	c.expireRelays()
@@ -332,7 +335,6 @@
 		if reply.Status != 200 && reply.Status != 404 || c.presence.StateLease() != lease {
 			return
 		}
-		c.applyRead(key, reply)
 		c.commit(LaneAuthority, []wire.Condition{{Key: key, Version: reply.Item.Version}}, []wire.Change{{
 			Put:   key,
 			Value: wire.Node{Boot: c.presence.Boot(), Zone: c.params.Zone, Features: c.params.Features},
@@ -490,7 +492,7 @@
 }
 
 // commit writes a transaction and calls done with the reply. On success it applies the changes to the
-// mirror at once; on a conflict it reads the failed keys again.
+// mirror at once. After a conflict, or without an answer, the mirror lacks changes or may lack some.
 func (c *Core) commit(lane int, conditions []wire.Condition, changes []wire.Change, done func(StateReply)) {
 	c.callState(StateCall{Op: OpCommit, Lane: lane, Txn: wire.Txn{If: conditions, Then: changes}}, func(reply StateReply) {
 		switch reply.Status {
@@ -505,17 +507,8 @@
 					c.applyPut(change.Put, raw, reply.Txn.Revision)
 				}
 			}
-		case 409:
-			for _, key := range reply.Txn.Failed {
-				c.rereadKey(key)
-			}
-		case 0:
-			// No answer: the write may have been executed, so the current records are read.
-			for _, change := range changes {
-				if key := change.Put + change.Delete; strings.HasPrefix(key, wire.LivePrefix) {
-					c.rereadKey(key)
-				}
-			}
+		case 409, 0:
+			c.catchUp()
 		}
 		done(reply)
 	})
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -17,7 +17,9 @@
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-// mirror is this controller's copy of the live keys of the state service, updated in revision order.
+// mirror is this controller's copy of the live keys of the state service. It is what was stored at
+// Core.mirrorRevision, with this controller's own later writes. Reads of single keys never enter it
+// (docs/design.md, point 23).
 type mirror struct {
 	imageCaches  *weights.CacheIndex // images that machines have stored, as last written by the holders
 	versions     *records.Versions   // version of each key
@@ -458,23 +460,25 @@
 	}
 }
 
-// rereadKey reads a live key from the state service into the mirror.
-func (c *Core) rereadKey(key string) {
-	if !strings.HasPrefix(key, wire.LivePrefix) {
-		return
-	}
-	c.callState(StateCall{Op: OpGet, Key: key}, func(reply StateReply) { c.applyRead(key, reply); c.mirrorChanged() })
+// catchUp has the changes read that the mirror lacks after a write that met a conflict or got no answer.
+// They enter the mirror in the order in which they were written. When the changed keys were read one by
+// one instead, a controller that was cut off saw the starts that its successor had recorded before it saw
+// that the shard was its successor's, and made these starts too.
+func (c *Core) catchUp() {
+	c.catchUps.Need()
+	c.sendCatchUp()
 }
 
-// applyRead applies the reply to a read of a key to the mirror.
-func (c *Core) applyRead(key string, reply StateReply) {
-	switch reply.Status {
-	case 200:
-		c.log(2, "record read by itself", "key", key, "version", reply.Item.Version, "mirror", c.mirrorRevision)
-		c.applyPut(key, reply.Item.Value, reply.Item.Version)
-	case 404:
-		c.applyDelete(key, reply.List.Revision)
+// sendCatchUp reads the changes if that is needed and no such read is in flight.
+func (c *Core) sendCatchUp() {
+	if !c.loaded || c.loading || !c.catchUps.Start(c.now) {
+		return
 	}
+	c.refreshMirror(func(ok bool) {
+		c.catchUps.Finished()
+		c.log(2, "changes read after a failed write", "ok", ok, "mirror", c.mirrorRevision)
+		c.sendCatchUp()
+	})
 }
 
 // mirrorChanged runs the leader's and the holder's work after a change of the mirror.
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -201,7 +201,7 @@
 		c.callState(StateCall{Op: OpCommit, Txn: wire.Txn{If: []wire.Condition{c.shardUnchanged(shard)}}}, func(r StateReply) {
 			c.verifyingShard = false
 			if r.Status == 409 {
-				c.rereadKey(shardKey(shard))
+				c.catchUp()
 			}
 			if r.Status != 200 {
 				return
--- a/internal/core/state_calls.go
+++ b/internal/core/state_calls.go
@@ -85,10 +85,7 @@
 	c.probingState = true
 	c.lastID++
 	call := StateCall{ID: c.lastID, Op: OpGet, Key: wire.KeyLeader}
-	c.stateRoutes.SendDirect(c.now, call.ID, func(reply StateReply) {
-		c.probingState = false
-		c.applyRead(wire.KeyLeader, reply)
-	})
+	c.stateRoutes.SendDirect(c.now, call.ID, func(StateReply) { c.probingState = false })
 	c.effects = append(c.effects, call)
 }
 
--- a/internal/core/user_requests.go
+++ b/internal/core/user_requests.go
@@ -73,7 +73,6 @@
 // lookUpKeys reads the keys one after the other until one is present. The last key is the final key.
 func (c *Core) lookUpKeys(id string, keys []string, done func(jobLookup)) {
 	c.callState(StateCall{Op: OpGet, Key: keys[0]}, func(reply StateReply) {
-		c.applyRead(keys[0], reply)
 		switch {
 		case reply.Status == 404 && len(keys) > 1:
 			c.lookUpKeys(id, keys[1:], done)
@@ -88,6 +87,7 @@
 				return
 			}
 			c.cacheFinal(id, final, reply.Item.Version)
+			c.applyDelete(jobKey(id), reply.Item.Version) // a final state never changes, so nothing of the job starts any more
 			done(jobLookup{final: &final, ok: true})
 		default:
 			job := &wire.Job{}
