Put a list of the keys into the mirror in one step, with the changes made meanwhile

Callers would see: tasks that run twice. Found by going through what else enters the mirror out of order.

Cause: a holder whose watch is too far behind (410) reads all keys again, page by page, and each page entered its mirror as it came. A page read after its shard was granted to another controller showed that controller's starts (live/start/) beside the shard's record of an earlier page (live/shard/), and the starts counted as permitted here.

A start of a controller takes one call more.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -76,8 +76,7 @@
 	loaded                 bool             // the mirror has been read completely at least once
 	loading                bool             // the list of keys is being read
 	watching               bool             // a watch call is in flight
-	listedKeys             map[string]bool  // keys seen by the list that is being read
-	listRevision           uint64           // revision of the first page of that list
+	listing                *records.Listing // the list of keys that is being read
 	mirrorRevision         uint64           // revision that the mirror has reached
 	notBefore              map[string]Time  // earliest time of the next run, by name of the action
 	catchUps               *records.CatchUp // reads of the changes that the mirror lacks after a write has failed
@@ -354,8 +353,7 @@
 		return
 	}
 	if !c.loaded && !c.loading && c.dueEvery("load", tuning.BackgroundRetryDelay) {
-		c.loading, c.listedKeys, c.listRevision = true, map[string]bool{}, 0
-		c.loadPage("", c.now)
+		c.startListing()
 	}
 	if c.loaded && !c.watching && c.now >= c.notBefore["watch"] {
 		c.watching = true
@@ -375,9 +373,8 @@
 				c.mirrorChanged()
 			case 410:
 				c.log(1, "watch revision is too old, reading all keys again")
-				c.loading, c.listedKeys, c.listRevision = true, map[string]bool{}, 0
 				c.watching = true // blocks another watch until the list has been read
-				c.loadPage("", c.now)
+				c.startListing()
 			default:
 				c.log(2, "watch failed", "status", reply.Status, "err", reply.Err)
 				c.notBefore["watch"] = c.now + tuning.BackgroundRetryDelay
@@ -402,56 +399,71 @@
 	c.startHoldingShards()
 }
 
-// loadPage reads the list of live keys from the key after the given one, page by page. began is when the
-// first page was requested. After the last page, keys that the list does not contain are deleted from
-// the mirror, and the watch starts at the revision of the first page.
-func (c *Core) loadPage(after string, began Time) {
+// startListing begins to read all live keys.
+func (c *Core) startListing() {
+	c.loading, c.listing = true, &records.Listing{}
+	c.readPage("")
+}
+
+// listingFailed gives up the list that is being read. It is tried again later.
+func (c *Core) listingFailed(reply StateReply) {
+	c.loading, c.watching, c.listing = false, false, nil
+	if c.loaded {
+		c.notBefore["watch"] = c.now + tuning.BackgroundRetryDelay
+	}
+	c.log(0, "cannot list the state", "status", reply.Status, "err", reply.Err)
+}
+
+// readPage reads the list of live keys from the key after the given one, page by page. After the last page
+// it reads the changes made since the first one was read. Only then does the list enter the mirror.
+func (c *Core) readPage(after string) {
 	c.callState(StateCall{Op: OpList, Key: wire.LivePrefix, After: after}, func(reply StateReply) {
 		if reply.Status != 200 {
-			c.loading, c.watching = false, false
-			if c.loaded {
-				c.notBefore["watch"] = c.now + tuning.BackgroundRetryDelay
-			}
-			c.log(0, "cannot list the state", "status", reply.Status, "err", reply.Err)
+			c.listingFailed(reply)
 			return
 		}
-		if c.listRevision == 0 {
-			c.listRevision = reply.List.Revision
-		}
-		last := after
-		for _, item := range reply.List.Items {
-			c.listedKeys[item.Key] = true
-			c.applyPut(item.Key, item.Value, item.Version)
-			last = item.Key
-		}
-		if reply.List.More && len(reply.List.Items) > 0 {
-			c.loadPage(last, began)
+		if last, complete := c.listing.Add(reply.List); !complete {
+			c.readPage(last)
 			return
 		}
-		for _, key := range c.versions.Keys() {
-			if !c.listedKeys[key] {
-				c.applyDelete(key, c.listRevision)
-			}
-		}
-		// The watch repeats the changes that were made while the pages were read.
-		c.versions.MarkRead(c.listRevision)
-		c.mirrorRevision, c.loading, c.watching, c.listedKeys = c.listRevision, false, false, nil
-		c.presence.WatchAnswered(began)
-		c.startHoldingShards()
-		if !c.loaded {
-			c.loaded = true
-			for _, id := range c.blockIDs() {
-				c.trackProvisioning(nil, c.blocks[id])
+		sent := c.now
+		c.callState(StateCall{Op: OpWatch, Key: wire.LivePrefix, Revision: c.listing.Revision()}, func(reply StateReply) {
+			if reply.Status != 200 {
+				c.listingFailed(reply)
+				return
 			}
-			c.recordEvent(wire.TrailEvent{Kind: trail.Began, Count: len(c.jobs)})
-			c.log(1, "state loaded", "jobs", len(c.jobs), "blocks", len(c.blocks), "revision", c.mirrorRevision)
-			c.reclaimShards()
-		}
-		c.maintainMirror()
-		c.mirrorChanged()
+			c.presence.WatchAnswered(sent)
+			c.applyListing(&reply.Events)
+		})
 	})
 }
 
+// applyListing puts a complete list and the changes made while its pages were read into the mirror, in one
+// step. Keys that the list does not contain are deleted from the mirror.
+func (c *Core) applyListing(changes *wire.Events) {
+	listing := c.listing
+	c.loading, c.watching, c.listing = false, false, nil
+	for _, item := range listing.Items() {
+		c.applyPut(item.Key, item.Value, item.Version)
+	}
+	for _, key := range listing.Missing(c.versions.Keys()) {
+		c.applyDelete(key, listing.Revision())
+	}
+	c.versions.MarkRead(listing.Revision())
+	c.applyEvents(changes)
+	if !c.loaded {
+		c.loaded = true
+		for _, id := range c.blockIDs() {
+			c.trackProvisioning(nil, c.blocks[id])
+		}
+		c.recordEvent(wire.TrailEvent{Kind: trail.Began, Count: len(c.jobs)})
+		c.log(1, "state loaded", "jobs", len(c.jobs), "blocks", len(c.blocks), "revision", c.mirrorRevision)
+		c.reclaimShards()
+	}
+	c.maintainMirror()
+	c.mirrorChanged()
+}
+
 // reclaimShards takes over the shards that this node's earlier incarnation held. That incarnation has
 // ended, so nobody else acts for it, and the leases of its workers are running out. The key of this
 // incarnation has to be written first: as long as the key names an earlier incarnation, it proves to
--- a/internal/core/meeting_order_test.go
+++ b/internal/core/meeting_order_test.go
@@ -257,3 +257,43 @@
 		h.noStarts()
 	})
 }
+
+// answerList answers the first unanswered read of a page of the list with the given records.
+func (h *staleHolder) answerList(revision uint64, more bool, keys ...string) {
+	h.t.Helper()
+	call, found := h.take(func(call StateCall) bool { return call.Op == OpList })
+	if !found {
+		h.t.Fatal("no page of the list is read")
+	}
+	page := wire.ItemList{Revision: revision, More: more}
+	for _, key := range keys {
+		page.Items = append(page.Items, h.records[key])
+	}
+	h.step(StateDone{ID: call.ID, Reply: StateReply{Status: 200, List: page}})
+}
+
+// A holder whose watch is too far behind reads all keys again, page by page. Its shard is granted to another
+// controller after the page with the shard's record was read, and before the page with the start log. The
+// successor's starts on that page must permit nothing.
+func TestAListReadAcrossAGrantPermitsNoStart(t *testing.T) {
+	t.Parallel()
+	const id = "job-000001"
+	h := newStaleHolder(t, false)
+	h.known(jobKey(id), h.job(id, 6, 0), 45)
+	for range 30 {
+		h.step(Tick{}) // reserves the tasks; the write of their starts stays unanswered
+	}
+	watch, found := h.take(func(call StateCall) bool { return call.Op == OpWatch })
+	if !found || h.core.jobs[id].run.nextIndex == 0 {
+		t.Fatalf("no watch is open, or no task is reserved (%v)", found)
+	}
+	h.step(StateDone{ID: watch.ID, Reply: StateReply{Status: 410}})
+	h.answerList(staleRevision, true, blockKey("x"), blockKey("y"), jobKey(id), shardKey(0), shardKey(1))
+	h.report()
+	h.grantToSuccessor(id, 6)
+	h.answerList(grantRevision+2, false, startlog.Key(0, 0), wire.PrefixType+"std")
+	h.noStarts()
+	if h.core.jobs[id] == nil || h.core.jobs[id].record.Started != 6 || h.core.mirrorRevision < grantRevision {
+		t.Errorf("the mirror stands at %d with %+v", h.core.mirrorRevision, h.core.jobs[id])
+	}
+}
