Answer a machine only once its block's assignment is confirmed by the mirror

Callers would see: a machine whose lease its holder takes for over runs on, and its tasks twice. Found by going through own writes that enter the mirror ahead of earlier changes.

Cause: a leader's writes that form or move a block compare the leader record and not the shard's. A leader that had just given the shard away, by a write without an answer, believed that it held the block, under the same token as the shard's next holder.

Now a report is answered with 503 until the mirror has reached the write that gave the machine's block to its shard (docs/design.md, point 24). TestABlockFormedForAShardGivenAwayIsNotServed failed before: 200 with the other holder's token.

Measured: the tests of this file, TestRandomSchedules and TestMachinesUnreachedWhenALeaderEnds pass.

--- a/internal/core/meeting_order_test.go
+++ b/internal/core/meeting_order_test.go
@@ -297,3 +297,36 @@
 		t.Errorf("the mirror stands at %d with %+v", h.core.mirrorRevision, h.core.jobs[id])
 	}
 }
+
+// A controller that leads gives away a shard that it holds, and the write gets no answer. Before it learns that
+// the write was executed it forms a block for that shard. The shard's next holder has the same token for the
+// block's machines, so this controller may not answer them until its mirror has reached the block.
+func TestABlockFormedForAShardGivenAwayIsNotServed(t *testing.T) {
+	t.Parallel()
+	h := newStaleHolder(t, false)
+	h.known(wire.KeyLeader, wire.Leader{Node: "a", Boot: 7}, 15)
+	h.grantToSuccessor("job-000001", 0)
+	const formedAt = grantRevision + 5
+	block := wire.Block{Type: "std", Zone: "n", Machines: []wire.BlockMachine{{Name: "n-3"}}}
+	h.core.commit(LaneUser, []wire.Condition{h.core.leaderCondition(), {Key: blockKey("z")}}, []wire.Change{{Put: blockKey("z"), Value: block}}, func(StateReply) {})
+	h.successor(blockKey("z"), block, formedAt)
+	call := h.core.effects[len(h.core.effects)-1].(StateCall)
+	h.step(StateDone{ID: call.ID, Reply: StateReply{Status: 200, Txn: wire.TxnReply{Revision: formedAt}}})
+	if h.core.machines["n-3"] == nil {
+		t.Fatal("the machine is not known to the holder that formed its block")
+	}
+	h.request++
+	answered := 0
+	for _, effect := range h.core.Step(h.core.now, time.UnixMilli(1e12), WorkerReport{Req: h.request, Report: wire.Report{Machine: "n-3", Addr: "n-3", Type: "std", Zone: "n", Session: 1, Seq: 1}}) {
+		if answer, ok := effect.(Answer); ok {
+			answered = answer.Status
+		}
+	}
+	if answered != 503 {
+		t.Errorf("the report of a machine whose shard has another holder is answered with %d", answered)
+	}
+	h.answerChanges()
+	if h.core.holdsShard(0) {
+		t.Error("still holds the shard after it has read all changes")
+	}
+}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -60,9 +60,19 @@
 
 // blockEntry is a block's record and the revision at which it was written.
 type blockEntry struct {
-	id      string
-	record  wire.Block
-	version uint64
+	id         string
+	record     wire.Block
+	version    uint64
+	assignedAt uint64 // revision of the write that formed the block or moved it to its shard
+}
+
+// newBlockEntry returns the entry of a new version of a block. old is the entry before, or nil.
+func newBlockEntry(id string, record wire.Block, version uint64, old *blockEntry) *blockEntry {
+	entry := &blockEntry{id: id, record: record, version: version, assignedAt: version}
+	if old != nil && old.record.Shard == record.Shard {
+		entry.assignedAt = old.assignedAt
+	}
+	return entry
 }
 
 // jobEntry is a job's record and what this controller derives from it.
@@ -368,7 +378,7 @@
 			id := key[len(wire.PrefixBlock):]
 			c.versions.Put(key, version)
 			old := c.blocks[id]
-			c.blocks[id] = &blockEntry{id, record, version}
+			c.blocks[id] = newBlockEntry(id, record, version, old)
 			c.indexBlock(id, old, c.blocks[id])
 			c.trackProvisioning(old, c.blocks[id])
 			c.blockChanged(id, old)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -33,6 +33,12 @@
 		c.answer(v.Req, 503, unavailable("entitlement not confirmed"))
 		return
 	}
+	if b.assignedAt > c.mirrorRevision {
+		// As the leader, this controller has just formed or moved the block. Its shard may have
+		// been granted to another controller before that, which then holds it under the same token.
+		c.answer(v.Req, 503, unavailable("assignment of the machine not confirmed"))
+		return
+	}
 	c.testDelivery(m, relayed)
 	token := c.answerToken(m, b)
 	if r.Token > token || c.isStaleReport(m, r) {
