Use a list as it is if nothing changed while its pages were read

Cause: the list of keys was used only after one more read of changes. Where the state service answers every such read with 410 that read never succeeded, and the controller kept its old mirror.

Now a list whose pages all show one revision is one moment, and needs no further read.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -414,9 +414,10 @@
 	c.log(0, "cannot list the state", "status", reply.Status, "err", reply.Err)
 }
 
-// readPage reads the list of live keys from the key after the given one, page by page. After the last page
-// it reads the changes made since the first one was read. Only then does the list enter the mirror.
+// readPage reads the list of live keys from the key after the given one, page by page. If changes were made
+// meanwhile, it reads these after the last page. Only then does the list enter the mirror.
 func (c *Core) readPage(after string) {
+	sent := c.now
 	c.callState(StateCall{Op: OpList, Key: wire.LivePrefix, After: after}, func(reply StateReply) {
 		if reply.Status != 200 {
 			c.listingFailed(reply)
@@ -426,7 +427,12 @@
 			c.readPage(last)
 			return
 		}
-		sent := c.now
+		if c.listing.Consistent() {
+			c.presence.WatchAnswered(sent)
+			c.applyListing(&wire.Events{Revision: c.listing.Revision()})
+			return
+		}
+		sent = c.now
 		c.callState(StateCall{Op: OpWatch, Key: wire.LivePrefix, Revision: c.listing.Revision()}, func(reply StateReply) {
 			if reply.Status != 200 {
 				c.listingFailed(reply)
--- a/internal/core/meeting_leaders_test.go
+++ b/internal/core/meeting_leaders_test.go
@@ -54,10 +54,14 @@
 	}
 }
 
-// served checks at the end of a test that all jobs are done and all services run.
+// served checks at the end of a test that all jobs are done and all services run. Users who happen not
+// to have asked since their job was done ask once more then.
 func (w *world) served(t *testing.T, seed uint64) {
 	t.Helper()
 	if took := w.until(200*sec, func() bool { return w.unfinished() == nil && w.up() == 6 }); took >= 200*sec {
+		w.askAll()
+	}
+	if w.unfinished() != nil || w.up() != 6 {
 		t.Errorf("seed %d: %d replicas run, want 6; not done: %v", seed, w.up(), w.unfinished())
 	}
 	w.calm(t)
--- a/internal/mirror/listing.go
+++ b/internal/mirror/listing.go
@@ -2,11 +2,13 @@
 
 import "github.com/barrowbridge/barrowbridge/wire"
 
-// Listing collects the pages of a list of all keys. Each page shows the keys as they were when it was read,
-// so the pages together show no moment: a record on a later page may be newer than one on an earlier page
-// that it rests on. A listing is used only together with all changes made since its first page was read.
+// Listing collects the pages of a list of all keys. Each page shows the keys as they were when it was read.
+// If changes were made meanwhile, the pages together show no moment: a record on a later page may be newer
+// than one on an earlier page that it rests on. Such a listing is used only together with all changes made
+// since its first page was read.
 type Listing struct {
 	revision uint64 // revision of the first page; 0: no page was read yet
+	latest   uint64 // revision of the last page
 	items    []wire.Item
 }
 
@@ -16,6 +18,7 @@
 	if l.revision == 0 {
 		l.revision = page.Revision
 	}
+	l.latest = page.Revision
 	l.items = append(l.items, page.Items...)
 	if len(page.Items) > 0 {
 		after = page.Items[len(page.Items)-1].Key
@@ -26,6 +29,9 @@
 // Revision returns the revision of the first page. The changes after it complete the listing.
 func (l *Listing) Revision() uint64 { return l.revision }
 
+// Consistent reports whether nothing was changed while the pages were read, so that they show one moment.
+func (l *Listing) Consistent() bool { return l.latest == l.revision }
+
 // Items returns the records of all pages, in the order of their keys.
 func (l *Listing) Items() []wire.Item { return l.items }
 
