Schedules of zone cuts that reset connections, with a backlog on both sides

Why no schedule had found the starts of a successor: the test world lost or delayed single calls, and a cut ended no call in flight. Calls made in a cut hung until their time was over, and no arrays waited for machines in both parts.

--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -356,6 +356,12 @@
 		reply = func(r StateReply) { w.at(slow, func() { answer(r) }) }
 	}
 	w.tried[node]++
+	reply = w.connections.opened(node, reply)
+	if w.connections.hang && w.hung[node] {
+		w.connect(node, v, reply)
+		return
+	}
+	lag += w.unevenLag()
 	if w.hung[node] {
 		w.at(tuning.StateCallTimeout+v.Hold, func() { reply(StateReply{}) })
 		return
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -44,6 +44,8 @@
 	// and never answered. May be nil.
 	noAnswer func(node string, v StateCall) (late time.Duration, hit bool)
 
+	connections connections
+
 	// peerDelay returns the extra delay of a message between controllers. May be nil.
 	peerDelay func(from string, v PeerSend) time.Duration
 }
