--- a/internal/core/meeting_order_test.go
+++ b/internal/core/meeting_order_test.go
@@ -330,3 +330,23 @@
 		t.Error("still holds the shard after it has read all changes")
 	}
 }
+
+// A controller that reads a job's final state for its user stops the job's tasks at once, although its mirror does
+// not contain the end yet: no task may be started once a user was told that the job is cancelled.
+func TestAnEndThatIsReadStopsItsJob(t *testing.T) {
+	t.Parallel()
+	const id = "job-000001"
+	h := newStaleHolder(t, false)
+	h.known(startlog.Key(0, 0), wire.Starts{Entries: map[string]wire.Start{id: {N: 1, Started: 6}}}, 44)
+	h.known(jobKey(id), h.job(id, 6, 0), 45)
+	h.store(finalKey(id), wire.Final{Status: wire.JobAborted}, grantRevision)
+	delete(h.records, jobKey(id))
+	h.request++
+	h.step(Submit{Req: h.request, Spec: spec(id, "red", wire.ShapeBatch, 6)})
+	h.failWrite(wire.PrefixJob, 409)
+	h.answerReads()
+	h.report()
+	if h.core.jobs[id] != nil || len(h.started) > 0 {
+		t.Errorf("after its end was read the job is live (%v), and tasks %v were started", h.core.jobs[id] != nil, h.started)
+	}
+}
