Reads of the mirror in a file of their own, their delay under a name of its own

Moves only, but for the constant CatchUpOverlapDelay, which has the value of the one for polls that it stood in for. go test ./internal/core passes (187 s beside other load).

--- a/internal/core/chains.go
+++ b/internal/core/chains.go
@@ -292,22 +292,6 @@
 	})
 }
 
-// refreshMirror updates the mirror with everything that was written before this call, and calls done
-// with whether that succeeded.
-func (c *Core) refreshMirror(done func(ok bool)) {
-	if !c.loaded || c.loading {
-		done(false)
-		return
-	}
-	c.callState(StateCall{Op: OpWatch, Key: wire.LivePrefix, Revision: c.mirrorRevision}, func(r StateReply) {
-		if r.Status == 200 {
-			c.applyEvents(&r.Events)
-			c.mirrorChanged()
-		}
-		done(r.Status == 200 && !c.loading)
-	})
-}
-
 // evaluateWaiting completes a lookup that found a job waiting. The mirror must be as recent as the lookup
 // itself, so that a user who was told that a predecessor is cancelled gets the same answer for this job.
 // If it is not (fresh is false), the lookup fails.
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -470,27 +470,6 @@
 	}
 }
 
-// catchUp has the changes read that the mirror lacks after a write that met a conflict or got no answer.
-// They enter the mirror in the order in which they were written. When the changed keys were read one by
-// one instead, a controller that was cut off saw the starts that its successor had recorded before it saw
-// that the shard was its successor's, and made these starts too.
-func (c *Core) catchUp() {
-	c.catchUps.Need()
-	c.sendCatchUp()
-}
-
-// sendCatchUp reads the changes if that is needed and no such read is in flight.
-func (c *Core) sendCatchUp() {
-	if !c.loaded || c.loading || !c.catchUps.Start(c.now) {
-		return
-	}
-	c.refreshMirror(func(ok bool) {
-		c.catchUps.Finished()
-		c.log(2, "changes read after a failed write", "ok", ok, "mirror", c.mirrorRevision)
-		c.sendCatchUp()
-	})
-}
-
 // mirrorChanged runs the leader's and the holder's work after a change of the mirror.
 func (c *Core) mirrorChanged() {
 	if c.loaded {
--- a/internal/tuning/statestore.go
+++ b/internal/tuning/statestore.go
@@ -32,6 +32,9 @@
 	// ClockDrift (share) is added to durations that are compared with those of another
 	// monotonic clock; it is twice the bound of 0.05% between two clocks.
 	ClockDrift = 0.001
+	// CatchUpOverlapDelay (duration) is the delay before another read of the changes is sent after a
+	// failed write while one is in progress.
+	CatchUpOverlapDelay = 250 * time.Millisecond
 	// TickInterval (duration) is the interval between clock ticks of the core; deferred work
 	// is delayed by less than this.
 	TickInterval = 50 * time.Millisecond
