--- a/internal/core/masks_test.go
+++ b/internal/core/masks_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -290,12 +289,8 @@
 // hang. The rules must hold, and new work must start soon after the cuts end.
 func TestMaskPairs(t *testing.T) {
 	t.Parallel()
-	n, err := strconv.ParseUint(os.Getenv("BARROWBRIDGE_PAIRS"), 10, 64)
-	if err != nil {
-		n = 10
-	}
 	var seeds []uint64
-	for k := range n {
+	for k := range countFromEnv("BARROWBRIDGE_PAIRS", 10) {
 		seeds = append(seeds, 1000+k, 2000+k)
 	}
 	for _, seed := range seeds {
--- a/internal/core/meeting_zone_cuts_test.go
+++ b/internal/core/meeting_zone_cuts_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -12,13 +10,7 @@
 
 // zoneCutSeeds is the number of seeds that TestZoneCutsUnderBacklog runs. The environment variable
 // BARROWBRIDGE_ZONE_CUTS overrides the default.
-var zoneCutSeeds = func() uint64 {
-	n, err := strconv.ParseUint(os.Getenv("BARROWBRIDGE_ZONE_CUTS"), 10, 64)
-	if err != nil {
-		return 24
-	}
-	return n
-}()
+var zoneCutSeeds = countFromEnv("BARROWBRIDGE_ZONE_CUTS", 24)
 
 // The zone of a shard's holder is cut off for some seconds, again and again, while arrays wait for machines on
 // both sides. Each cut resets connections with writes in flight; attempts to connect hang and get through soon after
--- a/internal/core/schedules_test.go
+++ b/internal/core/schedules_test.go
@@ -14,13 +14,16 @@
 
 // schedules is the number of seeds that TestRandomSchedules runs in each of its two seed ranges.
 // The environment variable BARROWBRIDGE_SCHEDULES overrides the default.
-var schedules = func() uint64 {
-	n, err := strconv.ParseUint(os.Getenv("BARROWBRIDGE_SCHEDULES"), 10, 64)
+var schedules = countFromEnv("BARROWBRIDGE_SCHEDULES", 20)
+
+// countFromEnv returns the number in an environment variable, or the default if it has none.
+func countFromEnv(name string, otherwise uint64) uint64 {
+	n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
 	if err != nil {
-		return 20
+		return otherwise
 	}
 	return n
-}()
+}
 
 // Random schedules of crashes, hangs, outages, network cuts, paused controllers, lost answers,
 // late writes and aborts at seeded moments. The world checks the rules, and at the end all
