The order that ended late passes now: back among the orders, no KNOWN-RED entry

The sequence is one of those of TestOrdersOfTroubles again, with the same check and bound. The fault itself, two waits for one lost machine, is not mended: docs/ROADMAP.md has it.

--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -320,17 +320,6 @@
 // and the worker's lease ended as well.
 var fellOnce = []string{"the busy one hangs, briefly; time passes; the holder crashes, back late"}
 
-// lateOrder is a sequence, from the state "moved", after which an accepted job completes too late: its task waits for the lost
-// machine under two holders, one after the other. It is played by a test of its own (KNOWN-RED.txt).
-const lateOrder = "the busy one is lost without notice; the holder's zone is cut off, connections reset"
-
-// A machine is lost just before its holder's zone is cut off. The next holder has waited for the machine's lease when the
-// shard returns to its home, which waits as long again before it starts the machine's task anew.
-func TestOrderThatEndsLate(t *testing.T) {
-	t.Parallel()
-	playOrder(t, "moved", strings.Split(lateOrder, "; "), func(uint64) {})
-}
-
 // Runs all sequences of ordersDepth events from each initial state, and longer ones that failed
 // once. No rule may break, no task that is done may run again unless its machine was lost, and all
 // jobs must complete.
@@ -358,7 +347,7 @@
 		t.Run(start, func(t *testing.T) {
 			for i, o := range last {
 				// Each world has one goroutine, so more sequences find no more races.
-				if raceDetector && i%8 > 0 || start == "moved" && strings.Join(o, "; ") == lateOrder {
+				if raceDetector && i%8 > 0 {
 					continue
 				}
 				seen[i] = map[uint64]bool{}
