--- a/review/stand2/kit.go
+++ b/review/stand2/kit.go
@@ -1,4 +1,4 @@
-// Command stand2 runs the cases of the review in review/4 to review/8. Each case starts three
+// Command stand2 runs the cases of the review in review/4 to review/7. Each case starts three
 // controllers as processes of their own against the project's stand-ins for the state service, the
 // cloud and the workers, acts as their users, stages one disruption, and judges one rule by what
 // users and workers saw.
