--- a/review/stand2/failures.go
+++ b/review/stand2/failures.go
@@ -43,34 +43,38 @@
 	return d.leftWaiting(gateway)
 }
 
-// failOnce waits until tasks of an array have completed on each machine of plateau, and then has these machines
-// fail their tasks until each has failed one. Without the trouble it only waits.
+// failOnce waits until tasks of an array have completed on each machine of plateau, and then has one of these machines
+// after the other fail its tasks until it has failed one. Without the trouble it only waits.
 func (d *deployment) failOnce(o options, array string) (why string) {
 	machines, err := d.Resolve("machine_sick", "machines:"+plateau)
 	if err != nil || len(machines) != 4 {
 		return fmt.Sprintf("machines of plateau: %v %v", machines, err)
 	}
-	each := func(cause string) bool {
-		on, _ := d.count(array, site.TaskLeft, cause)
+	if !until(15*time.Second, func() bool {
+		on, _ := d.count(array, site.TaskLeft, wire.CauseDone)
 		return !slices.ContainsFunc(machines, func(m string) bool { return on[m] == 0 })
-	}
-	if !until(15*time.Second, func() bool { return each(wire.CauseDone) }) {
+	}) {
 		return "the array has not completed a task on each machine of plateau"
 	}
 	if !o.trouble {
 		return ""
 	}
-	fault, err := d.stage(site.Fault{Kind: "machine_sick", Target: "machines:" + plateau})
-	if err != nil {
-		return err.Error()
+	for _, machine := range machines { // one machine at a time
+		fault, err := d.stage(site.Fault{Kind: "machine_sick", Target: machine})
+		if err != nil {
+			return err.Error()
+		}
+		failed := until(5*time.Second, func() bool {
+			on, _ := d.count(array, site.TaskLeft, wire.CauseError)
+			return on[machine] > 0
+		})
+		d.Lift(fault.ID)
+		if !failed {
+			return "no task has failed on " + machine
+		}
 	}
-	failed := until(6*time.Second, func() bool { return each(wire.CauseError) })
-	d.Lift(fault.ID)
 	on, _ := d.count(array, site.TaskLeft, wire.CauseError)
 	d.say("trouble over: the machines run their tasks again; failed tasks of %s by machine: %v", array, on)
-	if !failed {
-		return "not every machine of plateau has failed a task"
-	}
 	return ""
 }
 
