Bounded conversions of floats; work on no CPUs is pressed on every kind of machine

Cause: PlanDeparture converted a float64 beyond the range of time.Duration, which x86-64 turns into the least and arm64 into the largest duration. On x86-64 a long job was not pressed when its team had no CPUs, or few, and counted with one task's time; MachinesAhead went wrong on both.

Expected, by docs/calendar.md: the latest start is the departure less the time the work takes on the team's machines. On no CPUs that time never ends, so the work is pressed, as the table of TestPlanDeparture (no CPUs, pressed) and TestPlanProperties (fewer machines never make work less pressed) have said all along.

Change: internal/conversion turns NaN into 0 and other numbers into the nearest bound. All conversions of request bodies, settings, cloud answers, forecasts, beta, limits and machines ahead go through it. Left as they are, since they cannot overflow: products of a setting's interval and a constant (reach, membership, flush, leader), the uptime of a peer, shares of a count (provisioning, limits), and settings in KiB.

--- a/internal/calendar/calendar_test.go
+++ b/internal/calendar/calendar_test.go
@@ -152,6 +152,23 @@
 	})
 }
 
+// Guards against work whose duration is beyond the range of time.Duration, which was not pressed at
+// all on x86-64, and machines rented ahead from after the departure on both kinds of machine.
+func TestPlansOfWorkThatNeverEndsAreBounded(t *testing.T) {
+	now, leaves := at("2026-12-03T05:00:00Z"), at("2026-12-03T05:40:00Z")
+	for _, cpus := range []float64{0, 0.001, 1} {
+		endless := []Job{{ID: "a", Tasks: 100000, TaskDuration: time.Hour, CPUs: 64}}
+		p := PlanDeparture(crew(nil), now, leaves, endless, cpus, margins)
+		if start := leaves.Sub(time.UnixMilli(p.StartMS)); start != 1e6*time.Second+11*time.Second || !p.Pressed || p.Miss != 1 {
+			t.Errorf("endless work on %g CPUs: starts %v before, pressed %v, %d missed", cpus, start, p.Pressed, p.Miss)
+		}
+	}
+	k := crew(func(k *wire.Crew) { k.Expect = wire.CrewWork{Tasks: 100000, Seconds: 1e12, CPUs: 1} })
+	if n, from := MachinesAhead(k, leaves, 0, 100, 4, 1, 25*time.Second, margins); n != 25 || leaves.Sub(from) != 1e6*time.Second+36*time.Second {
+		t.Errorf("endless expected work: %d machines from %v before", n, leaves.Sub(from))
+	}
+}
+
 // Machines are rented ahead so that expected work is done in time, including their boot time,
 // within the team's limit. Accepted work is no longer expected.
 func TestMachinesAhead(t *testing.T) {
--- a/internal/calendar/plan.go
+++ b/internal/calendar/plan.go
@@ -7,9 +7,16 @@
 	"slices"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
+// minCPUs stands for the CPUs of a team that has none, for which any work takes longer than maxPlanned.
+const minCPUs = 1e-9
+
+// maxPlanned is the longest time that work is planned to take.
+const maxPlanned = 1e6 * time.Second
+
 // Margins are safety margins, so that work does not end at the last moment.
 type Margins struct {
 	ClockError   time.Duration // bound of the error of the controllers' clocks
@@ -60,11 +67,11 @@
 		longest = max(longest, jobs[i].TaskDuration)
 	}
 	work *= 1 + margins.FailureShare
-	duration := max(longest, time.Duration(work/max(availableCPUs, 1e-9)*float64(time.Second)))
+	duration := max(longest, conversion.Seconds(work/max(availableCPUs, minCPUs)))
 	if len(jobs) == 0 {
 		duration = 0
 	}
-	start := deadline.Add(-min(duration, 1e6*time.Second))
+	start := deadline.Add(-min(duration, maxPlanned))
 	plan.StartMS = start.UnixMilli()
 	if left := deadline.Sub(now).Seconds(); left > 0 {
 		plan.CPUs = math.Ceil(work / left)
@@ -93,12 +100,12 @@
 	})
 	secondsLeft, finished := leaves.Sub(now).Seconds(), 0.0
 	for i := range sorted {
-		finished += sorted[i].cpuSeconds() / max(availableCPUs, 1e-9)
+		finished += sorted[i].cpuSeconds() / max(availableCPUs, minCPUs)
 		if end := max(finished, sorted[i].TaskDuration.Seconds()); end > secondsLeft {
 			count, lateSeconds = count+1, max(lateSeconds, end-secondsLeft)
 		}
 	}
-	return count, min(lateSeconds, 1e6)
+	return count, min(lateSeconds, maxPlanned.Seconds())
 }
 
 // summarize returns a sentence about a plan for operators.
@@ -116,7 +123,7 @@
 			why += " in " + crew.Zone
 		}
 	}
-	return fmt.Sprintf("%d of %d jobs will miss %s by up to %s: %s", plan.Miss, plan.Jobs, hour, (time.Duration(math.Ceil(plan.MissS)) * time.Second).String(), why)
+	return fmt.Sprintf("%d of %d jobs will miss %s by up to %s: %s", plan.Miss, plan.Jobs, hour, conversion.Seconds(math.Ceil(plan.MissS)).String(), why)
 }
 
 // MachinesAhead returns how many machines, each with the given number of CPUs, to rent for expected
@@ -136,8 +143,8 @@
 		return 0, time.Time{}
 	}
 	slots = math.Ceil(min(slots, max(tasks/margins.Rounds, 1)))
-	duration := time.Duration(math.Ceil(tasks/slots) * taskSeconds * (1 + margins.FailureShare) * float64(time.Second))
-	return int(math.Ceil(slots / slotsPerMachine)), Deadline(leaves, margins).Add(-duration - bootTime)
+	duration := min(conversion.Seconds(math.Ceil(tasks/slots)*taskSeconds*(1+margins.FailureShare)), maxPlanned)
+	return conversion.Int(math.Ceil(slots / slotsPerMachine)), Deadline(leaves, margins).Add(-duration - bootTime)
 }
 
 // BookingName returns the name of a booking of machines rented ahead. version is the version of the
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,10 +8,10 @@
 	"net"
 	"os"
 	"strconv"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
 	"github.com/barrowbridge/barrowbridge/internal/membership"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 )
@@ -167,7 +167,7 @@
 // check returns an error if leases could not expire within cancel_s: while the state service cannot
 // be reached, only their expiry ends the tasks of a cancelled job.
 func (w Workers) check() error {
-	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	seconds := conversion.Seconds
 	if membership.MaxUnconfirmed(seconds(w.LeaseS), seconds(w.CancelS)) < tuning.MinUnconfirmed {
 		least := membership.LeaseExpiredAfter(seconds(w.LeaseS)) + tuning.MinUnconfirmed*4/3
 		return fmt.Errorf("params.workers.cancel_s: must be at least %.2f with lease_s %v, got %v", least.Seconds()+0.005, w.LeaseS, w.CancelS)
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
@@ -360,4 +361,4 @@
 }
 
 // seconds converts a number of seconds to a duration.
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func seconds(s float64) time.Duration { return conversion.Seconds(s) }
--- a/internal/dependency/view.go
+++ b/internal/dependency/view.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -84,7 +85,7 @@
 		if math.IsInf(seconds, 0) {
 			return 0
 		}
-		return int64(seconds * 1000)
+		return conversion.Milliseconds(seconds)
 	}
 	row.Class, row.Team, row.Awaits, row.Tasks, row.Priority, row.ReadyMS = job.Class, job.Team, job.Predecessors, job.Tasks, job.Priority, job.ReadyMS
 	if state.Inherited.Priority > wire.PriorityRank(job.Priority) {
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -60,12 +61,12 @@
 // UpperBound returns a time that a task of a class nearly always ends within.
 func (e *Estimator) UpperBound(class string, estimateS float64) time.Duration {
 	mean, spread := e.logBias(class)
-	return time.Duration(estimateS * math.Exp(mean+2*spread) * float64(time.Second))
+	return conversion.Seconds(estimateS * math.Exp(mean+2*spread))
 }
 
 // Typical returns how long a task of a class typically runs.
 func (e *Estimator) Typical(class string, estimateS float64) time.Duration {
-	return time.Duration(estimateS * e.Factor(class) * float64(time.Second))
+	return conversion.Seconds(estimateS * e.Factor(class))
 }
 
 // logBias returns the mean and the standard deviation of log(run time/estimate) of a class.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/cloud"
 	"github.com/barrowbridge/barrowbridge/internal/config"
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
 	"github.com/barrowbridge/barrowbridge/internal/core"
 	"github.com/barrowbridge/barrowbridge/internal/httpapi"
 	"github.com/barrowbridge/barrowbridge/internal/metrics"
@@ -35,10 +36,10 @@
 		Zone:           cfg.Zone,
 		NodeZones:      map[string]string{cfg.Node: cfg.Zone},
 		Teams:          map[string]core.Team{},
-		WorkerLease:    seconds(cfg.Params.Workers.LeaseS),
-		CancelTimeout:  seconds(cfg.Params.Workers.CancelS),
-		ReportInterval: seconds(cfg.Params.Workers.ReportS),
-		CloudListLag:   seconds(cfg.Params.Cloud.ListLagS),
+		WorkerLease:    conversion.Seconds(cfg.Params.Workers.LeaseS),
+		CancelTimeout:  conversion.Seconds(cfg.Params.Workers.CancelS),
+		ReportInterval: conversion.Seconds(cfg.Params.Workers.ReportS),
+		CloudListLag:   conversion.Seconds(cfg.Params.Cloud.ListLagS),
 		MaxTxnOps:      state.TxnOps,
 		MaxValueBytes:  int(state.ValueKB * 1024),
 		Version:        Version(),
@@ -67,8 +68,6 @@
 	return p
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 type request struct {
 	ctx   context.Context // done when the caller no longer waits for the answer
 	input func(id uint64) any
--- a/internal/objectives/objectives.go
+++ b/internal/objectives/objectives.go
@@ -3,7 +3,11 @@
 // for its class. Jobs without either are ordered by size. The package has no clock and no I/O.
 package objectives
 
-import "math"
+import (
+	"math"
+
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
+)
 
 // Objectives are the operators' settings, by class.
 type Objectives struct {
@@ -75,5 +79,5 @@
 	if !math.IsInf(due, 1) {
 		leftS = min(leftS, max(l.MinTimeS, (due-now)*l.Headroom))
 	}
-	return min(unfinished, int(math.Ceil(float64(unfinished)*estimateS/max(leftS, estimateS))))
+	return min(unfinished, conversion.Int(math.Ceil(float64(unfinished)*estimateS/max(leftS, estimateS))))
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,7 +3,11 @@
 // takes the machine with the largest beta, its other tasks the first one with the smallest.
 package placement
 
-import "math"
+import (
+	"math"
+
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
+)
 
 // Size is an amount of each resource.
 type Size struct {
@@ -42,7 +46,7 @@
 	if math.IsInf(copies, 1) {
 		return 0
 	}
-	return int(copies)
+	return conversion.Int(copies)
 }
 
 // Candidate is a machine that a task is allowed on.
@@ -110,5 +114,5 @@
 	if size.GPUs > 0 {
 		tasks = min(tasks, math.Floor((gpus-used.GPUs)/size.GPUs+1e-6))
 	}
-	return max(0, int(tasks))
+	return max(0, conversion.Int(tasks))
 }
--- a/internal/supply/reserve.go
+++ b/internal/supply/reserve.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 )
 
@@ -69,5 +70,5 @@
 		arrivals = arrivals[1:]
 	}
 	r.arrivals[shard] = arrivals
-	return 1 + int(math.Ceil(float64(len(arrivals))*bootS/r.limits.Window.Seconds()))
+	return 1 + conversion.Int(math.Ceil(float64(len(arrivals))*bootS/r.limits.Window.Seconds()))
 }
--- a/internal/weights/store.go
+++ b/internal/weights/store.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
 )
 
 // storeRateEstimate estimates the rate of the store from the fetches of machines. Reports show when
@@ -61,5 +63,5 @@
 // maxFetches returns how many fetches at a time are allowed because they use up the store's rate;
 // more would not increase the total. It returns 0 if no limit is known.
 func (e *storeRateEstimate) maxFetches(now time.Duration) int {
-	return int(math.Ceil(e.limits.StoreFetchFactor * e.gbps(now) / max(e.machineGBps, 1e-9)))
+	return conversion.Int(math.Ceil(e.limits.StoreFetchFactor * e.gbps(now) / max(e.machineGBps, 1e-9)))
 }
