A machine is given no more tasks than its worker can report

Cause: nothing bounded the attempts on a machine by its worker's report, which lists all of them. Beyond 64 KiB every controller refused it until the lease was over, and all tasks ended with it.

Every controller answered all along.

Change: the bytes of a machine's report are a resource in placement.Size, so all readers of free capacity see the same room. An attempt counts with the longest entry that it may become (internal/reportsize). The ledger searches its new index last and no further than the smallest beta found, and leaves out machines with no room for any entry. A report of up to 512 KiB is read, and a machine above the limit is brought below it by stopping the least important attempts. Answers carry stops, then clears, then starts. Users' bodies keep their limit.

TestTake and TestShortages give their machines bytes for four and three tasks; the recounts count bytes, too.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -140,3 +140,62 @@
 		})
 	}
 }
+
+// BenchmarkSmallTasks measures the cost of machines with some 600 tasks each, as many as their CPUs
+// hold: a report, a pass, the needs, and all inputs of the ten seconds after the busiest of three
+// controllers has ended.
+func BenchmarkSmallTasks(b *testing.B) {
+	const machines, tasksPerMachine = 12, 600
+	begin := func() *world {
+		w := newWorld(b, 7, 3, func(w *world) {
+			w.capacity, w.runS = 0, time.Hour
+			w.teams = map[string]Team{"red": {CPUs: 4 * machines, CPUsMax: 4 * machines}}
+		})
+		for i := range machines {
+			w.addMachine([]string{"n", "s"}[i%2], false, sec)
+		}
+		w.run(20 * sec)
+		s := spec("job-000001", "red", wire.ShapeBatch, machines*tasksPerMachine)
+		s.CPUs, s.MemoryGB, s.DueS = ptr(4.0/tasksPerMachine), ptr(0.001), nil
+		w.submit(s)
+		w.run(40 * sec)
+		return w
+	}
+	w := begin()
+	c := w.busiest().core
+	now, wall := w.now-w.busiest().began, time.UnixMilli(1e12).Add(w.now)
+	held := c.heldMachines()
+	b.Logf("%d attempts on a machine", len(held[0].attempts))
+	req := uint64(1 << 40)
+	b.Run("report", func(b *testing.B) {
+		for i := range b.N {
+			r, _ := w.machines[held[i%len(held)].name].Inspect(w.now)
+			req++
+			now += time.Millisecond
+			c.sure(now)
+			c.Step(now, wall, WorkerReport{Req: req, Report: r})
+		}
+	})
+	b.Run("place", func(b *testing.B) {
+		for range b.N {
+			c.sure(c.now)
+			c.placeTasks()
+		}
+	})
+	b.Run("needs", func(b *testing.B) {
+		for range b.N {
+			c.unmetNeeds(firstHeldShard(c))
+		}
+	})
+	b.Run("takeover", func(b *testing.B) {
+		for range b.N {
+			w := begin()
+			var sum, worst time.Duration
+			w.spent = func(d time.Duration) { sum, worst = sum+d, max(worst, d) }
+			w.kill(w.busiest().name)
+			w.run(10 * sec)
+			b.ReportMetric(float64(sum.Milliseconds()), "ms/takeover")
+			b.ReportMetric(float64(worst.Microseconds())/1000, "ms/worst")
+		}
+	})
+}
--- a/internal/core/callqueue.go
+++ b/internal/core/callqueue.go
@@ -84,17 +84,6 @@
 	return callqueue.Forget
 }
 
-// stopCommands returns the commands that stop attempts on a machine.
-func (c *Core) stopCommands(m *machine) []wire.Command {
-	commands := []wire.Command{}
-	for _, command := range c.commandsFor(m, true) {
-		if command.Verb == wire.VerbStop {
-			commands = append(commands, command)
-		}
-	}
-	return commands
-}
-
 // sendToNextHolder makes the worker of a machine whose block has left this controller's shards
 // report at once. The worker is then redirected to the block's next holder, which has no address
 // to call it at. The call carries the token that the next holder was granted, so that calls and
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/reservation"
 	"github.com/barrowbridge/barrowbridge/internal/rollout"
 	"github.com/barrowbridge/barrowbridge/internal/startlog"
+	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/takeover"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
@@ -412,7 +413,7 @@
 // machineSize returns the capacity of a machine type, false if the type is not known.
 func (c *Core) machineSize(name string) (placement.Size, bool) {
 	machineType, ok := c.machineTypes[name]
-	return placement.Size{CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemGB: machineType.MemoryGB}, ok
+	return supply.MachineSize(machineType), ok
 }
 
 // sortedKeys returns a map's keys in ascending order, so that every run visits them in the same order.
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -17,7 +17,7 @@
 
 // unlimitedCapacity makes a walk of the job queue visit all waiting jobs, whatever they ask for.
 func unlimitedCapacity(string) placement.Size {
-	return placement.Size{CPUs: inf, GPUs: inf, MemGB: inf}
+	return placement.Size{CPUs: inf, GPUs: inf, MemGB: inf, ReportBytes: inf}
 }
 
 // supplyPool returns the capacity of a shard that waiting tasks may use: on machines that are
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -73,6 +73,7 @@
 	lastReport           Time
 	lastAnswered         Time // when the last 200 left
 	addr                 string
+	reportHeader         int    // most that its reports take for all but the attempts known here, in bytes
 	reportedToken        uint64 // the highest token that its worker has named
 	currentReportsProven bool   // has named a token that only this holder can have given it
 	unprovenAnswers      int    // answers given to reports that prove nothing
@@ -88,11 +89,12 @@
 	terminationNotice bool
 	terminatesAt      Time
 
-	attempts  map[attemptKey]*attempt
-	idleSince Time
-	images    map[string]bool
-	usage     machineUsage
-	dirty     bool // listed in indexes.dirtyMachines
+	attempts   map[attemptKey]*attempt
+	sortedKeys []attemptKey // of attempts; nil: must be sorted again
+	idleSince  Time
+	images     map[string]bool
+	usage      machineUsage
+	dirty      bool // listed in indexes.dirtyMachines
 }
 
 // machineUsage is the free capacity of a machine and what each team uses on it. It is
@@ -103,6 +105,8 @@
 	free            placement.Size
 	teams           []ledger.TeamUsage
 	unknownAttempts int // attempts of unknown size
+	// endedReportBytes is what ended attempts take of the report until they are cleared.
+	endedReportBytes float64
 }
 
 // attemptKey identifies an attempt.
@@ -276,7 +280,7 @@
 // addAttempt records an attempt on its machine. Only addAttempt and removeAttempt change
 // the attempts of a machine.
 func (c *Core) addAttempt(a *attempt) {
-	a.machine.attempts[a.key] = a
+	a.machine.attempts[a.key], a.machine.sortedKeys = a, nil
 	if a.idlePriority {
 		c.idleAttempts[a.machine]++
 	}
@@ -293,6 +297,7 @@
 		}
 	}
 	delete(a.machine.attempts, a.key)
+	a.machine.sortedKeys = nil
 	a.machine.usage.valid = false
 	c.markDirty(a.machine)
 	list := c.attemptsByTask[a.key.task]
@@ -471,11 +476,15 @@
 	}
 }
 
-// sortedAttemptKeys returns the keys of a machine's attempts, by task and attempt number.
+// sortedAttemptKeys returns the keys of a machine's attempts, by task and attempt number. The slice is
+// not to be changed; it stays as it is when attempts come or go.
 func sortedAttemptKeys(m *machine) []attemptKey {
-	return slices.SortedFunc(maps.Keys(m.attempts), func(a, b attemptKey) int {
-		return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.number, b.number))
-	})
+	if m.sortedKeys == nil {
+		m.sortedKeys = slices.SortedFunc(maps.Keys(m.attempts), func(a, b attemptKey) int {
+			return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.number, b.number))
+		})
+	}
+	return m.sortedKeys
 }
 
 // attemptLost removes an attempt from its machine. Its task is started again
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -63,7 +63,7 @@
 // urgentCapacity returns how many urgent tasks of the given size a machine could take at once if the less
 // urgent work on it were preempted.
 func (c *Core) urgentCapacity(m *machine, size placement.Size) int {
-	free := c.freeCapacity(m)
+	free := c.freeOnceCleared(m)
 	for _, a := range m.attempts {
 		if a.belowUrgent && a.status != wire.TaskEnded {
 			free = free.Add(a.size)
--- a/internal/core/indexes.go
+++ b/internal/core/indexes.go
@@ -10,6 +10,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/objectives"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/internal/tiers"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -134,12 +135,12 @@
 			}
 		}
 	}
-	if m.returning || m.terminationNotice || m.silent {
+	usage := c.usageOf(m)
+	if m.returning || m.terminationNotice || m.silent || reportsize.Full(usage.free) && usage.endedReportBytes > 0 {
 		for _, a := range m.attempts {
 			c.expediteEnd(a)
 		}
 	}
-	usage := c.usageOf(m)
 	full, known := c.machineSize(m.machineType)
 	unknown := usage.unknownAttempts
 	if m.inherited && !m.accounted {
@@ -155,6 +156,7 @@
 			EmptyRental: !m.base && len(m.attempts) == 0,
 		},
 		Usable:      usable,
+		Full:        reportsize.Full(usage.free),
 		Free:        c.unreservedFree(m),
 		Usage:       usage.teams,
 		UrgentSlots: c.urgentCapacity(m, urgent),
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -11,6 +11,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/ledger"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/internal/supply"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -26,11 +27,14 @@
 		return usage
 	}
 	full, _ := c.machineSize(m.machineType)
+	full.ReportBytes = reportsize.Available(m.reportHeader)
 	*usage = machineUsage{valid: true, sizeGeneration: c.sizeGeneration, free: full}
 	for _, k := range sortedAttemptKeys(m) {
 		a := m.attempts[k]
 		switch {
-		case a.status == wire.TaskEnded:
+		case a.status == wire.TaskEnded: // uses nothing but its entry in the report, until it is cleared
+			usage.endedReportBytes += a.reportBytes()
+			usage.free.ReportBytes -= a.reportBytes()
 			continue
 		case !a.sizeKnown:
 			usage.unknownAttempts++
@@ -47,7 +51,7 @@
 		usage.teams[i].Size = usage.teams[i].Size.Add(a.size)
 	}
 	if usage.unknownAttempts > 0 {
-		usage.free = placement.Size{} // an attempt of unknown size may need the whole machine
+		usage.free, usage.endedReportBytes = placement.Size{}, 0 // an attempt of unknown size may need the whole machine
 	}
 	return usage
 }
@@ -63,6 +67,12 @@
 	return use.CPUs > t.CPUsMax+1e-6 || use.GPUs > t.GPUsMax+1e-6
 }
 
+// withinLimit returns what a team may use of free capacity, given what it uses already.
+func (t Team) withinLimit(free, used placement.Size) placement.Size {
+	free.CPUs, free.GPUs = min(free.CPUs, t.CPUsMax-used.CPUs), min(free.GPUs, t.GPUsMax-used.GPUs)
+	return free
+}
+
 // usable reports whether tasks may be placed on a machine now.
 func (c *Core) usable(m *machine) bool {
 	b := c.blocks[m.block]
@@ -111,7 +121,7 @@
 			largestFree[shard] = m
 		}
 		t, u := c.params.Teams[team], c.capacity.Used(team, shard)
-		return placement.Size{CPUs: min(m.CPUs, t.CPUsMax-u.CPUs), GPUs: min(m.GPUs, t.GPUsMax-u.GPUs), MemGB: m.MemGB}
+		return t.withinLimit(m, u)
 	}, func(p *queue.Entry[*jobEntry]) bool {
 		if c.placeJob(p) > 0 {
 			delete(largestFree, c.shardOfTeam(p.Job.Team))
@@ -278,7 +288,7 @@
 			return placement.Size{CPUs: -1}
 		}
 		t, u := c.params.Teams[team], c.capacity.Used(team, m.shard)
-		return placement.Size{CPUs: min(free.CPUs, t.CPUsMax-u.CPUs), GPUs: min(free.GPUs, t.GPUsMax-u.GPUs), MemGB: free.MemGB}
+		return t.withinLimit(free, u)
 	}, func(other *queue.Entry[*jobEntry]) bool {
 		e := other.Handle
 		if examined++; examined > tuning.LocalImageJobs || e.rank < p.Handle.rank {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -67,7 +67,7 @@
 // tasks which are already stopping, and the attempts of tiers below lowestTier that may
 // be stopped.
 func (c *Core) preemptionCandidate(m *machine, lowestTier int) *preemption.Machine[*machine, *attempt] {
-	candidate := &preemption.Machine[*machine, *attempt]{Handle: m, Free: c.freeCapacity(m)}
+	candidate := &preemption.Machine[*machine, *attempt]{Handle: m, Free: c.freeOnceCleared(m)}
 	for _, k := range sortedAttemptKeys(m) {
 		a := m.attempts[k]
 		switch {
--- a/internal/core/recount_test.go
+++ b/internal/core/recount_test.go
@@ -13,6 +13,7 @@
 	"github.com/barrowbridge/barrowbridge/internal/placement"
 	"github.com/barrowbridge/barrowbridge/internal/queue"
 	"github.com/barrowbridge/barrowbridge/internal/ranges"
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -46,11 +47,13 @@
 		for _, mn := range sortedKeys(c.machines) {
 			m := c.machines[mn]
 			free, _ := c.machineSize(m.machineType)
+			free.ReportBytes = float64(reportsize.Limit - m.reportHeader)
 			unknown := m.inherited && !m.accounted
 			for _, k := range sortedAttemptKeys(m) {
 				a := m.attempts[k]
 				onTask[k.task]++
 				if a.status == wire.TaskEnded {
+					free.ReportBytes -= a.reportBytes()
 					continue
 				}
 				if !a.sizeKnown {
@@ -102,8 +105,10 @@
 		w.same(name+" free capacity of "+m.name, c.unreservedFree(m), f.Free, cmpopts.EquateApprox(0, 1e-9))
 		w.same(name+" kind of "+m.name, ledger.Kind{Shard: m.shard, Type: m.machineType, Zone: m.zone, Spot: m.spot, EmptyRental: !m.base && len(m.attempts) == 0}, f.Kind)
 		if c.usable(m) {
-			s := most[m.shard]
-			most[m.shard] = placement.Size{CPUs: max(s.CPUs, f.Free.CPUs), GPUs: max(s.GPUs, f.Free.GPUs), MemGB: max(s.MemGB, f.Free.MemGB)}
+			if s := most[m.shard]; !reportsize.Full(c.freeCapacity(m)) {
+				most[m.shard] = placement.Size{CPUs: max(s.CPUs, f.Free.CPUs), GPUs: max(s.GPUs, f.Free.GPUs), MemGB: max(s.MemGB, f.Free.MemGB),
+					ReportBytes: max(s.ReportBytes, f.Free.ReportBytes)}
+			}
 			if !m.spot {
 				urgent, _ := c.urgentReserve.TaskSize(m.shard)
 				spare[m.shard] += c.urgentCapacity(m, urgent)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -55,6 +56,7 @@
 	c.trackDelivery(m, r, origin.From)
 	c.applyMachineReport(m, r)
 	c.applyAttemptReports(m, r)
+	c.shrinkReport(m, r)
 	if c.cordons[m.name].Drain {
 		c.cordonChanged(m.name)
 	}
@@ -164,6 +166,7 @@
 	}
 	m.session, m.seq, m.lastReport, m.leaseOver = r.Session, r.Seq, c.now, false
 	m.addr, m.reportedToken = r.Addr, r.Token
+	c.measureHeader(m, r)
 	if c.capacity.RecordReport(m, m.name, c.now) {
 		c.markDirty(m)
 	}
@@ -257,6 +260,7 @@
 			job, taskIndex, err := wire.ParseTask(t.Task)
 			if err != nil {
 				c.log(0, "report contains an invalid task name", "machine", m.name, "task", t.Task)
+				m.reportHeader += reportsize.Entry(t.Task)
 				continue
 			}
 			a = &attempt{key: k, job: job, taskIndex: taskIndex, machine: m, startSent: true, createdAt: c.now, runningSince: c.now}
@@ -362,61 +366,3 @@
 	e.run.failures++
 	e.run.notBefore = c.now + min(tuning.TaskErrorBackoff<<min(e.run.failures-1, 10), tuning.TaskErrorBackoffMax)
 }
-
-// commands returns the commands for a machine, in answer to its report.
-func (c *Core) commands(m *machine) []wire.Command { return c.commandsFor(m, false) }
-
-// startable reports whether the start of a reserved attempt is recorded in the state service, so that
-// the command may be sent.
-func (c *Core) startable(a *attempt) bool {
-	e := c.jobs[a.job]
-	return e != nil && e.run != nil && !a.stopping && !a.machine.fresh && e.record.Started > a.taskIndex &&
-		(!tracksMachines(&e.record) || recordedMachine(&e.record, a.taskIndex) == a.machine.name)
-}
-
-// commandsFor returns the commands for a machine. A preview changes nothing and leaves out starts.
-func (c *Core) commandsFor(m *machine, preview bool) []wire.Command {
-	commands := []wire.Command{}
-	if !m.accounted {
-		return commands
-	}
-	for _, k := range sortedAttemptKeys(m) {
-		if len(commands) >= 200 {
-			break // the size of a reply is limited; the rest follows with the next report
-		}
-		a := m.attempts[k]
-		e := c.jobs[a.job]
-		live := e != nil && e.run != nil
-		switch {
-		case a.status == wire.TaskEnded:
-			// Cleared only once the outcome is recorded or no longer matters.
-			if !live || a.cause != wire.CauseDone || c.durableDone(e).Contains(a.taskIndex) {
-				commands = append(commands, wire.Command{Verb: wire.VerbClear, Task: k.task, Attempt: k.number})
-			}
-		case !live || a.stopping:
-			if a.startSent {
-				graceS := a.stopGraceS
-				if !live {
-					graceS = 0
-				}
-				commands = append(commands, wire.Command{Verb: wire.VerbStop, Task: k.task, Attempt: k.number, GraceS: &graceS})
-			}
-		case a.status == "" && c.startable(a) && !preview:
-			if run, now := c.runCommand(a); now {
-				a.startSent = true
-				c.recordTaskRecovery(trail.TaskRestarted, a)
-				c.logStart(a, e)
-				commands = append(commands, run)
-			}
-		}
-	}
-	return commands
-}
-
-// logStart records which token a start command carries and which stored records it rests on.
-func (c *Core) logStart(a *attempt, e *jobEntry) {
-	slot, slotVersion := c.startLog.StoredIn(a.job)
-	c.log(2, "start command sent", "task", a.key.task, "try", a.key.number, "machine", a.machine.name,
-		"token", c.answerToken(a.machine, c.blocks[a.machine.block]), "mirror", c.mirrorRevision,
-		"job_version", e.version, "slot", slot, "slot_version", slotVersion)
-}
--- a/internal/core/reservation.go
+++ b/internal/core/reservation.go
@@ -145,7 +145,7 @@
 // appendReservable appends a machine that may take a reservation, with the tasks that are expected to end
 // on it. It lowers least to what the machine's tasks use, if that is less.
 func (c *Core) appendReservable(m *machine, list []reservation.Machine[*machine], least *placement.Size) []reservation.Machine[*machine] {
-	candidate := reservation.Machine[*machine]{Handle: m, Name: m.name, Up: c.usable(m), Free: c.freeCapacity(m)}
+	candidate := reservation.Machine[*machine]{Handle: m, Name: m.name, Up: c.usable(m), Free: c.freeOnceCleared(m)}
 	if !candidate.Up {
 		size, known := c.machineSize(m.machineType)
 		if !known || m.reported || m.inherited || !c.comingMachines[m] {
--- a/internal/core/world_machines_test.go
+++ b/internal/core/world_machines_test.go
@@ -72,6 +72,7 @@
 // other.
 func (w *world) post(m *host, s worker.Send) {
 	w.copyOf(s)
+	w.checkReport(&s.Report)
 	back := func(o worker.Outcome) func() {
 		return func() {
 			if !m.gone && !w.deaf[m.info.Name] {
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/checker"
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/internal/standin/state"
 	"github.com/barrowbridge/barrowbridge/internal/standin/worker"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -46,6 +47,10 @@
 
 	connections connections
 
+	largestReport int  // most attempts in a report
+	oversized     bool // reports may be larger than the protocol allows
+	lostWithLease int  // tasks killed as their worker's lease ended
+
 	// peerDelay returns the extra delay of a message between controllers. May be nil.
 	peerDelay func(from string, v PeerSend) time.Duration
 }
@@ -63,6 +68,9 @@
 	if w.completed == nil {
 		w.completed = map[string]bool{}
 	}
+	if cause == "" {
+		w.lostWithLease++
+	}
 	if cause == wire.CauseDone {
 		w.completed[task] = true
 	}
@@ -265,6 +273,9 @@
 			continue
 		}
 		r := checker.Room{Machine: n, CPUs: 4, MemGB: 16}
+		if report, _ := m.Inspect(now); reportsize.Bound(&report)+reportsize.LongestEntry > reportsize.Limit {
+			r.CPUs, r.MemGB = 0, 0 // the worker could not report another task
+		}
 		for _, a := range m.tasks() {
 			if id, _, err := wire.ParseTask(a.Task); err == nil && a.Status != wire.TaskEnded {
 				r.Tasks = append(r.Tasks, a.Task)
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -16,6 +17,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/core"
 	"github.com/barrowbridge/barrowbridge/internal/metrics"
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/internal/trail"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
@@ -138,13 +140,16 @@
 }
 
 // readBody decodes a request's CBOR map into v. It returns a one-line description of the problem, or "".
-func readBody(c echo.Context, v any) string {
-	b, err := io.ReadAll(io.LimitReader(c.Request().Body, wire.MaxBody+1))
+func readBody(c echo.Context, v any) string { return readLimited(c, v, wire.MaxBody) }
+
+// readLimited does the same for bodies of at most limit bytes.
+func readLimited(c echo.Context, v any, limit int64) string {
+	b, err := io.ReadAll(io.LimitReader(c.Request().Body, limit+1))
 	switch {
 	case err != nil:
 		return "body not readable"
-	case len(b) > wire.MaxBody:
-		return "body larger than 64 KiB"
+	case int64(len(b)) > limit:
+		return fmt.Sprintf("body larger than %d KiB", limit>>10)
 	case !wire.IsMap(b):
 		return "body is not a CBOR map"
 	}
@@ -183,7 +188,7 @@
 
 func (s *Server) report(c echo.Context) error {
 	var r wire.Report
-	if why := readBody(c, &r); why != "" {
+	if why := readLimited(c, &r, reportsize.MaxRead); why != "" {
 		s.log.Info("cannot decode worker report", "from", c.RealIP(), "err", why)
 		return send(c, badRequest(why))
 	}
--- a/internal/ledger/find.go
+++ b/internal/ledger/find.go
@@ -33,11 +33,7 @@
 			matches = machines.largestBeta(kind, size, limit, allowed, preferred, matches)
 			continue
 		}
-		for r := range resources {
-			if amount(size, r) > 0 {
-				matches = machines.smallestBeta(kind, r, size, limit, allowed, preferred, matches)
-			}
-		}
+		matches = machines.smallestOfEach(kind, size, limit, allowed, preferred, matches)
 	}
 	return matches
 }
@@ -46,9 +42,10 @@
 // every resource.
 func lowerBound[H comparable](size placement.Size) *entry[H] {
 	return &entry[H]{state: MachineState{Free: placement.Size{
-		CPUs:  size.CPUs - eps,
-		GPUs:  size.GPUs - eps,
-		MemGB: size.MemGB - eps,
+		CPUs:        size.CPUs - eps,
+		GPUs:        size.GPUs - eps,
+		MemGB:       size.MemGB - eps,
+		ReportBytes: size.ReportBytes,
 	}}}
 }
 
@@ -59,24 +56,48 @@
 		return placement.Size{CPUs: size.CPUs}
 	case 1:
 		return placement.Size{MemGB: size.MemGB}
+	case 2:
+		return placement.Size{GPUs: size.GPUs}
 	}
-	return placement.Size{GPUs: size.GPUs}
+	return placement.Size{ReportBytes: size.ReportBytes}
 }
 
-// smallestBeta appends the machines with the smallest beta, by the index of one resource. It stops at
-// the first preferred machine.
-func (g *group[H]) smallestBeta(kind Kind, resource int, size placement.Size, limit int,
+// smallestOfEach appends the machines with the smallest beta by the index of each resource. What is
+// left of a report rarely is what there is least of, so that index is searched last, and no further
+// than the smallest beta that the others have found. Where they have found nothing, nothing fits.
+func (g *group[H]) smallestOfEach(kind Kind, size placement.Size, limit int,
 	allowed, preferred func(H) bool, matches []Match[H]) []Match[H] {
-	minCopies, single := -1, onlyResource(size, resource)
-	g.byResource[resource].AscendGreaterOrEqual(lowerBound[H](size), func(e *entry[H]) bool {
-		if !placement.Fits(e.state.Free, size) || !allowed(e.handle) {
-			return true
+	first := len(matches)
+	for r := range reportBytes {
+		if amount(size, r) > 0 {
+			matches = g.smallestBeta(kind, r, size, -1, limit, allowed, preferred, matches)
 		}
+	}
+	if len(matches) == first || size.ReportBytes <= 0 {
+		return matches
+	}
+	smallest := placement.Beta(matches[first].Free, size)
+	for _, match := range matches[first:] {
+		smallest = min(smallest, placement.Beta(match.Free, size))
+	}
+	return g.smallestBeta(kind, reportBytes, size, smallest, limit, allowed, preferred, matches)
+}
+
+// smallestBeta appends the machines with the smallest beta, by the index of one resource, of which
+// they allow at most maxCopies further copies if that is not negative. It stops at the first preferred
+// machine.
+func (g *group[H]) smallestBeta(kind Kind, resource int, size placement.Size, maxCopies, limit int,
+	allowed, preferred func(H) bool, matches []Match[H]) []Match[H] {
+	single := onlyResource(size, resource)
+	g.byResource[resource].AscendGreaterOrEqual(lowerBound[H](size), func(e *entry[H]) bool {
 		copies := placement.Beta(e.state.Free, single)
-		if minCopies >= 0 && copies > minCopies {
+		if maxCopies >= 0 && copies > maxCopies {
 			return false
 		}
-		minCopies = copies
+		if !placement.Fits(e.state.Free, size) || !allowed(e.handle) {
+			return true
+		}
+		maxCopies = copies
 		matches = append(matches, Match[H]{e.handle, kind, e.state.Free})
 		limit--
 		return limit > 0 && !preferred(e.handle)
@@ -89,7 +110,7 @@
 func (g *group[H]) largestBeta(kind Kind, size placement.Size, limit int,
 	allowed, preferred func(H) bool, matches []Match[H]) []Match[H] {
 	resource := 0
-	for resource < resources-1 && amount(size, resource) <= 0 {
+	for resource < reportBytes && amount(size, resource) <= 0 {
 		resource++
 	}
 	maxCopies, seen, single := -1, 0, onlyResource(size, resource)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -38,6 +38,7 @@
 type MachineState struct {
 	Kind
 	Usable bool           // tasks may be placed on it now
+	Full   bool           // no task fits, whatever its size: it is not proposed
 	Free   placement.Size // capacity that no task can be using
 	Usage  []TeamUsage
 	// UnknownUse is what unknown tasks may use on the machine. It counts against every team of the
@@ -85,8 +86,11 @@
 	byResource [resources]*btree.BTreeG[*entry[H]]
 }
 
-// resources is the number of resources in a placement.Size.
-const resources = 3
+// resources is the number of resources in a placement.Size, and reportBytes the index of the last one.
+const (
+	resources   = 4
+	reportBytes = resources - 1
+)
 
 // amount returns the amount of one resource, by its index in group.byResource.
 func amount(size placement.Size, resource int) float64 {
@@ -95,8 +99,10 @@
 		return size.CPUs
 	case 1:
 		return size.MemGB
+	case 2:
+		return size.GPUs
 	}
-	return size.GPUs
+	return size.ReportBytes
 }
 
 // New returns an empty ledger.
@@ -133,6 +139,9 @@
 	if !state.Spot {
 		shard.urgentSlots += state.UrgentSlots
 	}
+	if state.Full {
+		return
+	}
 	machines := l.groups[state.Kind]
 	if machines == nil {
 		machines = newGroup[H]()
@@ -177,6 +186,9 @@
 	if !state.Spot {
 		shard.urgentSlots -= state.UrgentSlots
 	}
+	if state.Full {
+		return
+	}
 	machines := l.groups[state.Kind]
 	for r := range resources {
 		machines.byResource[r].Delete(e)
@@ -278,5 +290,5 @@
 			}
 		}
 	}
-	return placement.Size{CPUs: largest[0], MemGB: largest[1], GPUs: largest[2]}
+	return placement.Size{CPUs: largest[0], MemGB: largest[1], GPUs: largest[2], ReportBytes: largest[reportBytes]}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,25 +12,30 @@
 // Size is an amount of each resource.
 type Size struct {
 	CPUs, GPUs, MemGB float64
+	ReportBytes       float64 // of the report of the machine's worker (package reportsize)
 }
 
 // eps absorbs the rounding of sums of decimal amounts.
 const eps = 1e-6
 
 // Sub returns a minus b.
-func (a Size) Sub(b Size) Size { return Size{a.CPUs - b.CPUs, a.GPUs - b.GPUs, a.MemGB - b.MemGB} }
+func (a Size) Sub(b Size) Size {
+	return Size{a.CPUs - b.CPUs, a.GPUs - b.GPUs, a.MemGB - b.MemGB, a.ReportBytes - b.ReportBytes}
+}
 
 // Add returns a plus b.
-func (a Size) Add(b Size) Size { return Size{a.CPUs + b.CPUs, a.GPUs + b.GPUs, a.MemGB + b.MemGB} }
+func (a Size) Add(b Size) Size {
+	return Size{a.CPUs + b.CPUs, a.GPUs + b.GPUs, a.MemGB + b.MemGB, a.ReportBytes + b.ReportBytes}
+}
 
 // Min returns the minimum of each resource.
 func Min(a, b Size) Size {
-	return Size{min(a.CPUs, b.CPUs), min(a.GPUs, b.GPUs), min(a.MemGB, b.MemGB)}
+	return Size{min(a.CPUs, b.CPUs), min(a.GPUs, b.GPUs), min(a.MemGB, b.MemGB), min(a.ReportBytes, b.ReportBytes)}
 }
 
 // Fits reports whether a task of the given size fits into the free amount.
 func Fits(free, size Size) bool {
-	return size.CPUs <= free.CPUs+eps && size.GPUs <= free.GPUs+eps && size.MemGB <= free.MemGB+eps
+	return size.CPUs <= free.CPUs+eps && size.GPUs <= free.GPUs+eps && size.MemGB <= free.MemGB+eps && size.ReportBytes <= free.ReportBytes
 }
 
 // Beta returns the minimum over the requested resources of floor((free-size)/size): the number of
@@ -38,7 +43,7 @@
 // not fit.
 func Beta(free, size Size) int {
 	copies := math.Inf(1)
-	for _, resource := range [3][2]float64{{free.CPUs, size.CPUs}, {free.GPUs, size.GPUs}, {free.MemGB, size.MemGB}} {
+	for _, resource := range [4][2]float64{{free.CPUs, size.CPUs}, {free.GPUs, size.GPUs}, {free.MemGB, size.MemGB}, {free.ReportBytes, size.ReportBytes}} {
 		if resource[1] > 0 {
 			copies = math.Min(copies, math.Floor((resource[0]-resource[1])/resource[1]+eps))
 		}
--- a/internal/queue/tree.go
+++ b/internal/queue/tree.go
@@ -1,8 +1,6 @@
 package queue
 
 import (
-	"math"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
@@ -29,11 +27,7 @@
 	n.minSize = n.entry.Job.TaskSize
 	for _, child := range [2]*node[H]{n.left, n.right} {
 		if child != nil {
-			n.minSize = placement.Size{
-				CPUs:  math.Min(n.minSize.CPUs, child.minSize.CPUs),
-				GPUs:  math.Min(n.minSize.GPUs, child.minSize.GPUs),
-				MemGB: math.Min(n.minSize.MemGB, child.minSize.MemGB),
-			}
+			n.minSize = placement.Min(n.minSize, child.minSize)
 		}
 	}
 }
--- a/internal/supply/supply.go
+++ b/internal/supply/supply.go
@@ -12,6 +12,7 @@
 
 	"github.com/barrowbridge/barrowbridge/internal/demand"
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
@@ -36,14 +37,25 @@
 	Idle   bool // preemptible by all other work
 }
 
+// MachineSize returns the capacity of a machine type.
+func MachineSize(machineType wire.MachineType) placement.Size {
+	return placement.Size{
+		CPUs:        machineType.CPUs,
+		GPUs:        machineType.GPUs,
+		MemGB:       machineType.MemoryGB,
+		ReportBytes: reportsize.Available(reportsize.TypicalHeader),
+	}
+}
+
 // JobSize returns the size of each task of a job.
 func JobSize(job *wire.Job) placement.Size {
-	return placement.Size{CPUs: job.CPUs, GPUs: job.GPUs, MemGB: job.MemoryGB}
+	return placement.Size{CPUs: job.CPUs, GPUs: job.GPUs, MemGB: job.MemoryGB, ReportBytes: float64(reportsize.JobEntry(job))}
 }
 
-// NeedSize returns the size of each task of a need.
+// NeedSize returns the size of each task of a need. A need names no job, so its entries in reports may
+// be the longest.
 func NeedSize(need wire.Need) placement.Size {
-	return placement.Size{CPUs: need.CPUs, GPUs: need.GPUs, MemGB: need.MemGB}
+	return placement.Size{CPUs: need.CPUs, GPUs: need.GPUs, MemGB: need.MemGB, ReportBytes: float64(reportsize.LongestEntry)}
 }
 
 // RequestOf returns what the tasks of a need ask for.
@@ -99,9 +111,10 @@
 // Multiply returns the size of several tasks together.
 func Multiply(size placement.Size, tasks int) placement.Size {
 	return placement.Size{
-		CPUs:  float64(tasks) * size.CPUs,
-		GPUs:  float64(tasks) * size.GPUs,
-		MemGB: float64(tasks) * size.MemGB,
+		CPUs:        float64(tasks) * size.CPUs,
+		GPUs:        float64(tasks) * size.GPUs,
+		MemGB:       float64(tasks) * size.MemGB,
+		ReportBytes: float64(tasks) * size.ReportBytes,
 	}
 }
 
@@ -144,7 +157,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		machineType := types[name]
-		full := placement.Size{CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemGB: machineType.MemoryGB}
+		full := MachineSize(machineType)
 		if len(need.Types) > 0 && !slices.Contains(need.Types, name) || !placement.Fits(full, request.Size) {
 			continue
 		}
--- a/internal/supply/supply_test.go
+++ b/internal/supply/supply_test.go
@@ -4,15 +4,16 @@
 	"testing"
 
 	"github.com/barrowbridge/barrowbridge/internal/placement"
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
 
-var oneTask = placement.Size{CPUs: 1, MemGB: 2}
+var oneTask = placement.Size{CPUs: 1, MemGB: 2, ReportBytes: float64(reportsize.LongestEntry)}
 
 // Capacity is taken once, by the requests that may use it: idle work does not count what other idle
 // work uses, and urgent work does not count machines that are late.
 func TestTake(t *testing.T) {
-	full := placement.Size{CPUs: 4, MemGB: 16}
+	full := placement.Size{CPUs: 4, MemGB: 16, ReportBytes: 4 * float64(reportsize.LongestEntry)}
 	p := Pool{
 		{Type: "std", Zone: "n", Free: full, IdleUse: placement.Size{CPUs: 3, MemGB: 6}},
 		{Type: "std", Zone: "s", Spot: true, Free: full},
--- a/internal/tuning/workers.go
+++ b/internal/tuning/workers.go
@@ -4,6 +4,9 @@
 
 // Leases and reports of workers.
 const (
+	// MaxReplyCommands (commands) is how many commands an answer to a worker or a direct call
+	// carries; with the longest names and all sources they fit into the limit of a body.
+	MaxReplyCommands = 200
 	// WorkerLeaseMargin (duration) is added to a worker lease before it counts as expired:
 	// timers fire some milliseconds late, and packets take time.
 	WorkerLeaseMargin = 300 * time.Millisecond
