A message's number names one incarnation of a controller

What callers would see: a task on two machines, or a start carried out once more.

Cause: a controller that passes reports on numbered its messages from the start again after each restart, and the holder's answer names the number alone. Back within a second, it took an answer to its earlier incarnation's report for that of another, and gave one worker another's starts. Pings had the same numbers, so a statement to an earlier incarnation could confirm a later one (read, not shown as a broken rule).

Change: a number holds the incarnation, the number of its first state lease, in its upper half.

Also here: the ledger compares copies by one resource without building sizes.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -58,7 +58,7 @@
 	if c.presence.Boot() == 0 || len(c.params.NodeZones) < 2 || !c.dueEvery("peers", tuning.PeerPingInterval) {
 		return
 	}
-	c.pingNonce++
+	c.pingNonce = max(c.pingNonce, c.uniqueNumber(0)) + 1
 	c.confirmation.PingSent(c.now, c.pingNonce)
 	var jobs []JobCount
 	for _, id := range sortedKeys(c.jobs) {
@@ -231,16 +231,27 @@
 	}
 }
 
+// incarnationShift is how many bits of a message's number count the messages of an incarnation.
+const incarnationShift = 32
+
+// uniqueNumber turns a count of this incarnation's messages into a number that no message of another
+// incarnation has: an answer names the number alone, and may come when the controller that asked has
+// ended and is back.
+func (c *Core) uniqueNumber(count uint64) uint64 {
+	return c.presence.Boot()<<incarnationShift | count&(1<<incarnationShift-1)
+}
+
 // relayReport passes a report on to the holder of its machine, on behalf of a worker that may be unable to
 // reach it. It returns false if the report was not relayed. token is the shard's fencing token: a worker
 // that reports an earlier one has not been in contact with the holder yet.
 func (c *Core) relayReport(request uint64, report *wire.Report, holder string, token uint64) bool {
-	if !c.peerResponsive(holder) || !c.relays.ShouldRelay(c.now, report.Machine, report.Token < token, c.reachOf(holder).NoWorkers) {
+	if c.presence.Boot() == 0 || !c.peerResponsive(holder) || !c.relays.ShouldRelay(c.now, report.Machine, report.Token < token, c.reachOf(holder).NoWorkers) {
 		return false
 	}
 	c.lastID++
-	c.relays.Relayed(c.now, c.lastID, request)
-	c.sendToPeer(holder, PeerMessage{Relay: &RelayReport{ID: c.lastID, Report: *report}})
+	number := c.uniqueNumber(c.lastID)
+	c.relays.Relayed(c.now, number, request)
+	c.sendToPeer(holder, PeerMessage{Relay: &RelayReport{ID: number, Report: *report}})
 	return true
 }
 
--- a/internal/core/schedules_test.go
+++ b/internal/core/schedules_test.go
@@ -25,6 +25,10 @@
 	return n
 }
 
+// repeatSeeds is the first seed with arrays of very small tasks, and with requests that are carried out twice: direct
+// calls, transactions, rentals, deletions, messages between controllers, submissions and cancellations.
+const repeatSeeds = 30000
+
 // Random schedules of crashes, hangs, outages, network cuts, paused controllers, lost answers,
 // late writes and aborts at seeded moments. The world checks the rules, and at the end all
 // accepted jobs must be done.
@@ -33,6 +37,9 @@
 	seeds := []uint64{182, 243, 507, 578} // seeds in which a block moves between two shards of one holder
 	for s := uint64(100); s < 100+schedules; s++ {
 		seeds = append(seeds, s, s+10000)
+		if s%2 == 0 {
+			seeds = append(seeds, s+repeatSeeds)
+		}
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -44,7 +51,13 @@
 			w.pollAll()
 			w.run(5 * sec)
 			id := 0
-			for range 40 {
+			if seed >= repeatSeeds {
+				w.repeats = 30
+			}
+			for k := range 40 {
+				if seed >= repeatSeeds && k%8 == 3 {
+					w.submit(tiny(spec(fmt.Sprintf("job-9%05d", k), []string{"red", "blue"}[k/8%2], wire.ShapeBatch, 1500)))
+				}
 				if seed >= 10000 && w.rng.IntN(3) == 0 {
 					w.newTrouble()
 				}
@@ -63,7 +76,7 @@
 				}
 			}
 			w.run(5 * sec)
-			w.unsure = 0 // no faults from now on, so all accepted jobs must complete
+			w.unsure, w.repeats = 0, 0 // no faults from now on, so all accepted jobs must complete
 			w.run(40 * sec)
 			w.check.Calm(w.now)
 			w.run(200 * sec)
--- a/internal/core/world_orders_test.go
+++ b/internal/core/world_orders_test.go
@@ -92,6 +92,16 @@
 		}
 		status, r, out := m.Orders(w.now, v.Orders)
 		w.drive(m, out)
+		w.repeat(func() { w.repeatOrders(m, v.Orders) })
 		w.at(w.lag(), func() { respond(status, r) })
 	})
 }
+
+// repeatOrders carries out a direct call once more, of which nobody awaits the answer.
+func (w *world) repeatOrders(m *host, orders wire.Orders) {
+	if m.gone || !m.up || m.Fault.Hung {
+		return
+	}
+	_, _, out := m.Orders(w.now, orders)
+	w.drive(m, out)
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -150,6 +150,7 @@
 			"green": {CPUs: 8, CPUsMax: 12},
 		},
 	}
+	w.repeatRNG, w.carriedOut = rand.New(rand.NewPCG(seed, 2)), map[wire.TaskReport]bool{}
 	for _, o := range opts {
 		o(w)
 	}
@@ -298,6 +299,7 @@
 				continue
 			}
 			w.at(w.lag(), func() { r := w.callCloud(v); w.at(w.lag(), back(CloudDone{ID: v.ID, Reply: r})) })
+			w.repeat(func() { w.callCloud(v) })
 		case WorkerCall:
 			if v.RequestedBy == "" {
 				w.checkOrder(n, v)
@@ -315,6 +317,7 @@
 				v.Msg.RouteHops = 0
 			}
 			w.at(w.lag()+w.peerLate(n.name, v), func() { w.step(w.nodes[v.To], Peer{Msg: v.Msg}) })
+			w.repeat(func() { w.step(w.nodes[v.To], Peer{Msg: v.Msg}) })
 		case Log:
 			if v.Level == 0 || testing.Verbose() {
 				w.t.Logf("%v %s: %s %v", w.now, n.name, v.Msg, v.KV)
@@ -417,11 +420,21 @@
 			return
 		}
 	}
+	if c.Op == OpCommit || c.Op == OpGrant || c.Op == OpExtend {
+		w.repeat(func() { w.callStoreOnce(call) })
+	}
 	w.callID++
 	w.calls[w.callID] = reply
 	w.answers(w.store.Do(w.now, w.callID, call))
 }
 
+// callStoreOnce carries out a call of the state service of which nobody awaits the answer.
+func (w *world) callStoreOnce(call state.Call) {
+	w.callID++
+	w.calls[w.callID] = func(StateReply) {}
+	w.answers(w.store.Do(w.now, w.callID, call))
+}
+
 // answers passes the state service's answers to the callers that wait for them.
 func (w *world) answers(list []state.Answer) {
 	for _, a := range list {
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/barrowbridge/barrowbridge/internal/checker"
@@ -47,6 +48,10 @@
 
 	connections connections
 
+	repeats    int // percentage of requests that arrive and are carried out once more, late
+	repeatRNG  *rand.Rand
+	carriedOut map[wire.TaskReport]bool // attempts whose start some worker has carried out
+
 	largestReport int  // most attempts in a report
 	oversized     bool // reports may be larger than the protocol allows
 	lostWithLease int  // tasks killed as their worker's lease ended
@@ -123,7 +128,26 @@
 	}
 }
 
+// repeat carries out a request that has been carried out once more, after the times for which a machine or a
+// controller may be away and longer, for the percentage of repeats.
+func (w *world) repeat(request func()) {
+	if w.repeats > 0 && w.repeatRNG.IntN(100) < w.repeats {
+		late := []time.Duration{900 * time.Millisecond, 4 * sec, 20 * sec}[w.repeatRNG.IntN(3)]
+		w.at(time.Duration(1+w.repeatRNG.Int64N(int64(late))), request)
+	}
+}
+
+// noteOrdered fails the test if a start is carried out a second time, whatever has become of the attempt.
+func (w *world) noteOrdered(m *host, o worker.Ordered) {
+	attempt := wire.TaskReport{Task: o.Task, Attempt: o.Attempt}
+	if w.carriedOut[attempt] {
+		w.t.Fatalf("%v: the start of attempt %d of %s was carried out again, on %s", w.now, o.Attempt, o.Task, m.info.Name)
+	}
+	w.carriedOut[attempt] = true
+}
+
 func (w *world) onOrdered(m *host, o worker.Ordered) {
+	w.noteOrdered(m, o)
 	if w.ordered != nil {
 		w.ordered(m, o)
 	}
--- a/internal/ledger/find.go
+++ b/internal/ledger/find.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "github.com/barrowbridge/barrowbridge/internal/placement"
+import (
+	"github.com/barrowbridge/barrowbridge/internal/conversion"
+	"github.com/barrowbridge/barrowbridge/internal/placement"
+)
 
 // Match is a machine with enough free capacity.
 type Match[H comparable] struct {
@@ -49,19 +52,6 @@
 	}}}
 }
 
-// onlyResource returns the size with a single resource left.
-func onlyResource(size placement.Size, resource int) placement.Size {
-	switch resource {
-	case 0:
-		return placement.Size{CPUs: size.CPUs}
-	case 1:
-		return placement.Size{MemGB: size.MemGB}
-	case 2:
-		return placement.Size{GPUs: size.GPUs}
-	}
-	return placement.Size{ReportBytes: size.ReportBytes}
-}
-
 // smallestOfEach appends the machines with the smallest beta by the index of each resource. What is
 // left of a report rarely is what there is least of, so that index is searched last, and no further
 // than the smallest beta that the others have found. Where they have found nothing, nothing fits.
@@ -88,16 +78,16 @@
 // machine.
 func (g *group[H]) smallestBeta(kind Kind, resource int, size placement.Size, maxCopies, limit int,
 	allowed, preferred func(H) bool, matches []Match[H]) []Match[H] {
-	single := onlyResource(size, resource)
+	asked := amount(size, resource)
 	g.byResource[resource].AscendGreaterOrEqual(lowerBound[H](size), func(e *entry[H]) bool {
-		copies := placement.Beta(e.state.Free, single)
-		if maxCopies >= 0 && copies > maxCopies {
+		copies := placement.Copies(amount(e.state.Free, resource), asked)
+		if maxCopies >= 0 && copies > float64(maxCopies) {
 			return false
 		}
 		if !placement.Fits(e.state.Free, size) || !allowed(e.handle) {
 			return true
 		}
-		maxCopies = copies
+		maxCopies = conversion.Int(copies)
 		matches = append(matches, Match[H]{e.handle, kind, e.state.Free})
 		limit--
 		return limit > 0 && !preferred(e.handle)
@@ -113,7 +103,7 @@
 	for resource < reportBytes && amount(size, resource) <= 0 {
 		resource++
 	}
-	maxCopies, seen, single := -1, 0, onlyResource(size, resource)
+	maxCopies, seen, asked := -1, 0, amount(size, resource)
 	g.byResource[resource].Descend(func(e *entry[H]) bool {
 		if amount(e.state.Free, resource) < amount(size, resource)-eps || seen >= limit {
 			return false
@@ -126,7 +116,7 @@
 			matches = append(matches, Match[H]{e.handle, kind, e.state.Free})
 			return false
 		}
-		if copies := placement.Beta(e.state.Free, single); copies < maxCopies {
+		if placement.Copies(amount(e.state.Free, resource), asked) < float64(maxCopies) {
 			return true // its beta is smaller too; from here on only preferred machines count
 		}
 		if copies := placement.Beta(e.state.Free, size); copies > maxCopies {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -18,8 +18,9 @@
 		Spot:  rapid.Bool().Draw(t, "spot"), EmptyRental: rapid.Bool().Draw(t, "empty")},
 		Usable: rapid.IntRange(0, 3).Draw(t, "usable") > 0,
 		Free: placement.Size{
-			CPUs:  float64(rapid.IntRange(0, 40).Draw(t, "cpus")) / 10,
-			MemGB: float64(rapid.IntRange(0, 16).Draw(t, "mem")),
+			CPUs:        float64(rapid.IntRange(0, 40).Draw(t, "cpus")) / 10,
+			MemGB:       float64(rapid.IntRange(0, 16).Draw(t, "mem")),
+			ReportBytes: float64(rapid.IntRange(0, 900).Draw(t, "report")),
 		},
 		UrgentSlots: rapid.IntRange(0, 4).Draw(t, "slots"),
 	}
@@ -49,8 +50,9 @@
 			states[h] = state
 		}
 		size := placement.Size{
-			CPUs:  float64(rapid.IntRange(1, 30).Draw(t, "size")) / 10,
-			MemGB: float64(rapid.IntRange(1, 8).Draw(t, "size_mem")),
+			CPUs:        float64(rapid.IntRange(1, 30).Draw(t, "size")) / 10,
+			MemGB:       float64(rapid.IntRange(1, 8).Draw(t, "size_mem")),
+			ReportBytes: float64(rapid.IntRange(1, 300).Draw(t, "entry")),
 		}
 		anchor := rapid.Bool().Draw(t, "anchor")
 		image := rapid.Map(rapid.IntRange(2, 9), func(n int) func(int) bool { return func(h int) bool { return h%n == 0 } }).Draw(t, "image")
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -38,17 +38,24 @@
 	return size.CPUs <= free.CPUs+eps && size.GPUs <= free.GPUs+eps && size.MemGB <= free.MemGB+eps && size.ReportBytes <= free.ReportBytes
 }
 
-// Beta returns the minimum over the requested resources of floor((free-size)/size): the number of
-// copies that a machine could still hold once this task is placed. It is negative if the task does
-// not fit.
+// Copies returns how many further copies of a task a machine could hold by one resource alone, once the
+// task is placed: floor((free-asked)/asked). It is negative if the task does not fit.
+func Copies(free, asked float64) float64 { return math.Floor((free-asked)/asked + eps) }
+
+// Beta returns the minimum of Copies over the requested resources. It is negative if the task does not
+// fit, and 0 if it asks for nothing.
 func Beta(free, size Size) int {
-	copies := math.Inf(1)
-	for _, resource := range [4][2]float64{{free.CPUs, size.CPUs}, {free.GPUs, size.GPUs}, {free.MemGB, size.MemGB}, {free.ReportBytes, size.ReportBytes}} {
-		if resource[1] > 0 {
-			copies = math.Min(copies, math.Floor((resource[0]-resource[1])/resource[1]+eps))
+	copies, none := math.Inf(1), true
+	bound := func(free, asked float64) {
+		if asked > 0 {
+			copies, none = min(copies, Copies(free, asked)), false
 		}
 	}
-	if math.IsInf(copies, 1) {
+	bound(free.CPUs, size.CPUs)
+	bound(free.GPUs, size.GPUs)
+	bound(free.MemGB, size.MemGB)
+	bound(free.ReportBytes, size.ReportBytes)
+	if none {
 		return 0
 	}
 	return conversion.Int(copies)
