Test worlds repeat requests that were carried out, none that was refused

Trace: the state service was out and refused the mark with 503 nine times; 7 s later the world carried out one of these, which its conditions still allowed. The protocol says of 503 that the request was not executed, so it cannot be carried out late; the world now repeats what was answered 200.

--- a/internal/core/world_orders_test.go
+++ b/internal/core/world_orders_test.go
@@ -92,7 +92,9 @@
 		}
 		status, r, out := m.Orders(w.now, v.Orders)
 		w.drive(m, out)
-		w.repeat(func() { w.repeatOrders(m, v.Orders) })
+		if status == 200 {
+			w.repeat(func() { w.repeatOrders(m, v.Orders) })
+		}
 		w.at(w.lag(), func() { respond(status, r) })
 	})
 }
--- a/internal/core/world_troubles_test.go
+++ b/internal/core/world_troubles_test.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// repeat carries out a request that has been carried out once more, after the times for which a machine or a
+// repeat carries out a request that has been carried out, and was not refused, once more, after the times for which a machine or a
 // controller may be away and longer, for the percentage of repeats.
 func (w *world) repeat(request func()) {
 	if w.repeats > 0 && w.repeatRNG.IntN(100) < w.repeats {
--- a/internal/core/world_users_test.go
+++ b/internal/core/world_users_test.go
@@ -65,10 +65,10 @@
 		}
 	}
 	w.at(5*time.Second, again)
-	w.repeat(func() { w.ask(n, in, func(Answer) {}) })
 	w.ask(n, in, func(a Answer) {
 		if !settled && ok(a, asked) {
 			settled = true
+			w.repeat(func() { w.ask(n, in, func(Answer) {}) })
 		} else {
 			w.at(time.Second, again)
 		}
