Attempts are numbered above a count of 32 bits, not 24

Cause: an attempt's number held the incarnation above 24 bits of a count, joined by OR. After 16.7 million attempts the count ran into the incarnation, and the numbers of an odd one repeated. Very small tasks, some 600 on a machine now, reach that within hours.

Change: the same numbers as for messages (numbers.go). TestAttemptNumbersOutlastManyAttempts fails with the former number.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -231,16 +231,6 @@
 	}
 }
 
-// incarnationShift is how many bits of a message's number count the messages of an incarnation.
-const incarnationShift = 32
-
-// uniqueNumber turns a count of this incarnation's messages into a number that no message of another
-// incarnation has: an answer names the number alone, and may come when the controller that asked has
-// ended and is back.
-func (c *Core) uniqueNumber(count uint64) uint64 {
-	return c.presence.Boot()<<incarnationShift | count&(1<<incarnationShift-1)
-}
-
 // relayReport passes a report on to the holder of its machine, on behalf of a worker that may be unable to
 // reach it. It returns false if the report was not relayed. token is the shard's fencing token: a worker
 // that reports an earlier one has not been in contact with the holder yet.
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -225,7 +225,7 @@
 		c.lastAttemptNumber++
 	}
 	a := &attempt{
-		key:          attemptKey{wire.TaskName(j.ID, taskIndex), c.presence.Boot()<<24 | c.lastAttemptNumber},
+		key:          attemptKey{wire.TaskName(j.ID, taskIndex), c.attemptNumber()},
 		job:          j.ID,
 		taskIndex:    taskIndex,
 		team:         j.Team,
--- a/internal/core/repeats_test.go
+++ b/internal/core/repeats_test.go
@@ -94,3 +94,21 @@
 	}
 	numbers[number] = incarnation
 }
+
+// Guards against attempt numbers that repeat within an incarnation: the count ran into the bits of the incarnation
+// after 16.7 million attempts, which very small tasks reach within hours.
+func TestAttemptNumbersOutlastManyAttempts(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 552, 1)
+	w.run(5 * sec)
+	c := w.nodes["c0"].core
+	used := map[uint64]uint64{}
+	for _, count := range []uint64{1, 2, 1<<24 - 1, 1 << 24, 1<<24 + 1, 1<<24 + 2, 1<<25 + 1, 1<<32 - 1} {
+		c.lastAttemptNumber = count
+		number := c.attemptNumber()
+		if by, taken := used[number]; taken || number>>incarnationShift != c.presence.Boot() {
+			t.Errorf("attempts %d and %d of incarnation %d have number %d", by, count, c.presence.Boot(), number)
+		}
+		used[number] = count
+	}
+}
