Emulator, checker, load and a rehearsal: very small tasks, requests carried out twice

requests_repeated carries out a share of changes, state leases, rentals, deletions and direct calls once more, 0.1 to 20 s after they were answered 200. The checker breaks a run in which a worker's report is larger than 64 KiB (too_large).

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -34,6 +34,9 @@
 	// Unfit is not a rule of PROTOCOL either: a job was accepted that cannot run or that lacks
 	// a required field.
 	Unfit = "unfit"
+	// TooLarge is not on PROTOCOL's list of rules: a worker has more tasks than its report may
+	// list in the 64 KiB of a request body. It breaks the run.
+	TooLarge = "too_large"
 )
 
 // Rules lists all rules of PROTOCOL that the checker verifies.
--- a/internal/core/report_size_test.go
+++ b/internal/core/report_size_test.go
@@ -17,6 +17,9 @@
 
 // checkReport fails the test if a report is, or may become, larger than the protocol allows.
 func (w *world) checkReport(r *wire.Report) {
+	if !w.oversized {
+		w.check.Reported(w.now, r.Machine, r)
+	}
 	w.largestReport = max(w.largestReport, len(r.Attempts))
 	if bound := reportsize.Bound(r); bound > reportsize.Limit && !w.oversized {
 		w.t.Fatalf("%v: the report of %s lists %d attempts, and may become as large as %d bytes", w.now, r.Machine, len(r.Attempts), bound)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -140,7 +140,7 @@
 }
 
 // TestPlanErrors checks that errors in a load file are reported in one line and that the shipped
-// example is valid.
+// examples are valid.
 func TestPlanErrors(t *testing.T) {
 	for from, to := range map[string]string{`rate = 40.0`: "rate = -1.0", `kind = "fixed", mean = 1.0 }` + "\ncpus": `kind = "gauss" }` + "\ncpus",
 		`team = "red"`: `taem = "red"`, `for_s = 1.0`: "for_s = nan", `in_flight = 4`: "in_flight = 0"} {
@@ -149,11 +149,13 @@
 			t.Errorf("%s: %v", to, err)
 		}
 	}
-	b, err := os.ReadFile("../../examples/load.toml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := ParsePlan("load.toml", b); err != nil {
-		t.Error(err)
+	for _, name := range []string{"load.toml", "load-small-tasks.toml"} {
+		b, err := os.ReadFile("../../examples/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ParsePlan(name, b); err != nil {
+			t.Error(err)
+		}
 	}
 }
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -125,7 +125,7 @@
 		if wire.PriorityRank(c.Priority) < 0 {
 			errs = append(errs, fmt.Errorf("%spriority: must be production, urgent, normal or idle", k))
 		}
-		errs = append(errs, within(k+"rate", c.Rate, p.minRate(c.Name), 10000), within(k+"cpus", c.CPUs, 0.001, 1e6), within(k+"memory_gb", c.MemoryGB, 0, 1e6),
+		errs = append(errs, within(k+"rate", c.Rate, p.minRate(c.Name), 10000), within(k+"cpus", c.CPUs, 1e-6, 1e6), within(k+"memory_gb", c.MemoryGB, 0, 1e6),
 			within(k+"images", float64(c.Images), 0, 1000), within(k+"image_gb", c.ImageGB, 0, 1e4), c.Tasks.check(k+"tasks", 1, wire.MaxTasks), c.RunS.check(k+"run_s", 0.01, maxSeconds))
 		for j, x := range c.Bursts {
 			kb := fmt.Sprintf("%sburst[%d].", k, j)
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -336,7 +336,7 @@
 		return &problem{k + "team", fmt.Sprintf("%q is no team of the scenario", j.Team)}
 	}
 	if err := first(oneOf(k+"shape", j.Shape, wire.ShapeBatch, wire.ShapeService), oneOf(k+"priority", j.Priority, "production", "urgent", "normal", "idle"),
-		within(k+"tasks", float64(j.Tasks), 1, 10000), within(k+"cpus", j.CPUs, 0.01, s.Fleet.CPUs), within(k+"memory_gb", j.MemoryGB, 0, s.Fleet.MemoryGB),
+		within(k+"tasks", float64(j.Tasks), 1, 10000), within(k+"cpus", j.CPUs, 1e-6, s.Fleet.CPUs), within(k+"memory_gb", j.MemoryGB, 0, s.Fleet.MemoryGB),
 		within(k+"run_s", j.RunS, 0.1, 3600), within(k+"image_gb", j.ImageGB, 0, 1000), within(k+"checkpoint_every_s", j.SaveS, 0, 3600),
 		within(k+"count", float64(j.Count), 1, 1000), within(k+"every_s", j.EveryS, 0, 600), within(k+"at_s", j.AtS, 0, s.MostS),
 		within(k+"after_s", j.AfterS, 0, s.MostS), within(k+"cancel_s", j.CancelS, 0, s.MostS), s.condition(k+"when", j.When, ids)); err != nil {
--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -59,6 +59,7 @@
 	{"machine_unlisted", "machines", "", 0, 0, "the cloud does not list them, as if they were gone"},
 	{"machine_listed", "machines", "", 0, 0, "the cloud goes on listing them after they are gone"},
 	{"report_copies", "machines", "seconds", 0.1, 600, "copies of their reports come so much later at most, to any controller, also once they are gone"},
+	{"requests_repeated", "", "share", 0.01, 1, "this share of changes, rentals, deletions and direct calls is carried out once more, 0.1 to 20 s later"},
 	{"spot_taken", "machines", "notice", 0, 1, "the cloud takes them: with a notice (1) or without (0)"},
 	{"link", "parties", "seconds", 0, 60, "what flows between target and peer is held, reset, refused or delayed"},
 	{"controller_kill", "controllers", "", 0, 0, "the processes end without a word, and start again when lifted"},
@@ -333,7 +334,7 @@
 	}
 	clear(s.slow)
 	clear(s.late)
-	s.lateWrites = 0
+	s.lateWrites, s.repeats = 0, 0
 	clear(s.copies)
 	sick, processStates := map[string]worker.Fault{}, map[string]string{}
 	limits := s.Spec.State
@@ -358,6 +359,8 @@
 			cl.Short = true
 		case "state_late_writes":
 			s.lateWrites = max(s.lateWrites, f.Value)
+		case "requests_repeated":
+			s.repeats = max(s.repeats, f.Value)
 		case "state_slow", "cloud_slow":
 			p := strings.TrimSuffix(f.Kind, "_slow")
 			s.slow[p] = max(s.slow[p], seconds(f.Value))
--- a/internal/standin/site/serve.go
+++ b/internal/standin/site/serve.go
@@ -142,6 +142,7 @@
 	s.mu.Unlock()
 	select {
 	case a := <-reply:
+		s.repeatState(call, a.Status)
 		if mute {
 			return s.leaveUnanswered(c)
 		}
@@ -217,6 +218,9 @@
 			}
 			s.mu.Lock()
 			r := do(s.Now())
+			if c.Request().Method == http.MethodPost && r.Status == http.StatusOK {
+				s.repeat(func() { do(s.Now()) })
+			}
 			s.mu.Unlock()
 			if mute {
 				return s.leaveUnanswered(c)
@@ -272,8 +276,12 @@
 			return bad(c, "baton and tenure are needed")
 		}
 		return s.direct(c, name, func(now time.Duration, m *machine) (int, any) {
-			status, rep, out := m.Orders(now, wire.Orders{Token: *o.Token, Session: *o.Session, Commands: o.Commands})
+			orders := wire.Orders{Token: *o.Token, Session: *o.Session, Commands: o.Commands}
+			status, rep, out := m.Orders(now, orders)
 			s.drive(now, name, m, out)
+			if status == http.StatusOK {
+				s.repeatOrders(name, orders)
+			}
 			return status, rep
 		})
 	})
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -127,6 +127,7 @@
 	late     map[string]time.Duration // "state" or "cloud" -> delay before requests are executed
 
 	lateWrites float64 // share of state changes that get no answer and are executed late
+	repeats    float64 // share of requests that are carried out once more
 	observe    func(Event)
 	faults     faults
 
@@ -346,6 +347,7 @@
 	for _, e := range list {
 		switch v := e.(type) {
 		case worker.Send:
+			s.check.Reported(now, name, &v.Report)
 			m.post.send(v)
 		case worker.Ordered:
 			s.publish(Event{At: now, Kind: TaskOrdered, Machine: name, Task: v.Task, Attempt: v.Attempt})
