--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/barrowbridge/barrowbridge/internal/core"
+	"github.com/barrowbridge/barrowbridge/internal/reportsize"
 	"github.com/barrowbridge/barrowbridge/internal/tuning"
 	"github.com/barrowbridge/barrowbridge/wire"
 )
@@ -176,3 +177,21 @@
 		t.Errorf("message %d, %v", m.Nonce, err)
 	}
 }
+
+// The largest report that is read from a worker must fit into a message, so that it can be passed on.
+func TestTheLargestReportFitsIntoAMessage(t *testing.T) {
+	report := wire.Report{Machine: "n-000231", Session: 1}
+	for size := 0; size < reportsize.MaxRead; {
+		entry := wire.TaskReport{Task: wire.TaskName("job-000000", len(report.Attempts)%10), Attempt: 1, Status: wire.TaskSaving} // the shortest there is
+		raw, err := wire.Marshal(entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += len(raw)
+		report.Attempts = append(report.Attempts, entry)
+	}
+	var frame bytes.Buffer
+	if err := Write(&frame, core.PeerMessage{Relay: &core.RelayReport{ID: 1, Report: report}}); err != nil {
+		t.Errorf("%d attempts: %v", len(report.Attempts), err)
+	}
+}
